--- /dev/null
+++ b/src/bergamotshore/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over HTTP."""
--- /dev/null
+++ b/src/bergamotshore/adapters/http.py
@@ -0,0 +1,110 @@
+"""HTTP calls over kept connections, one connection per thread and address."""
+
+import http.client
+import select
+import threading
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from bergamotshore.utils.addresses import split_address
+
+LARGEST_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer.
+
+    :param status: HTTP status.
+    :param content_type: Media type.
+    :param body: Body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpFailure:
+    """A call without a whole answer.
+
+    :param detail: What was seen.
+    :param was_sent: False when the server can not have taken the call.
+    """
+
+    detail: str
+    was_sent: bool
+    code: str = "http"
+
+
+class HttpClient:
+    """Call one server.
+
+    :param address: Server as host:port.
+    :param timeout: Time allowed for one call, in seconds.
+    """
+
+    def __init__(self, address, timeout):
+        self.host, self.port = split_address(address)
+        self.timeout = timeout
+        self._local = threading.local()
+
+    def call(self, method, path, body=b"", headers=None, timeout=None):
+        """Send one request and read the whole answer.
+
+        A kept connection may have been closed by the server meanwhile; an idempotent
+        GET is sent once more then, anything else is not.
+
+        :returns: ``Result`` of ``HttpAnswer`` or ``HttpFailure``.
+        """
+        is_kept = getattr(self._local, "connection", None) is not None
+        outcome = self._call_once(method, path, body, headers, timeout)
+        match outcome:
+            case Failure(HttpFailure()) if is_kept and method == "GET":
+                return self._call_once(method, path, body, headers, timeout)
+        return outcome
+
+    def _call_once(self, method, path, body, headers, timeout):
+        try:
+            connection = self._connect(timeout or self.timeout)
+        except OSError as error:
+            return Failure(HttpFailure(repr(error), was_sent=False))
+        try:
+            connection.request(method, path, body=body, headers=headers or {})
+            response = connection.getresponse()
+            content = response.read(LARGEST_ANSWER_BYTES)
+        except (OSError, http.client.HTTPException) as error:
+            self._drop()
+            return Failure(HttpFailure(repr(error), was_sent=True))
+        if response.will_close:
+            self._drop()
+        content_type = response.getheader("Content-Type", "")
+        return Success(HttpAnswer(response.status, content_type, content))
+
+    def _connect(self, timeout):
+        connection = getattr(self._local, "connection", None)
+        if connection is not None and _is_stale(connection):
+            self._drop()
+            connection = None
+        if connection is None:
+            connection = http.client.HTTPConnection(
+                self.host, self.port, timeout=timeout
+            )
+            connection.connect()
+            self._local.connection = connection
+        connection.sock.settimeout(timeout)
+        return connection
+
+    def _drop(self):
+        connection = getattr(self._local, "connection", None)
+        self._local.connection = None
+        if connection is not None:
+            connection.close()
+
+
+def _is_stale(connection):
+    """Tell whether the server has closed a kept connection."""
+    readable, _, _ = select.select([connection.sock], [], [], 0)
+    return bool(readable)
--- /dev/null
+++ b/src/bergamotshore/adapters/worker.py
@@ -0,0 +1,72 @@
+"""The worker over HTTP on the same VM."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
+from bergamotshore.exceptions import WorkerFailure
+from bergamotshore.ports.worker import WorkerStatus, WorkerTask
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class HttpWorker:
+    """Call the worker.
+
+    :param address: Worker as host:port.
+    :param timeout: Time allowed for one call, in seconds.
+    """
+
+    def __init__(self, address, timeout):
+        self._client = HttpClient(address, timeout)
+
+    def get_status(self):
+        """Return ``Result`` of ``WorkerStatus``."""
+        return self._call("GET", "/v1/status", None, WorkerStatus)
+
+    def start(self, attempt, spec, checkpoint, lease_end):
+        """Start an attempt; see the port."""
+        call = {
+            "attempt": msgspec.to_builtins(attempt),
+            "spec": msgspec.to_builtins(spec),
+            "checkpoint": checkpoint,
+            "lease_end": lease_end,
+        }
+        return self._call("POST", "/v1/start", call, None)
+
+    def renew(self, lease_end):
+        """Renew all leases; see the port."""
+        return self._call("POST", "/v1/renew", {"lease_end": lease_end}, None)
+
+    def stop(self, attempt, with_checkpoint):
+        """Stop an attempt; see the port."""
+        call = {
+            "attempt": msgspec.to_builtins(attempt),
+            "checkpoint": with_checkpoint,
+        }
+        return self._call("POST", "/v1/stop", call, WorkerTask)
+
+    def forget(self, attempt):
+        """Drop an ended attempt; see the port."""
+        call = {"attempt": msgspec.to_builtins(attempt)}
+        return self._call("POST", "/v1/forget", call, None)
+
+    def _call(self, method, path, call, answer_type):
+        body = b"" if call is None else msgspec.json.encode(call)
+        match self._client.call(method, path, body, JSON_HEADERS):
+            case Success(HttpAnswer(status=200, body=content)):
+                return _decode(content, answer_type)
+            case Success(HttpAnswer(status=status, body=content)):
+                detail = f"status {status}: {content[:200]!r}"
+                return Failure(WorkerFailure(detail, is_certain=True))
+            case Failure(HttpFailure(detail=detail, was_sent=was_sent)):
+                return Failure(WorkerFailure(detail, is_certain=not was_sent))
+
+
+def _decode(content, answer_type):
+    if answer_type is None:
+        return Success(None)
+    try:
+        return Success(msgspec.json.decode(content, type=answer_type))
+    except msgspec.MsgspecError as error:
+        return Failure(WorkerFailure(str(error), is_certain=False))
--- /dev/null
+++ b/src/bergamotshore/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Load, validate and document the settings of a process."""
--- /dev/null
+++ b/src/bergamotshore/conf/settings.py
@@ -0,0 +1,114 @@
+"""Settings of one process, read once at its start."""
+
+import ipaddress
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from bergamotshore.conf.loading import load_text
+from bergamotshore.conf.problems import Problem
+from bergamotshore.exceptions import SettingsError
+from bergamotshore.generated.settings import HINTS_BY_TYPE, Settings
+from bergamotshore.utils.addresses import split_address
+
+LARGEST_PORT = 65535
+
+
+def load_settings(text):
+    """Read and check settings.
+
+    :param text: YAML text.
+    :returns: ``Success`` of ``Settings``, or ``Failure`` of a list of ``Problem``.
+    """
+    return load_text(text, Settings, HINTS_BY_TYPE).bind(_check_meaning)
+
+
+def read_settings(path):
+    """Read the settings file of a process.
+
+    :param path: Path of the file.
+    :returns: ``Settings``.
+    :raises SettingsError: when the checks find problems.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([Problem("conf.E000", str(path), 0, str(error))]) from None
+    match load_settings(text):
+        case Success(settings):
+            return settings
+        case Failure(problems):
+            raise SettingsError(problems)
+
+
+def _check_meaning(settings):
+    problems = (
+        _check_role(settings) + _check_stream(settings) + _check_addresses(settings)
+    )
+    return Failure(problems) if problems else Success(settings)
+
+
+def _check_role(settings):
+    if (settings.entry is None) == (settings.node is None):
+        return [
+            Problem(
+                "settings.E010",
+                "entry",
+                0,
+                "exactly one of 'entry' and 'node' is needed",
+                "a process has one role",
+            )
+        ]
+    return []
+
+
+def _check_stream(settings):
+    stream = settings.stream
+    problems = []
+    if stream.silence_min < 2 * stream.heartbeat:
+        problems.append(
+            Problem(
+                "settings.E011",
+                "stream.silence_min",
+                0,
+                "shorter than two heartbeats",
+                "a single late heartbeat would drop the stream",
+            )
+        )
+    if stream.silence_max < stream.silence_min:
+        problems.append(
+            Problem(
+                "settings.E012", "stream.silence_max", 0, "shorter than silence_min"
+            )
+        )
+    return problems
+
+
+def _check_addresses(settings):
+    address_by_path = {
+        "platform.table": settings.platform.table,
+        "platform.objects": settings.platform.objects,
+    }
+    if settings.entry is not None:
+        for name in ("callers", "operators", "nodes"):
+            address_by_path[f"entry.{name}"] = getattr(settings.entry, name)
+    if settings.node is not None:
+        for name in ("endpoint", "worker"):
+            address_by_path[f"node.{name}"] = getattr(settings.node, name)
+        for index, address in enumerate(settings.node.entries):
+            address_by_path[f"node.entries.{index}"] = address
+    return [
+        Problem("settings.E013", path, 0, f"{address!r} is no address", "use IP:port")
+        for path, address in address_by_path.items()
+        if address and not is_address(address)
+    ]
+
+
+def is_address(address):
+    """Tell whether a text is an IP number and a port."""
+    try:
+        host, port = split_address(address)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 0 < port <= LARGEST_PORT
--- /dev/null
+++ b/src/bergamotshore/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions and state machines without I/O or clocks."""
--- /dev/null
+++ b/src/bergamotshore/core/configuration.py
@@ -0,0 +1,141 @@
+"""The configuration in force: monotonic, merged from the teams' sections."""
+
+from dataclasses import dataclass, field, replace
+
+from bergamotshore.core.capacity import Size
+from bergamotshore.generated.document import Document, Section, SiteSection
+from bergamotshore.generated.messages import PushConfig, ServiceLimits, ZoneGate
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One accepted configuration.
+
+    :param version: Version of the whole.
+    :param site: Section of the site's operators.
+    :param teams: Sections by team.
+    """
+
+    version: int = 0
+    site: SiteSection | None = None
+    teams: dict[str, Section] = field(default_factory=dict)
+
+    def get_quota(self, team):
+        """Return the quota of a team as a size; nothing for an unknown team."""
+        section = self.teams.get(team)
+        if section is None:
+            return Size()
+        quota = section.quota
+        return Size(quota.processors, quota.memory_gb, quota.accelerators)
+
+    def get_services(self):
+        """Return the services of all teams by name."""
+        return {
+            name: service
+            for section in self.teams.values()
+            for name, service in section.services.items()
+        }
+
+    def is_vm_in_use(self, zone, node):
+        """Tell whether the document lets the system use a VM."""
+        if self.site is None or zone not in self.site.zones:
+            return False
+        vms = self.site.zones[zone].vms
+        return not vms or node in vms
+
+
+@dataclass(frozen=True, slots=True)
+class Gate:
+    """State of one data centre.
+
+    :param zone: Data centre.
+    :param version: Version of the gate's row; 0 when it was never changed.
+    :param is_open: Whether work may start there.
+    """
+
+    zone: str
+    version: int = 0
+    is_open: bool = True
+
+
+def build_push(configuration, gate_by_zone, zone, node):
+    """Return what one node needs of a configuration.
+
+    :param configuration: ``Configuration`` in force.
+    :param gate_by_zone: ``Gate`` by data centre.
+    :param zone: Data centre of the node.
+    :param node: Name of the node.
+    """
+    services = [
+        ServiceLimits(name=name, slots=item.slots, connections=item.connections)
+        for name, item in sorted(configuration.get_services().items())
+    ]
+    gates = [
+        ZoneGate(zone=gate.zone, version=gate.version, is_open=gate.is_open)
+        for gate in gate_by_zone.values()
+    ]
+    return PushConfig(
+        version=configuration.version,
+        services=services,
+        gates=gates,
+        vm_in_use=configuration.is_vm_in_use(zone, node),
+    )
+
+
+class NodeConfiguration:
+    """The configuration in force at a node; nothing older is ever accepted."""
+
+    def __init__(self):
+        self.version = 0
+        self.limits_by_service = {}
+        self.gate_by_zone = {}
+        self.vm_in_use = False
+
+    def accept(self, push):
+        """Put a pushed configuration in force.
+
+        Gates have versions of their own and are merged one by one.
+
+        :param push: ``PushConfig``.
+        :returns: True when the configuration version is new.
+        """
+        for gate in push.gates:
+            known = self.gate_by_zone.get(gate.zone)
+            if known is None or gate.version > known.version:
+                self.gate_by_zone[gate.zone] = gate
+        if push.version <= self.version:
+            return False
+        self.version = push.version
+        self.limits_by_service = {item.name: item for item in push.services}
+        self.vm_in_use = push.vm_in_use
+        return True
+
+    def is_zone_open(self, zone):
+        """Tell whether work may start in a data centre."""
+        gate = self.gate_by_zone.get(zone)
+        return gate is None or gate.is_open
+
+    def may_work(self, zone):
+        """Tell whether this node may take new work at all."""
+        return self.version > 0 and self.vm_in_use and self.is_zone_open(zone)
+
+
+def list_sections(document):
+    """Return the sections that a document brings, by team.
+
+    :param document: ``Document``.
+    """
+    sections = dict(document.teams)
+    if document.site is not None:
+        sections["site"] = document.site
+    return sections
+
+
+def strip_version(section):
+    """Return a section as it compares with others, without its version."""
+    return replace(section, version=0)
+
+
+def merge_document(configuration):
+    """Return the document that a configuration stands for."""
+    return Document(site=configuration.site, teams=dict(configuration.teams))
--- /dev/null
+++ b/src/bergamotshore/core/idempotency.py
@@ -0,0 +1,177 @@
+"""Idempotency table of one node: what is known of each request id and key."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from bergamotshore.generated.messages import RequestEnded
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request is new and may be admitted."""
+
+
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """The same request is queued or running; its answer comes by itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class AlreadyEnded:
+    """The request ended before.
+
+    :param ended: Its outcome.
+    """
+
+    ended: RequestEnded
+
+
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """The request was fenced before it arrived; it must never run."""
+
+
+@dataclass(slots=True)
+class Record:
+    """What the table knows of one request.
+
+    :param request_id: Identifier of the request.
+    :param state: One of queued, running, ended, fenced.
+    :param key: Idempotency key of the caller; empty when there is none.
+    :param ended: Outcome once ended.
+    :param changed_at: Time of the last change, in seconds.
+    """
+
+    request_id: str
+    state: str
+    key: str
+    ended: RequestEnded | None
+    changed_at: float
+
+
+class IdempotencyTable:
+    """Remember requests so that none runs twice and a fence holds.
+
+    Ended and fenced records are forgotten after ``keep`` seconds; by then the entry
+    has given the caller its final answer, and the echo check of the entry's request
+    deadline refuses what is older.
+
+    :param keep: Time that ended and fenced records are kept, in seconds.
+    :param bytes_limit: Largest sum of kept answers, in bytes.
+    """
+
+    def __init__(self, keep, bytes_limit):
+        self.keep = keep
+        self.bytes_limit = bytes_limit
+        self.by_request_id = OrderedDict()
+        self.request_id_by_key = {}
+        self.answer_bytes = 0
+
+    def begin(self, request_id, key, now):
+        """Look up a request that arrived and record it when it is new.
+
+        :param request_id: Identifier of the request.
+        :param key: Idempotency key; empty when there is none.
+        :param now: Current time.
+        :returns: ``Admitted``, ``InProgress``, ``AlreadyEnded`` or ``Fenced``.
+        """
+        record = self._find(request_id, key)
+        if record is None:
+            self.by_request_id[request_id] = Record(
+                request_id, "queued", key, None, now
+            )
+            if key:
+                self.request_id_by_key[key] = request_id
+            return Admitted()
+        match record.state:
+            case "fenced":
+                return Fenced()
+            case "ended":
+                return AlreadyEnded(record.ended)
+            case _:
+                return InProgress()
+
+    def _find(self, request_id, key):
+        record = self.by_request_id.get(request_id)
+        if record is None and key in self.request_id_by_key:
+            record = self.by_request_id.get(self.request_id_by_key[key])
+        return record
+
+    def get_state(self, request_id):
+        """Return the state of a request, or None when it is unknown."""
+        record = self.by_request_id.get(request_id)
+        return record.state if record else None
+
+    def get_ended(self, request_id):
+        """Return the kept outcome of a request, or None."""
+        record = self.by_request_id.get(request_id)
+        return record.ended if record else None
+
+    def mark_running(self, request_id, now):
+        """Record that a request was handed to the endpoint."""
+        record = self.by_request_id[request_id]
+        record.state = "running"
+        record.changed_at = now
+
+    def end(self, ended, now):
+        """Record an outcome.
+
+        A request that did not run gives its key free, so that a retry may run.
+
+        :param ended: The outcome.
+        :param now: Current time.
+        """
+        record = self.by_request_id.get(ended.request_id)
+        if record is None:
+            return
+        record.state = "ended"
+        record.ended = ended
+        record.changed_at = now
+        self.answer_bytes += len(ended.body)
+        if ended.outcome == "not_run" and record.key:
+            self._release_key(record)
+        self.by_request_id.move_to_end(ended.request_id)
+
+    def fence(self, request_id, now):
+        """Leave a tombstone for a request that is unknown or queued.
+
+        :returns: True when the request can never run any more.
+        """
+        record = self.by_request_id.get(request_id)
+        if record is None:
+            self.by_request_id[request_id] = Record(request_id, "fenced", "", None, now)
+            return True
+        if record.state == "queued":
+            record.state = "fenced"
+            record.changed_at = now
+            self._release_key(record)
+        return record.state == "fenced"
+
+    def _release_key(self, record):
+        if self.request_id_by_key.get(record.key) == record.request_id:
+            del self.request_id_by_key[record.key]
+
+    def forget(self, now):
+        """Drop settled records that are too old, and answers over the limit.
+
+        :param now: Current time.
+        """
+        old = [
+            record
+            for record in self.by_request_id.values()
+            if record.state in ("ended", "fenced")
+            and (now - record.changed_at > self.keep)
+        ]
+        for record in old:
+            self._drop(record)
+        for record in list(self.by_request_id.values()):
+            if self.answer_bytes <= self.bytes_limit:
+                return
+            if record.state == "ended" and record.ended.body:
+                self._drop(record)
+
+    def _drop(self, record):
+        del self.by_request_id[record.request_id]
+        self._release_key(record)
+        if record.ended is not None:
+            self.answer_bytes -= len(record.ended.body)
--- /dev/null
+++ b/src/bergamotshore/core/ledger.py
@@ -0,0 +1,177 @@
+"""Admission ledger of one endpoint: slots, connections and the waiting queue."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+SERVICE_TIME_WEIGHT = 0.1
+RETRY_AFTER_MIN_SECONDS = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request in the queue.
+
+    :param request_id: Identifier of the request.
+    :param deadline: Latest useful end, on the clock of the process.
+    """
+
+    request_id: str
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Run the request now; a slot is taken.
+
+    :param request_id: Identifier of the request.
+    """
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Keep the request in the queue.
+
+    :param request_id: Identifier of the request.
+    """
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer that the request did not run.
+
+    :param request_id: Identifier of the request.
+    :param reason: Error code.
+    :param retry_after: When to come back, in seconds.
+    """
+
+    request_id: str
+    reason: str
+    retry_after: float
+
+
+class AdmissionLedger:
+    """Reserve slots and connections of one endpoint.
+
+    A connection is held from admission to the end, a slot only while the request
+    runs on the endpoint.
+
+    :param slots: Requests that may run at once.
+    :param connections: Requests that may be held at once, running or queued.
+    """
+
+    def __init__(self, slots=0, connections=0):
+        self.slots = slots
+        self.connections = connections
+        self.running = set()
+        self.queue = OrderedDict()
+        self.service_seconds = 0.0
+
+    @property
+    def held(self):
+        """Return the number of connections in use."""
+        return len(self.running) + len(self.queue)
+
+    def resize(self, slots, connections):
+        """Change the limits; what is held already stays held."""
+        self.slots = slots
+        self.connections = connections
+
+    def predict_wait(self):
+        """Return the expected time in the queue of a new request, in seconds."""
+        if len(self.running) < self.slots and not self.queue:
+            return 0.0
+        ahead = len(self.queue) + 1
+        return ahead * self.service_seconds / max(self.slots, 1)
+
+    def suggest_retry_after(self):
+        """Return when a refused caller should come back, in seconds."""
+        return max(self.predict_wait(), RETRY_AFTER_MIN_SECONDS)
+
+    def admit(self, request_id, deadline, now):
+        """Decide on a new request.
+
+        :param request_id: Identifier of the request.
+        :param deadline: Latest useful end.
+        :param now: Current time.
+        :returns: ``Run``, ``Wait`` or ``Refuse``.
+        """
+        if self.slots <= 0:
+            return Refuse(request_id, "no-endpoint", self.suggest_retry_after())
+        if self.held >= self.connections:
+            return Refuse(request_id, "connections-full", self.suggest_retry_after())
+        expected_end = now + self.predict_wait() + self.service_seconds
+        if expected_end > deadline:
+            return Refuse(
+                request_id, "deadline-out-of-reach", self.suggest_retry_after()
+            )
+        if len(self.running) < self.slots and not self.queue:
+            self.running.add(request_id)
+            return Run(request_id)
+        self.queue[request_id] = Waiting(request_id, deadline)
+        return Wait(request_id)
+
+    def finish(self, request_id, service_seconds):
+        """Free the slot of a request that ended.
+
+        :param request_id: Identifier of the request.
+        :param service_seconds: Time on the endpoint; None leaves the average alone.
+        """
+        self.running.discard(request_id)
+        if service_seconds is None:
+            return
+        if self.service_seconds == 0.0:
+            self.service_seconds = service_seconds
+            return
+        difference = service_seconds - self.service_seconds
+        self.service_seconds += SERVICE_TIME_WEIGHT * difference
+
+    def remove(self, request_id):
+        """Take a request out of the queue.
+
+        :returns: True when it was queued, so that it will never run.
+        """
+        return self.queue.pop(request_id, None) is not None
+
+    def advance(self, now):
+        """Move queued requests into free slots and refuse the hopeless ones.
+
+        :param now: Current time.
+        :returns: List of ``Run`` and ``Refuse``.
+        """
+        actions = []
+        while self.queue:
+            waiting = next(iter(self.queue.values()))
+            if now + self.service_seconds > waiting.deadline:
+                del self.queue[waiting.request_id]
+                actions.append(self._refuse_late(waiting))
+                continue
+            if len(self.running) >= self.slots:
+                break
+            del self.queue[waiting.request_id]
+            self.running.add(waiting.request_id)
+            actions.append(Run(waiting.request_id))
+        return actions
+
+    def expire(self, now):
+        """Refuse every queued request that can not end before its deadline.
+
+        :param now: Current time.
+        :returns: List of ``Refuse``.
+        """
+        late = [
+            waiting
+            for waiting in self.queue.values()
+            if now + self.service_seconds > waiting.deadline
+        ]
+        for waiting in late:
+            del self.queue[waiting.request_id]
+        return [self._refuse_late(waiting) for waiting in late]
+
+    def _refuse_late(self, waiting):
+        return Refuse(
+            waiting.request_id, "deadline-out-of-reach", self.suggest_retry_after()
+        )
--- /dev/null
+++ b/src/bergamotshore/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers, operators, routing and scheduling."""
--- /dev/null
+++ b/src/bergamotshore/entry/role.py
@@ -0,0 +1,380 @@
+"""The entry process: wiring, threads and the graceful stop."""
+
+import random
+import signal
+import threading
+import uuid
+from concurrent.futures import Future, ThreadPoolExecutor, TimeoutError, wait
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from bergamotshore.adapters.table import HttpTable
+from bergamotshore.core.configuration import build_push
+from bergamotshore.entry.callers import CallerApp
+from bergamotshore.entry.configuration import ConfigurationStore
+from bergamotshore.entry.directory import NodeDirectory
+from bergamotshore.entry.jobstore import JobStore
+from bergamotshore.entry.keys import KeyStore
+from bergamotshore.entry.operators import OperatorApp
+from bergamotshore.entry.presence import Presence
+from bergamotshore.entry.router import RequestRouter
+from bergamotshore.entry.scheduler import TaskScheduler
+from bergamotshore.entry.wsgi import SPARE_THREADS, HttpServer
+from bergamotshore.exceptions import PlatformUnavailable
+from bergamotshore.generated.messages import (
+    Announce,
+    Events,
+    FenceResult,
+    Heartbeat,
+    Hello,
+    Metrics,
+    QueryEvents,
+    QueryMetrics,
+    RequestEnded,
+    TaskEnded,
+    TaskInventory,
+)
+from bergamotshore.generated.rows import EntryRow
+from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
+from bergamotshore.metrics.registry import Registry
+from bergamotshore.ports.clock import SystemClock
+from bergamotshore.timeline.recorder import LamportClock, Recorder, merge_events
+from bergamotshore.transport.loop import Loop
+from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
+from bergamotshore.utils.addresses import split_address
+
+SCHEDULE_SECONDS = 0.1
+PRESENCE_SECONDS = 5.0
+QUERY_SECONDS = 1.0
+OPERATOR_THREADS = 8
+BACKGROUND_THREADS = 8
+LARGEST_OPERATOR_BODY_BYTES = 4 * 1024 * 1024
+STOP_POLL_SECONDS = 0.05
+
+
+class EntryRole:
+    """Run one entry.
+
+    :param settings: ``Settings`` with an entry section.
+    """
+
+    def __init__(self, settings):
+        entry = settings.entry
+        self.settings = settings
+        self.entry = entry
+        self.clock = SystemClock()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.lamport = LamportClock()
+        self.registry = Registry()
+        self.recorder = Recorder(
+            settings.name,
+            self.incarnation,
+            self.lamport,
+            self.clock,
+            settings.timeline_events,
+        )
+        self.stopping = threading.Event()
+        self.is_draining = False
+        self.tokens = entry.tokens
+        self._is_dirty = threading.Event()
+        self._query_by_id = {}
+        self.table = HttpTable(settings.platform.table, settings.platform.timeout)
+        self.executor = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
+        self.loop = Loop(self.clock)
+        self.directory = NodeDirectory(self.clock)
+        self.configuration = ConfigurationStore(self.table, self.recorder)
+        self.jobs = JobStore(self.table, self.lamport)
+        self.presence = self._build_presence()
+        self.router = self._build_router()
+        self.scheduler = self._build_scheduler()
+        self.caller_server = self._build_caller_server()
+        self.operator_server = HttpServer(
+            OperatorApp(self),
+            split_address(entry.operators),
+            OPERATOR_THREADS,
+            LARGEST_OPERATOR_BODY_BYTES,
+        )
+        self._watch_gauges()
+
+    def _build_presence(self):
+        row = EntryRow(
+            name=self.settings.name,
+            incarnation=self.incarnation,
+            stream_address=self.entry.nodes,
+            counter=0,
+        )
+        return Presence(self.table, row, self.clock)
+
+    def _build_router(self):
+        keys = KeyStore(self.table, self.executor, self.stopping.wait)
+        return RequestRouter(
+            self.incarnation,
+            self.directory,
+            self.configuration.is_usable,
+            keys,
+            self.entry,
+            self.clock,
+            self.registry,
+            self.recorder,
+            random.Random(),
+        )
+
+    def _build_scheduler(self):
+        return TaskScheduler(
+            self.table,
+            self.jobs,
+            self.configuration,
+            self.directory,
+            self.presence.owns,
+            self.entry,
+            self.clock,
+            self.recorder,
+            self.registry,
+        )
+
+    def _build_caller_server(self):
+        app = CallerApp(
+            self.router,
+            lambda: self.configuration.configuration.get_services(),
+            self.is_ready,
+            self.clock,
+            self.registry,
+            self.entry.largest_body,
+        )
+        return HttpServer(
+            app,
+            split_address(self.entry.callers),
+            self.entry.requests + SPARE_THREADS,
+            self.entry.largest_body,
+        )
+
+    def _watch_gauges(self):
+        self.registry.watch("resident_bytes", read_resident_bytes)
+        self.registry.watch("processor_seconds_total", read_processor_seconds)
+        self.registry.watch("requests_in_flight", lambda: self.router.in_flight)
+        self.registry.watch("nodes", lambda: len(self.directory.list_views()))
+        self.registry.watch(
+            "config_version", lambda: self.configuration.configuration.version
+        )
+
+    def is_ready(self):
+        """Tell whether the balancer should send requests here."""
+        return self.configuration.is_loaded and not self.is_draining
+
+    def run(self):
+        """Run until a signal asks for the stop."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
+        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
+        listen(self.loop, split_address(self.entry.nodes), self._accept)
+        self.recorder.record("process-started", f"process/{self.settings.name}")
+        services = (
+            self.loop.run,
+            self.caller_server.run,
+            self.operator_server.run,
+            self._poll_configuration,
+            self._run_scheduler,
+            self._run_presence,
+        )
+        with ThreadPoolExecutor(len(services), "service") as pool:
+            futures = [pool.submit(service) for service in services]
+            for future in futures:
+                future.add_done_callback(self._note_service_end)
+            logger.info("entry {} started", self.settings.name)
+            self.stopping.wait()
+            self._stop()
+            wait(futures)
+        self.executor.shutdown(wait=False, cancel_futures=True)
+        logger.info("entry {} stopped", self.settings.name)
+
+    def _note_service_end(self, future):
+        error = future.exception()
+        if error is not None:
+            logger.opt(exception=error).error("a service of the entry failed")
+        self.stopping.set()
+
+    def _stop(self):
+        """Leave gracefully: the balancer first, then requests in flight."""
+        self.is_draining = True
+        self.recorder.record("process-draining", f"process/{self.settings.name}")
+        self.caller_server.drain()
+        pause = threading.Event()
+        pause.wait(self.entry.balancer_lag)
+        self.caller_server.refuse_connections()
+        give_up_at = self.clock.now() + self.entry.stop_within
+        while self._is_busy() and self.clock.now() < give_up_at:
+            pause.wait(STOP_POLL_SECONDS)
+        self.presence.withdraw()
+        self.caller_server.stop()
+        self.operator_server.stop()
+        self.loop.stop()
+
+    def _is_busy(self):
+        return self.router.in_flight > 0 or self.caller_server.count_busy() > 0
+
+    def _accept(self, sock):
+        hello = Hello(
+            protocol=PROTOCOL_VERSION,
+            role="entry",
+            name=self.settings.name,
+            incarnation=self.incarnation,
+            zone=self.settings.zone,
+        )
+        Stream(self.loop, sock, hello, self.settings.stream, self.lamport, self)
+
+    def on_open(self, stream):
+        """Take in a node that said who it is."""
+        old = self.directory.open(stream)
+        if old is not None:
+            old.close("replaced")
+        self._push_to(stream)
+        self.router.handle_open(stream)
+        self.recorder.record("node-connected", f"node/{stream.peer.name}")
+        logger.info("node {} connected", stream.peer.name)
+
+    def on_close(self, stream):
+        """Drop a node whose stream was lost."""
+        if stream.peer is None or not self.directory.close(stream):
+            return
+        self.registry.count(f'streams_closed_total{{reason="{stream.close_reason}"}}')
+        self.recorder.record(
+            "node-lost", f"node/{stream.peer.name}", stream.close_reason
+        )
+        logger.info("node {} lost: {}", stream.peer.name, stream.close_reason)
+        self.router.handle_close(stream.peer.name)
+
+    def on_message(self, stream, message):
+        """Hand a message to the part that it is for."""
+        match message:
+            case Heartbeat() | Announce() | TaskInventory():
+                self.directory.note(stream, message)
+            case RequestEnded() | FenceResult():
+                self.router.handle_message(message)
+            case TaskEnded():
+                self.scheduler.report(stream.peer.name, message)
+            case Events(query_id=query_id) | Metrics(query_id=query_id):
+                future = self._query_by_id.pop(query_id, None)
+                if future is not None:
+                    future.set_result(message)
+            case _:
+                self.registry.count("messages_unexpected_total")
+
+    def build_heartbeat(self, stream):
+        """Return the heartbeat for a stream."""
+        return Heartbeat(
+            sent_at=self.clock.now(),
+            echo=stream.peer_clock,
+            config_version=self.configuration.configuration.version,
+        )
+
+    def _push_to(self, stream):
+        if not self.configuration.is_loaded:
+            return
+        push = build_push(
+            self.configuration.configuration,
+            self.configuration.gate_by_zone,
+            stream.peer.zone,
+            stream.peer.name,
+        )
+        stream.send(push)
+
+    def refresh(self):
+        """Look at configuration, gates and jobs soon."""
+        self._is_dirty.set()
+
+    def _poll_configuration(self):
+        while not self.loop_is_over():
+            match self.configuration.refresh():
+                case Success(is_changed):
+                    if is_changed or self._is_dirty.is_set():
+                        self._is_dirty.clear()
+                        self._push_all()
+                case Failure(failure):
+                    self.registry.count(
+                        f'table_failures_total{{code="{failure.code}"}}'
+                    )
+            self._is_dirty.wait(self.entry.poll)
+
+    def _push_all(self):
+        for view in self.directory.list_views():
+            self._push_to(view.stream)
+        self.scheduler.poke()
+
+    def loop_is_over(self):
+        """Tell whether background work should end."""
+        return self.stopping.is_set() and not self._is_busy()
+
+    def _run_scheduler(self):
+        while not self.loop_is_over():
+            if self.configuration.is_loaded and not self.is_draining:
+                self.scheduler.step()
+            self.router.forget_late()
+            threading.Event().wait(SCHEDULE_SECONDS)
+
+    def _run_presence(self):
+        while not self.stopping.is_set():
+            outcome = self.presence.renew()
+            is_written = isinstance(outcome, Success)
+            self.stopping.wait(PRESENCE_SECONDS if is_written else 1.0)
+
+    def describe(self):
+        """Return the status of this entry for operators."""
+        return {
+            "name": self.settings.name,
+            "zone": self.settings.zone,
+            "incarnation": self.incarnation,
+            "is_ready": self.is_ready(),
+            "config_version": self.configuration.configuration.version,
+            "requests_in_flight": self.router.in_flight,
+            "resident_bytes": read_resident_bytes(),
+            "processor_seconds": read_processor_seconds(),
+            "entries": sorted(self.presence.live_names),
+            "nodes": [_describe_node(view) for view in self.directory.list_views()],
+        }
+
+    def collect_events(self):
+        """Return the time line of this entry and of the nodes connected to it."""
+        answers = self._query_nodes(self.directory.list_views(), QueryEvents)
+        events = self.recorder.list_events()
+        for answer in answers:
+            events += answer.events
+        return merge_events(events)
+
+    def collect_node_metrics(self, node):
+        """Return ``Result`` of the metrics of one node as text."""
+        view = self.directory.get(node)
+        answers = self._query_nodes([view], QueryMetrics) if view else []
+        if not answers:
+            return Failure(PlatformUnavailable(f"node {node} does not answer"))
+        return Success(answers[0].text)
+
+    def _query_nodes(self, views, query_type):
+        futures = []
+        for view in views:
+            query_id = uuid.uuid4().hex
+            future = Future()
+            self._query_by_id[query_id] = future
+            view.stream.send(query_type(query_id=query_id))
+            futures.append(future)
+        done, _ = wait(futures, timeout=QUERY_SECONDS)
+        try:
+            return [future.result(timeout=0) for future in futures if future in done]
+        except TimeoutError:
+            return []
+
+
+def _describe_node(view):
+    announce = view.announce
+    heartbeat = view.heartbeat
+    return {
+        "name": view.name,
+        "zone": view.zone,
+        "incarnation": view.incarnation,
+        "service": announce.service if announce else "",
+        "draining": announce.draining if announce else False,
+        "session": announce.session if announce else "",
+        "running": heartbeat.running if heartbeat else 0,
+        "queued": heartbeat.queued if heartbeat else 0,
+        "config_version": heartbeat.config_version if heartbeat else 0,
+        "attempts": len(view.inventory.attempts) if view.inventory else 0,
+    }
--- /dev/null
+++ b/src/bergamotshore/entry/scheduler.py
@@ -0,0 +1,531 @@
+"""The scheduling of tasks at an entry: claims, ends, evictions, lapses."""
+
+import queue
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Success
+
+from bergamotshore.adapters.settled import (
+    build_write,
+    create_operation,
+    decode_row,
+    write_rows,
+)
+from bergamotshore.core.capacity import Size, get_size
+from bergamotshore.core.jobs import (
+    cancel_job,
+    claim_tasks,
+    create_job,
+    end_attempt,
+    get_job_id,
+    list_pending,
+    release_attempt,
+)
+from bergamotshore.core.placement import TeamBudget, measure_usage, place_tasks
+from bergamotshore.core.sessions import SessionObserver
+from bergamotshore.exceptions import Conflict, StaleAttempt
+from bergamotshore.generated.messages import (
+    AckTask,
+    AttemptId,
+    StartTask,
+    StopTask,
+    TaskEnded,
+    TaskSpec,
+)
+from bergamotshore.generated.rows import SessionRow
+from bergamotshore.ports.table import Check
+
+SESSION_PREFIX = "session/"
+STOP_RESEND_SECONDS = 2.0
+INBOX_BATCH = 512
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedEnd:
+    """A report with the node that sent it.
+
+    :param node: Name of the node.
+    :param ended: ``TaskEnded``.
+    """
+
+    node: str
+    ended: TaskEnded
+
+
+@dataclass(slots=True)
+class ClaimSight:
+    """When a claim was first seen, on both clocks.
+
+    :param seen_at: Clock of the entry when it first saw the claim.
+    :param node_bound: Clock of the node at some moment after that; None until known.
+    """
+
+    seen_at: float
+    node_bound: float | None = None
+
+    def note_inventory(self, inventory):
+        """Learn an upper bound of the node's clock at the first sight."""
+        if self.node_bound is None and inventory.echo >= self.seen_at:
+            self.node_bound = inventory.taken_at
+
+    def is_start_over(self, inventory, within):
+        """Tell whether the node would have refused any start before an inventory."""
+        return (
+            self.node_bound is not None
+            and inventory.taken_at > self.node_bound + within
+        )
+
+
+class TaskScheduler:
+    """Decide on tasks from rows, sessions, gates and inventories.
+
+    All methods but ``report`` and ``poke`` run in the scheduler's thread.
+
+    :param table: ``Table``.
+    :param jobs: ``JobStore``.
+    :param configuration: ``ConfigurationStore``.
+    :param directory: ``NodeDirectory``.
+    :param owns: Tells whether this entry places the tasks of a job.
+    :param settings: ``settings.Entry``.
+    :param clock: ``Clock``.
+    :param recorder: ``Recorder``.
+    :param registry: ``Registry``.
+    """
+
+    def __init__(
+        self,
+        table,
+        jobs,
+        configuration,
+        directory,
+        owns,
+        settings,
+        clock,
+        recorder,
+        registry,
+    ):
+        self.table = table
+        self.jobs = jobs
+        self.configuration = configuration
+        self.directory = directory
+        self.owns = owns
+        self.settings = settings
+        self.clock = clock
+        self.recorder = recorder
+        self.registry = registry
+        self.observer = SessionObserver()
+        self.reconciled_version = 0
+        self._inbox = queue.SimpleQueue()
+        self._sight_by_attempt = {}
+        self._stop_sent_by_attempt = {}
+        self._session_by_node = {}
+        self._next_rescan = 0.0
+
+    def report(self, node, ended):
+        """Take a report of a node; from any thread."""
+        self._inbox.put(ReportedEnd(node, ended))
+
+    def poke(self):
+        """Make the next step look at everything; from any thread."""
+        self._next_rescan = 0.0
+
+    def step(self):
+        """Do all that is due."""
+        self._record_ends()
+        if self.clock.now() >= self._next_rescan:
+            self._rescan()
+        self._reconcile()
+        self._stop_unwanted()
+        self._hand_back_lost_starts()
+        self._place()
+
+    def _rescan(self):
+        self._next_rescan = self.clock.now() + self.settings.rescan
+        outcome = self.jobs.rescan().bind(lambda _: self._scan_sessions())
+        match outcome:
+            case Failure(failure):
+                self.observer.note_outage()
+                self.registry.count(f'table_failures_total{{code="{failure.code}"}}')
+                return
+        self._note_attempts()
+        self._release_dead_sessions()
+
+    def _note_attempts(self):
+        now = self.clock.now()
+        current = {
+            _get_key(held.row, task)
+            for held in list(self.jobs.by_job_id.values())
+            for task in held.row.tasks
+            if task.state == "claimed"
+        }
+        self._sight_by_attempt = {
+            key: self._sight_by_attempt.get(key) or ClaimSight(now) for key in current
+        }
+        self._stop_sent_by_attempt = {
+            key: sent
+            for key, sent in self._stop_sent_by_attempt.items()
+            if key in current
+        }
+
+    def _scan_sessions(self):
+        outcome = self.table.scan(SESSION_PREFIX)
+        match outcome:
+            case Success(rows):
+                for stored in rows:
+                    self._observe_session(stored)
+        return outcome.map(lambda _: None)
+
+    def _observe_session(self, stored):
+        match decode_row(stored, SessionRow):
+            case Success(SessionRow() as row):
+                self._session_by_node[row.node] = row
+                if self.observer.observe(row, self.clock.now()):
+                    self._declare_lapsed(row, stored)
+
+    def _declare_lapsed(self, row, stored):
+        lapsed = replace(
+            row,
+            state="lapsed",
+            operation=create_operation(),
+            clock=self.recorder.lamport.tick(),
+        )
+        writes = [build_write(stored.key, stored.version, lapsed)]
+        match write_rows(self.table, lapsed.operation, [], writes):
+            case Success(_):
+                self._session_by_node[row.node] = lapsed
+                self.registry.count("sessions_lapsed_total")
+                self.recorder.record("session-lapsed", f"session/{row.node}")
+
+    def _release_dead_sessions(self):
+        """Make tasks eligible again whose session is over.
+
+        A newer session of the same node opens only after the old one is proven over or
+        its worker listed what runs; what runs on is in the node's inventory.
+        """
+        for held in list(self.jobs.by_job_id.values()):
+            row = held.row
+            for task in held.row.tasks:
+                if task.state == "claimed" and self._is_session_over(held.row, task):
+                    row = release_attempt(row, task.index, task.attempt, "session-over")
+                    self._record_release(row, task, "session-over")
+            if row is not held.row:
+                self.jobs.replace(held, row)
+
+    def _is_session_over(self, row, task):
+        session = self._session_by_node.get(task.node)
+        if session is None:
+            return False
+        if session.session == task.session:
+            return session.state != "live"
+        return not self._may_be_adopted(row, task)
+
+    def _may_be_adopted(self, row, task):
+        """Tell whether the node's newer session may hold the attempt still."""
+        view = self.directory.get(task.node)
+        if view is None or view.inventory is None:
+            return True
+        session = self._session_by_node[task.node]
+        if view.inventory.session != session.session:
+            return True
+        return self._is_listed(row, task)
+
+    def _record_release(self, row, task, reason):
+        self.registry.count("tasks_released_total")
+        self.recorder.record(
+            "task-released", _name_attempt(get_job_id(row), task), reason
+        )
+
+    def _record_ends(self):
+        reports_by_job = {}
+        for _ in range(INBOX_BATCH):
+            try:
+                report = self._inbox.get_nowait()
+            except queue.Empty:
+                break
+            reports_by_job.setdefault(report.ended.attempt.job, []).append(report)
+        for job_id, reports in reports_by_job.items():
+            self._record_job_ends(job_id, reports)
+
+    def _record_job_ends(self, job_id, reports):
+        held = self.jobs.by_job_id.get(job_id)
+        outcome = Success(held) if held is not None else self.jobs.read(job_id)
+        match outcome:
+            case Success(None):
+                self._acknowledge(reports)
+            case Success(held) if self._write_ends(held, reports):
+                self._acknowledge(reports)
+            case Success(_):
+                self.jobs.read(job_id)
+
+    def _write_ends(self, held, reports):
+        """Write the ends of attempts of one job; True when nothing is left to do."""
+        row = held.row
+        for report in reports:
+            match end_attempt(row, report.ended):
+                case Success(new_row):
+                    row = new_row
+                case Failure(StaleAttempt(current=current, reported=reported)):
+                    if current < reported:
+                        return False
+        if row is held.row:
+            return self._confirm_stale(held, reports)
+        is_written = isinstance(self.jobs.replace(held, row), Success)
+        if is_written:
+            for report in reports:
+                self._note_end(report.ended)
+        return is_written
+
+    def _confirm_stale(self, held, reports):
+        """Make sure from the table that no report was missed by an old copy."""
+        match self.jobs.read(get_job_id(held.row)):
+            case Success(None):
+                return True
+            case Success(fresh):
+                return not any(
+                    isinstance(end_attempt(fresh.row, report.ended), Success)
+                    for report in reports
+                )
+        return False
+
+    def _note_end(self, ended):
+        attempt = ended.attempt
+        self.registry.count(f'tasks_ended_total{{outcome="{ended.outcome}"}}')
+        self.recorder.record(
+            "task-end-recorded",
+            f"task/{attempt.job}/{attempt.index}#{attempt.attempt}",
+            ended.outcome,
+        )
+
+    def _acknowledge(self, reports):
+        for report in reports:
+            view = self.directory.get(report.node)
+            if view is not None:
+                view.stream.send(AckTask(attempt=report.ended.attempt))
+
+    def _reconcile(self):
+        """Create the jobs that the document declares and cancel those it dropped."""
+        configuration = self.configuration.configuration
+        if configuration.version <= self.reconciled_version:
+            return
+        declared = {get_job_id(row): row for row in list_declared(configuration)}
+        is_whole = True
+        for job_id, row in declared.items():
+            if job_id not in self.jobs.by_job_id:
+                is_whole &= self._create_declared(row)
+        for held in list(self.jobs.by_job_id.values()):
+            row = held.row
+            is_dropped = get_job_id(row) not in declared and row.origin == "declared"
+            if is_dropped and not row.is_cancelled:
+                is_whole &= isinstance(
+                    self.jobs.replace(held, cancel_job(row)), Success
+                )
+        if is_whole:
+            self.reconciled_version = configuration.version
+
+    def _create_declared(self, row):
+        match self.jobs.create(row):
+            case Success(_):
+                self.recorder.record("job-created", f"job/{get_job_id(row)}")
+                return True
+            case Failure(failure):
+                return failure.code == "job-exists"
+
+    def _stop_unwanted(self):
+        """Ask nodes to evict from closed data centres and to stop cancelled work."""
+        for held in list(self.jobs.by_job_id.values()):
+            for task in held.row.tasks:
+                if task.state != "claimed":
+                    continue
+                if held.row.is_cancelled:
+                    self._send_stop(held.row, task, "cancel")
+                elif not self.configuration.is_usable(task.zone, task.node):
+                    self._send_stop(held.row, task, "evict")
+
+    def _send_stop(self, row, task, mode):
+        job_id = get_job_id(row)
+        key = _get_key(row, task)
+        now = self.clock.now()
+        sent = self._stop_sent_by_attempt.get(key)
+        view = self.directory.get(task.node)
+        is_waiting = sent is not None and now - sent < STOP_RESEND_SECONDS
+        if view is None or is_waiting:
+            return
+        self._stop_sent_by_attempt[key] = now
+        attempt = AttemptId(job=job_id, index=task.index, attempt=task.attempt)
+        if sent is None:
+            self.recorder.record("task-stop-asked", _name_attempt(job_id, task), mode)
+        view.stream.send(StopTask(attempt=attempt, mode=mode))
+
+    def _hand_back_lost_starts(self):
+        """Release claims whose start was never carried out.
+
+        A start is refused once its echo is too old. A claim that an inventory does not
+        list, taken later than any start of it could be obeyed, will never start.
+        """
+        for held in list(self.jobs.by_job_id.values()):
+            row = held.row
+            for task in held.row.tasks:
+                if task.state == "claimed" and self._is_start_lost(held.row, task):
+                    row = release_attempt(row, task.index, task.attempt, "start-lost")
+                    self._record_release(row, task, "start-lost")
+            if row is not held.row:
+                self.jobs.replace(held, row)
+
+    def _is_start_lost(self, row, task):
+        view = self.directory.get(task.node)
+        sight = self._sight_by_attempt.get(_get_key(row, task))
+        if view is None or view.inventory is None or sight is None:
+            return False
+        inventory = view.inventory
+        if inventory.session != task.session:
+            return False
+        sight.note_inventory(inventory)
+        if not sight.is_start_over(inventory, self.settings.start_within):
+            return False
+        return not self._is_listed(row, task)
+
+    def _place(self):
+        waiting = [
+            held
+            for job_id, held in list(self.jobs.by_job_id.items())
+            if list_pending(held.row) and self.owns(job_id)
+        ]
+        if not waiting:
+            return
+        rooms = self.directory.list_rooms(self.configuration.is_usable)
+        self._charge_rooms(rooms)
+        used_by_team = measure_usage(
+            held.row for held in list(self.jobs.by_job_id.values())
+        )
+        waiting.sort(key=lambda held: (not held.row.urgent, held.version))
+        for held in waiting:
+            quota = self.configuration.configuration.get_quota(held.row.team)
+            budget = TeamBudget(quota, used_by_team.get(held.row.team, Size()))
+            self._place_job(held, rooms, budget, used_by_team)
+
+    def _charge_rooms(self, rooms):
+        """Take claims off the room that the inventories do not list yet."""
+        room_by_node = {room.node: room for room in rooms}
+        for held in list(self.jobs.by_job_id.values()):
+            for task in held.row.tasks:
+                room = room_by_node.get(task.node)
+                if task.state != "claimed" or room is None:
+                    continue
+                if not self._is_listed(held.row, task):
+                    room.free = room.free - get_size(held.row.spec)
+
+    def _is_listed(self, row, task):
+        view = self.directory.get(task.node)
+        if view is None or view.inventory is None:
+            return False
+        key = _get_key(row, task)
+        return any(
+            (item.job, item.index, item.attempt) == key
+            for item in view.inventory.attempts
+        )
+
+    def _place_job(self, held, rooms, budget, used_by_team):
+        before = {room.node: room.free for room in rooms}
+        placements = place_tasks(held.row, list_pending(held.row), rooms, budget)
+        if not placements:
+            return
+        clock_by_node = self._hold_node_clocks(placements)
+        row = claim_tasks(held.row, placements, create_operation())
+        zones = sorted({placement.zone for placement in placements})
+        match self.jobs.replace(held, row, self._check_gates(zones)):
+            case Success(claimed):
+                used = get_size(row.spec)
+                for _ in placements:
+                    total = used_by_team.get(row.team, Size())
+                    used_by_team[row.team] = total + used
+                self._start(claimed.row, placements, clock_by_node)
+            case Failure(failure):
+                for room in rooms:
+                    room.free = before[room.node]
+                self.registry.count(f'claims_failed_total{{code="{failure.code}"}}')
+                if not isinstance(failure, Conflict):
+                    self.observer.note_outage()
+                self.poke()
+
+    def _hold_node_clocks(self, placements):
+        """Return the newest clock heard of each node, before the transaction."""
+        clock_by_node = {}
+        for placement in placements:
+            view = self.directory.get(placement.node)
+            if view is not None:
+                clock_by_node[placement.node] = view.stream.peer_clock
+        return clock_by_node
+
+    def _check_gates(self, zones):
+        gates = [self.configuration.gate_by_zone.get(zone) for zone in zones]
+        return [
+            Check(f"gate/{zone}", gate.version if gate else 0)
+            for zone, gate in zip(zones, gates, strict=True)
+        ]
+
+    def _start(self, row, placements, clock_by_node):
+        job_id = get_job_id(row)
+        now = self.clock.now()
+        for placement in placements:
+            task = row.tasks[placement.index]
+            self._sight_by_attempt[_get_key(row, task)] = ClaimSight(now)
+            self.registry.count("tasks_claimed_total")
+            self.recorder.record(
+                "task-claimed", _name_attempt(job_id, task), placement.node
+            )
+            view = self.directory.get(placement.node)
+            if view is None or placement.node not in clock_by_node:
+                continue
+            attempt = AttemptId(job=job_id, index=task.index, attempt=task.attempt)
+            start = StartTask(
+                attempt=attempt,
+                session=placement.session,
+                echo=clock_by_node[placement.node],
+                spec=row.spec,
+                checkpoint=task.checkpoint,
+            )
+            view.stream.send(start)
+
+
+def list_declared(configuration):
+    """Return the rows of the jobs and watchers that a configuration declares.
+
+    :param configuration: ``Configuration``.
+    """
+    rows = []
+    for team, section in configuration.teams.items():
+        for name, job in section.jobs.items():
+            rows.append(build_job(team, name, job, "declared"))
+        for name, watcher in section.watchers.items():
+            spec = TaskSpec(
+                command=watcher.command,
+                processors=watcher.processors,
+                memory_gb=watcher.memory_gb,
+            )
+            rows.append(create_job(team, name, "watcher", "declared", spec, 1))
+    return rows
+
+
+def build_job(team, name, job, origin):
+    """Return the row of a batch job.
+
+    :param job: ``document.Job``.
+    :param origin: 'declared' or 'submitted'.
+    """
+    spec = TaskSpec(
+        command=job.command,
+        processors=job.processors,
+        memory_gb=job.memory_gb,
+        accelerators=job.accelerators,
+        work_seconds=job.work_seconds,
+    )
+    return create_job(team, name, "batch", origin, spec, job.tasks, job.urgent)
+
+
+def _get_key(row, task):
+    """Return the identity of a task's newest attempt."""
+    return (get_job_id(row), task.index, task.attempt)
+
+
+def _name_attempt(job_id, task):
+    return f"task/{job_id}/{task.index}#{task.attempt}"
--- /dev/null
+++ b/src/bergamotshore/management/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/bergamotshore/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-commands of the command line, one module each."""
--- /dev/null
+++ b/src/bergamotshore/management/exitcodes.py
@@ -0,0 +1,9 @@
+"""Exit codes of every sub-command."""
+
+DONE = 0
+FAILED = 1
+USAGE = 2
+PROBLEMS = 3
+CONFLICT = 4
+UNREACHABLE = 5
+DIFFERENT = 6
--- /dev/null
+++ b/src/bergamotshore/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and histograms in the text exposition format."""
--- /dev/null
+++ b/src/bergamotshore/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node role: authority over one VM."""
--- /dev/null
+++ b/src/bergamotshore/node/role.py
@@ -0,0 +1,334 @@
+"""The node process: wiring, threads and the graceful stop."""
+
+import signal
+import threading
+import uuid
+from concurrent.futures import ThreadPoolExecutor, wait
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from bergamotshore.adapters.endpoint import HttpEndpoint
+from bergamotshore.adapters.settled import decode_row
+from bergamotshore.adapters.table import HttpTable
+from bergamotshore.adapters.worker import HttpWorker
+from bergamotshore.core.configuration import NodeConfiguration
+from bergamotshore.generated.messages import (
+    AckTask,
+    Announce,
+    Events,
+    Fence,
+    Heartbeat,
+    Metrics,
+    PushConfig,
+    QueryEvents,
+    QueryMetrics,
+    RunRequest,
+    StartTask,
+    StopTask,
+)
+from bergamotshore.generated.rows import EntryRow
+from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
+from bergamotshore.metrics.registry import Registry
+from bergamotshore.node.links import EntryLinks
+from bergamotshore.node.requests import RequestRunner
+from bergamotshore.node.session import SessionKeeper
+from bergamotshore.node.tasks import TaskRunner
+from bergamotshore.ports.clock import SystemClock
+from bergamotshore.timeline.recorder import LamportClock, Recorder
+from bergamotshore.transport.loop import Loop
+
+ENDPOINT_STATUS_SECONDS = 2.0
+ENDPOINT_THREADS_MAX = 256
+WORKER_THREADS = 4
+ENTRY_PREFIX = "entry/"
+STOP_POLL_SECONDS = 0.05
+LAST_ANSWERS_SECONDS = 0.2
+
+
+class NodeRole:
+    """Run one node.
+
+    :param settings: ``Settings`` with a node section.
+    """
+
+    def __init__(self, settings):
+        node = settings.node
+        self.settings = settings
+        self.node = node
+        self.clock = SystemClock()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.lamport = LamportClock()
+        self.registry = Registry("bergamotshore_node")
+        self.recorder = Recorder(
+            settings.name,
+            self.incarnation,
+            self.lamport,
+            self.clock,
+            settings.timeline_events,
+        )
+        self.stopping = threading.Event()
+        self.is_draining = False
+        self.endpoint_status = None
+        self.configuration = NodeConfiguration()
+        self.table = HttpTable(settings.platform.table, settings.platform.timeout)
+        self.endpoint = self._build_endpoint()
+        self.worker = self._build_worker()
+        self.loop = Loop(self.clock)
+        self.endpoint_calls = ThreadPoolExecutor(ENDPOINT_THREADS_MAX, "endpoint")
+        self.worker_calls = ThreadPoolExecutor(WORKER_THREADS, "worker")
+        self.links = EntryLinks(
+            self.loop, settings, self.incarnation, self.lamport, self
+        )
+        self.session = self._build_session()
+        self.requests = RequestRunner(
+            self.loop,
+            self.endpoint_calls,
+            self.endpoint,
+            self.links,
+            self._may_serve,
+            self.recorder,
+            self.registry,
+        )
+        self.tasks = self._build_tasks()
+        self._announced = None
+        self.registry.watch("resident_bytes", read_resident_bytes)
+        self.registry.watch("processor_seconds_total", read_processor_seconds)
+        self.registry.watch("requests_held", lambda: self.requests.ledger.held)
+        self.registry.watch("attempts_held", lambda: len(self.tasks.by_key))
+
+    def _build_endpoint(self):
+        if not self.node.endpoint:
+            return None
+        return HttpEndpoint(self.node.endpoint, ENDPOINT_STATUS_SECONDS)
+
+    def _build_worker(self):
+        if not self.node.worker:
+            return None
+        return HttpWorker(self.node.worker, self.settings.platform.timeout)
+
+    def _build_session(self):
+        return SessionKeeper(
+            self.table,
+            self.settings.name,
+            self.settings.zone,
+            self.node.session_ttl,
+            self.clock,
+            self.recorder,
+            lambda: self.tasks.worker_boot,
+            lambda: self.loop.call(self.tasks.evict_all),
+        )
+
+    def _build_tasks(self):
+        return TaskRunner(
+            self.loop,
+            self.worker_calls,
+            self.worker,
+            self.links,
+            self.session.get_session,
+            self.session.get_lease_end,
+            self._may_work,
+            self.node,
+            self.recorder,
+            self.registry,
+        )
+
+    def _may_work(self):
+        return not self.is_draining and self.configuration.may_work(self.settings.zone)
+
+    def _may_serve(self):
+        status = self.endpoint_status
+        return self._may_work() and status is not None and not status.leaving
+
+    def run(self):
+        """Run until a signal asks for the stop."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
+        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
+        self.recorder.record("process-started", f"process/{self.settings.name}")
+        self.loop.call(self._start)
+        services = [self.loop.run, self._watch_entries]
+        if self.worker is not None:
+            services.append(self.session.run)
+        if self.endpoint is not None:
+            services.append(self._watch_endpoint)
+        with ThreadPoolExecutor(len(services), "service") as pool:
+            futures = [pool.submit(service) for service in services]
+            for future in futures:
+                future.add_done_callback(self._note_service_end)
+            logger.info("node {} started", self.settings.name)
+            self.stopping.wait()
+            self._stop()
+            wait(futures)
+        self.endpoint_calls.shutdown(wait=False, cancel_futures=True)
+        self.worker_calls.shutdown(wait=False, cancel_futures=True)
+        logger.info("node {} stopped", self.settings.name)
+
+    def _note_service_end(self, future):
+        error = future.exception()
+        if error is not None:
+            logger.opt(exception=error).error("a service of the node failed")
+            self.stopping.set()
+
+    def _start(self):
+        self.requests.start()
+        self.tasks.start()
+        self.links.set_addresses(self.node.entries)
+
+    def _stop(self):
+        """Leave gracefully: refuse, announce, finish, evict, end the session."""
+        self.loop.call(self._drain)
+        pause = threading.Event()
+        pause.wait(STOP_POLL_SECONDS)
+        give_up_at = self.clock.now() + self.node.stop_within
+        while not self._is_idle() and self.clock.now() < give_up_at:
+            pause.wait(STOP_POLL_SECONDS)
+        is_stopped = self.tasks.is_idle
+        self.session.stop()
+        if self.worker is not None and is_stopped:
+            self.session.end()
+        pause.wait(LAST_ANSWERS_SECONDS)
+        self.loop.call(self.links.stop)
+        pause.wait(STOP_POLL_SECONDS)
+        self.loop.stop()
+
+    def _drain(self):
+        self.is_draining = True
+        self.recorder.record("process-draining", f"process/{self.settings.name}")
+        self._announce()
+        self.tasks.drain()
+
+    def _is_idle(self):
+        return self.is_draining and self.requests.is_idle and self.tasks.is_idle
+
+    def _watch_entries(self):
+        """Learn of entries from the table service, besides those in the settings."""
+        while not self.stopping.is_set():
+            match self.table.scan(ENTRY_PREFIX):
+                case Success(rows):
+                    self.loop.call(self._take_entries, rows)
+                case Failure(_):
+                    self.registry.count("table_failures_total")
+            self.stopping.wait(self.node.entry_poll)
+
+    def _take_entries(self, stored_rows):
+        addresses = set(self.node.entries)
+        for stored in stored_rows:
+            match decode_row(stored, EntryRow):
+                case Success(EntryRow(stream_address=address)):
+                    addresses.add(address)
+        self.links.set_addresses(addresses)
+
+    def _watch_endpoint(self):
+        while not self.stopping.is_set():
+            outcome = self.endpoint.get_status()
+            self.loop.call(self._take_endpoint, outcome)
+            self.stopping.wait(self.node.poll)
+
+    def _take_endpoint(self, outcome):
+        match outcome:
+            case Success(status):
+                self.endpoint_status = status
+                self.requests.service = status.service
+            case Failure(_):
+                self.endpoint_status = None
+        self._apply_limits()
+
+    def _apply_limits(self):
+        """Hold the endpoint to the lower of its own limits and the document's."""
+        status = self.endpoint_status
+        slots, connections = 0, 0
+        if status is not None:
+            limits = self.configuration.limits_by_service.get(status.service)
+            slots = min(status.slots, ENDPOINT_THREADS_MAX)
+            connections = status.connections
+            if limits is not None:
+                slots = min(slots, limits.slots)
+                connections = min(connections, limits.connections)
+        self.requests.ledger.resize(slots, connections)
+        self._announce()
+
+    def _build_announce(self):
+        ledger = self.requests.ledger
+        status = self.endpoint_status
+        size = self.tasks.size
+        return Announce(
+            service=status.service if status is not None else "",
+            slots=ledger.slots,
+            connections=ledger.connections,
+            draining=not self._may_serve(),
+            session=self.session.get_session() if self._may_work() else "",
+            processors=size.processors,
+            memory_gb=size.memory_gb,
+            accelerators=size.accelerators,
+        )
+
+    def _announce(self):
+        announce = self._build_announce()
+        if announce != self._announced:
+            self._announced = announce
+            self.links.broadcast(announce)
+            self.recorder.record(
+                "announced",
+                f"node/{self.settings.name}",
+                "draining" if announce.draining else "serving",
+            )
+
+    def on_open(self, stream):
+        """Tell a newly connected entry what this node offers."""
+        self.links.note_open(stream)
+        self.recorder.record("entry-connected", f"entry/{stream.peer.name}")
+        stream.send(self._build_announce())
+        if self.worker is not None:
+            stream.send(self.tasks.build_inventory(stream))
+
+    def on_close(self, stream):
+        """Connect again."""
+        self.registry.count(f'streams_closed_total{{reason="{stream.close_reason}"}}')
+        if stream.peer is not None:
+            self.recorder.record(
+                "entry-lost", f"entry/{stream.peer.name}", stream.close_reason
+            )
+        self.links.note_close(stream)
+
+    def on_message(self, stream, message):
+        """Hand a message to the part that it is for."""
+        match message:
+            case RunRequest():
+                self.requests.handle_run(stream, message)
+            case Fence(request_id=request_id):
+                self.requests.handle_fence(stream, request_id)
+            case StartTask():
+                self.tasks.handle_start(stream, message)
+            case StopTask():
+                self.tasks.handle_stop(message)
+            case AckTask():
+                self.tasks.handle_ack(message)
+            case PushConfig():
+                self._take_config(message)
+            case QueryEvents(query_id=query_id):
+                events = self.recorder.list_events()
+                stream.send(Events(query_id=query_id, events=events))
+            case QueryMetrics(query_id=query_id):
+                text = self.registry.render()
+                stream.send(Metrics(query_id=query_id, text=text))
+            case Heartbeat():
+                self._announce()
+            case _:
+                self.registry.count("messages_unexpected_total")
+
+    def _take_config(self, push):
+        if self.configuration.accept(push):
+            self.recorder.record("config-in-force", f"config/{push.version}")
+        self._apply_limits()
+
+    def build_heartbeat(self, stream):
+        """Return the heartbeat for a stream, with the load of the endpoint."""
+        ledger = self.requests.ledger
+        return Heartbeat(
+            sent_at=self.clock.now(),
+            echo=stream.peer_clock,
+            running=len(ledger.running),
+            queued=len(ledger.queue),
+            service_seconds=ledger.service_seconds,
+            config_version=self.configuration.version,
+        )
--- /dev/null
+++ b/src/bergamotshore/node/tasks.py
@@ -0,0 +1,309 @@
+"""Running task attempts on the worker, within its size and the node's lease."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from bergamotshore.core.capacity import ReservationLedger, Size, get_size
+from bergamotshore.core.freshness import is_fresh
+from bergamotshore.exceptions import WorkerFailure
+from bergamotshore.generated.messages import AttemptId, TaskEnded, TaskInventory
+
+REPORT_SECONDS = 1.0
+INVENTORY_SECONDS = 1.0
+OUTCOME_BY_STATE = {"completed": "completed", "failed": "failed", "stopped": "evicted"}
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt that the node holds.
+
+    :param id: ``AttemptId``.
+    :param state: 'starting', 'running', 'stopping' or 'ended'.
+    :param ended: Report of the end once ended.
+    :param changed: Number of the worker listing before which the state is unproven.
+    """
+
+    id: AttemptId
+    state: str
+    ended: TaskEnded | None = None
+    changed: int = 0
+
+
+class TaskRunner:
+    """Start, stop and watch attempts; state is the loop's thread's alone.
+
+    :param loop: ``Loop``.
+    :param executor: Runs the calls of the worker.
+    :param worker: ``Worker``; None when there is none.
+    :param links: ``EntryLinks``.
+    :param get_session: Returns the valid session, empty when there is none.
+    :param get_lease_end: Returns the end of the lease on the node's clock.
+    :param may_work: Tells whether new work is allowed at all.
+    :param settings: ``settings.Node``.
+    :param recorder: ``Recorder``.
+    :param registry: ``Registry``.
+    """
+
+    def __init__(
+        self,
+        loop,
+        executor,
+        worker,
+        links,
+        get_session,
+        get_lease_end,
+        may_work,
+        settings,
+        recorder,
+        registry,
+    ):
+        self.loop = loop
+        self.clock = loop.clock
+        self.executor = executor
+        self.worker = worker
+        self.links = links
+        self.get_session = get_session
+        self.get_lease_end = get_lease_end
+        self.may_work = may_work
+        self.settings = settings
+        self.recorder = recorder
+        self.registry = registry
+        self.worker_boot = ""
+        self.is_draining = False
+        self.reservations = ReservationLedger(Size())
+        self.by_key = {}
+        self._listings = 0
+        self._is_listing = False
+
+    @property
+    def is_idle(self):
+        """Tell whether no attempt is held, ended and unacknowledged ones included."""
+        return not self.by_key
+
+    @property
+    def size(self):
+        """Return the size of the worker."""
+        return self.reservations.total
+
+    def start(self):
+        """Begin to watch the worker and to report."""
+        if self.worker is not None:
+            self._poll()
+            self._report()
+            self._send_inventories()
+
+    def handle_start(self, stream, message):
+        """Start an attempt, or report that it did not run."""
+        key = _get_key(message.attempt)
+        if key in self.by_key:
+            return
+        reason = self._find_refusal(message)
+        if reason:
+            self._end(Attempt(message.attempt, "starting"), "not_run", reason)
+            return
+        if not self.reservations.reserve(key, get_size(message.spec)):
+            self._end(Attempt(message.attempt, "starting"), "not_run", "no-room")
+            return
+        self.by_key[key] = Attempt(message.attempt, "starting")
+        self.recorder.record("task-starting", _name(message.attempt))
+        self.executor.submit(self._call_start, message, self.get_lease_end())
+
+    def _find_refusal(self, message):
+        session = self.get_session()
+        if self.is_draining or not self.may_work():
+            return "not-in-use"
+        if not session or message.session != session:
+            return "session-over"
+        if not is_fresh(message.echo, self.clock.now(), self.settings.start_within):
+            return "start-too-late"
+        if self._holds_other(message.attempt):
+            return "other-attempt-here"
+        return ""
+
+    def _holds_other(self, attempt):
+        return any(
+            other.id.job == attempt.job
+            and other.id.index == attempt.index
+            and other.state != "ended"
+            for other in self.by_key.values()
+        )
+
+    def _call_start(self, message, lease_end):
+        outcome = self.worker.start(
+            message.attempt, message.spec, message.checkpoint, lease_end
+        )
+        self.loop.call(self._note_start, message.attempt, outcome)
+
+    def _note_start(self, attempt, outcome):
+        held = self.by_key.get(_get_key(attempt))
+        if held is None or held.state != "starting":
+            return
+        match outcome:
+            case Success(_):
+                held.state = "running"
+                held.changed = self._listings + 1
+                self.registry.count("tasks_started_total")
+                self.recorder.record("task-running", _name(attempt))
+            case Failure(WorkerFailure(is_certain=True)):
+                self._end(held, "not_run", "worker-refused")
+            case Failure(_):
+                self._stop(held, with_checkpoint=False)
+
+    def handle_stop(self, message):
+        """Stop an attempt; an unknown one is nothing to stop."""
+        held = self.by_key.get(_get_key(message.attempt))
+        if held is not None and held.state == "running":
+            self._stop(held, with_checkpoint=message.mode == "evict")
+
+    def handle_ack(self, message):
+        """Forget an attempt whose end is recorded."""
+        key = _get_key(message.attempt)
+        held = self.by_key.get(key)
+        if held is None or held.state != "ended":
+            return
+        del self.by_key[key]
+        self.executor.submit(self.worker.forget, message.attempt)
+
+    def evict_all(self):
+        """Stop every running attempt with a checkpoint."""
+        for held in list(self.by_key.values()):
+            if held.state == "running":
+                self._stop(held, with_checkpoint=True)
+
+    def drain(self):
+        """Start nothing more and evict what runs."""
+        self.is_draining = True
+        self.evict_all()
+
+    def _stop(self, held, with_checkpoint):
+        held.state = "stopping"
+        self.recorder.record("task-stopping", _name(held.id))
+        self.executor.submit(self._call_stop, held.id, with_checkpoint)
+
+    def _call_stop(self, attempt, with_checkpoint):
+        outcome = self.worker.stop(attempt, with_checkpoint)
+        self.loop.call(self._note_stop, attempt, with_checkpoint, outcome)
+
+    def _note_stop(self, attempt, with_checkpoint, outcome):
+        held = self.by_key.get(_get_key(attempt))
+        if held is None or held.state == "ended":
+            return
+        match outcome:
+            case Success(listed):
+                self._end_as_listed(held, listed)
+            case Failure(_):
+                self.loop.call_later(
+                    self.settings.poll, self._stop, held, with_checkpoint
+                )
+
+    def _end_as_listed(self, held, listed):
+        outcome = OUTCOME_BY_STATE.get(listed.state, "evicted")
+        self._end(held, outcome, "", listed.checkpoint, listed.result)
+
+    def _end(self, held, outcome, reason, checkpoint="", result=""):
+        """Free the reservation and report the end until it is acknowledged."""
+        key = _get_key(held.id)
+        self.reservations.release(key)
+        held.state = "ended"
+        held.ended = TaskEnded(
+            attempt=held.id,
+            session=self.get_session(),
+            outcome=outcome,
+            checkpoint=checkpoint,
+            result=result,
+            reason=reason,
+        )
+        self.by_key[key] = held
+        self.recorder.record("task-ended", _name(held.id), f"{outcome} {reason}")
+        self._report_one(held)
+
+    def _poll(self):
+        if not self._is_listing:
+            self._is_listing = True
+            self._listings += 1
+            self.executor.submit(self._call_list, self._listings, self.get_lease_end())
+        self.loop.call_later(self.settings.poll, self._poll)
+
+    def _call_list(self, listing, lease_end):
+        if lease_end > self.clock.now():
+            self.worker.renew(lease_end)
+        outcome = self.worker.get_status()
+        self.loop.call(self._note_list, listing, outcome)
+
+    def _note_list(self, listing, outcome):
+        self._is_listing = False
+        match outcome:
+            case Success(status):
+                self._take_status(listing, status)
+            case Failure(_):
+                self.registry.count("worker_failures_total")
+
+    def _take_status(self, listing, status):
+        is_first = not self.worker_boot
+        self.worker_boot = status.boot
+        self.reservations.total = Size(
+            status.processors, status.memory_gb, status.accelerators
+        )
+        listed_by_key = {_get_key(item): item for item in status.tasks}
+        for key, item in listed_by_key.items():
+            self._take_listed(key, item, is_first)
+        for key, held in list(self.by_key.items()):
+            is_proven = held.state == "running" and listing >= held.changed
+            if is_proven and key not in listed_by_key:
+                self._end(held, "evicted", "worker-lost-it")
+
+    def _take_listed(self, key, item, is_first):
+        held = self.by_key.get(key)
+        if held is None and is_first:
+            held = self._restore(key, item)
+        if held is not None and held.state == "running" and item.state != "running":
+            self._end_as_listed(held, item)
+
+    def _restore(self, key, item):
+        """Take in what the worker held before this run of the node."""
+        attempt = AttemptId(job=item.job, index=item.index, attempt=item.attempt)
+        held = Attempt(attempt, "running")
+        self.by_key[key] = held
+        size = Size(item.processors, item.memory_gb, item.accelerators)
+        self.reservations.restore(key, size)
+        self.recorder.record("task-restored", _name(attempt), item.state)
+        return held
+
+    def _report(self):
+        for held in self.by_key.values():
+            if held.state == "ended":
+                self._report_one(held)
+        self.loop.call_later(REPORT_SECONDS, self._report)
+
+    def _report_one(self, held):
+        streams = self.links.list_streams()
+        if streams:
+            chosen = min(streams, key=lambda stream: stream.peer.name)
+            chosen.send(held.ended)
+
+    def _send_inventories(self):
+        for stream in self.links.list_streams():
+            stream.send(self.build_inventory(stream))
+        self.loop.call_later(INVENTORY_SECONDS, self._send_inventories)
+
+    def build_inventory(self, stream):
+        """Return the list of attempts for one entry."""
+        free = self.reservations.free
+        return TaskInventory(
+            session=self.get_session(),
+            taken_at=self.clock.now(),
+            echo=stream.peer_clock,
+            attempts=[held.id for held in self.by_key.values()],
+            processors_free=free.processors,
+            memory_free_gb=free.memory_gb,
+            accelerators_free=free.accelerators,
+        )
+
+
+def _get_key(attempt):
+    return (attempt.job, attempt.index, attempt.attempt)
+
+
+def _name(attempt):
+    return f"task/{attempt.job}/{attempt.index}#{attempt.attempt}"
--- /dev/null
+++ b/src/bergamotshore/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Narrow typed interfaces to everything outside the decisions."""
--- /dev/null
+++ b/src/bergamotshore/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Typed events with causal order."""
--- /dev/null
+++ b/src/bergamotshore/transport/__init__.py
@@ -0,0 +1,1 @@
+"""The msgpack stream between entry and node processes."""
--- /dev/null
+++ b/src/bergamotshore/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a home of their own."""
