Let a leaving entry record ends, and a leaving node not wait for entries that are gone

Cause: at a stop of the whole site the last node held an evicted watcher whose end no entry acknowledged: the leaving entry no longer ran its scheduler, and the node waited out stop_within (30 s in the demo). Change: a leaving entry still records ends; a node without any stream for 3 s stops waiting for acknowledgements once nothing runs.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -139,12 +139,16 @@
         self.member_by_name[name].process.send_signal(number)
 
     def stop(self, name):
-        """Ask a process to stop and wait for it.
+        """Ask a process to stop and wait for it; see ``wait_for_exit``."""
+        self.send_signal(name, signal.SIGTERM)
+        return self.wait_for_exit(name)
+
+    def wait_for_exit(self, name):
+        """Wait for a process that was asked to stop.
 
         :returns: Exit code; None when it had to be killed.
         """
         process = self.member_by_name[name].process
-        process.send_signal(signal.SIGTERM)
         try:
             return process.wait(STOP_SECONDS)
         except subprocess.TimeoutExpired:
--- a/demo/run.py
+++ b/demo/run.py
@@ -62,6 +62,7 @@
         self.began = time.monotonic()
         self.events = []
         self.memory_rows = []
+        self.exit_codes = []
         self.load = None
 
     def run(self):
@@ -80,8 +81,8 @@
         self._collect_events()
         self._stop_under_load()
         evidence = self._gather(closure)
-        exits = self._stop_rest()
-        return self._report(evidence, exits)
+        self.exit_codes += self._stop_rest()
+        return self._report(evidence)
 
     def _say(self, text):
         print(f"[{time.monotonic() - self.began:5.1f} s] {text}", flush=True)
@@ -174,9 +175,11 @@
     def _stop_under_load(self):
         entry = ENTRIES[1]
         code = self.cluster.stop(entry)
+        self.exit_codes.append(code)
         self._say(f"{entry} stopped gracefully under load, exit code {code}")
         node = self.site.list_nodes()[-1][0]
         code = self.cluster.stop(node)
+        self.exit_codes.append(code)
         self._say(f"{node} stopped gracefully under load, exit code {code}")
         self._wait_for_watcher()
         self.load.stop()
@@ -217,16 +220,17 @@
         self.events += msgspec.convert(answer["events"], type=list[TimelineEvent])
 
     def _stop_rest(self):
-        stopped = {ENTRIES[1], self.site.list_nodes()[-1][0]}
-        names = [name for name, _ in self.site.list_nodes()] + [ENTRIES[0]]
-        left = [name for name in names if name not in stopped]
+        """Stop the nodes that are left together, then the last entry."""
+        stopped = self.site.list_nodes()[-1][0]
+        left = [name for name, _ in self.site.list_nodes() if name != stopped]
         for name in left:
             self.cluster.send_signal(name, signal.SIGTERM)
-        codes = [self.cluster.stop(name) for name in left]
-        self._say(f"{len(left)} further processes stopped")
+        codes = [self.cluster.wait_for_exit(name) for name in left]
+        codes.append(self.cluster.stop(ENTRIES[0]))
+        self._say(f"{len(left)} nodes and {ENTRIES[0]} stopped, exit codes {codes}")
         return codes
 
-    def _report(self, evidence, exit_codes):
+    def _report(self, evidence):
         lines = judge_requests(evidence)
         lines += judge_tasks(evidence, self.batch_tasks, [self._get_watcher()])
         self._print_timeline()
@@ -237,7 +241,7 @@
         print("\nresident memory (least, most)")
         for role, least, most in self.memory_rows:
             print(f"  {role:6} {least:6.1f} MB {most:6.1f} MB")
-        bad_exits = [code for code in exit_codes if code != 0]
+        bad_exits = [code for code in self.exit_codes if code != 0]
         broken = [line.name for line in lines if line.is_broken]
         if bad_exits:
             broken.append(f"stops that did not end well: {bad_exits}")
--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -306,8 +306,8 @@
 
     def _run_scheduler(self):
         while not self.loop_is_over():
-            if self.configuration.is_loaded and not self.is_draining:
-                self.scheduler.step()
+            if self.configuration.is_loaded:
+                self.scheduler.step(may_place=not self.is_draining)
             self.router.forget_late()
             threading.Event().wait(SCHEDULE_SECONDS)
 
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -129,9 +129,14 @@
         """Make the next step look at everything; from any thread."""
         self._next_rescan = 0.0
 
-    def step(self):
-        """Do all that is due."""
+    def step(self, may_place=True):
+        """Do all that is due.
+
+        :param may_place: False while the entry leaves: ends are still recorded.
+        """
         self._record_ends()
+        if not may_place:
+            return
         if self.clock.now() >= self._next_rescan:
             self._rescan()
         self._reconcile()
--- a/src/bergamotshore/node/role.py
+++ b/src/bergamotshore/node/role.py
@@ -43,6 +43,7 @@
 WORKER_THREADS = 4
 ENTRY_PREFIX = "entry/"
 STOP_POLL_SECONDS = 0.05
+ALONE_SECONDS = 3.0
 LAST_ANSWERS_SECONDS = 0.2
 
 
@@ -179,9 +180,7 @@
         self.loop.call(self._drain)
         pause = threading.Event()
         pause.wait(STOP_POLL_SECONDS)
-        give_up_at = self.clock.now() + self.node.stop_within
-        while not self._is_idle() and self.clock.now() < give_up_at:
-            pause.wait(STOP_POLL_SECONDS)
+        self._wait_until_idle(pause)
         is_stopped = self.tasks.is_idle
         self.session.stop()
         if self.worker is not None and is_stopped:
@@ -191,6 +190,20 @@
         pause.wait(STOP_POLL_SECONDS)
         self.loop.stop()
 
+    def _wait_until_idle(self, pause):
+        """Wait for requests and acknowledgements, not for entries that are gone."""
+        now = self.clock.now()
+        give_up_at = now + self.node.stop_within
+        last_connected = now
+        while not self._is_idle() and now < give_up_at:
+            pause.wait(STOP_POLL_SECONDS)
+            now = self.clock.now()
+            if self.links.list_streams():
+                last_connected = now
+            is_alone = now - last_connected > ALONE_SECONDS
+            if is_alone and self.requests.is_idle and not self.tasks.is_busy:
+                return
+
     def _drain(self):
         self.is_draining = True
         self.recorder.record("process-draining", f"process/{self.settings.name}")
--- a/src/bergamotshore/node/tasks.py
+++ b/src/bergamotshore/node/tasks.py
@@ -81,6 +81,11 @@
         """Tell whether no attempt is held, ended and unacknowledged ones included."""
         return not self.by_key
 
+    @property
+    def is_busy(self):
+        """Tell whether some attempt may still run."""
+        return any(held.state != "ended" for held in list(self.by_key.values()))
+
     @property
     def size(self):
         """Return the size of the worker."""
