--- a/src/bergamotshore/management/commands/node.py
+++ b/src/bergamotshore/management/commands/node.py
@@ -12,7 +12,7 @@
 
 def handle(options):
     """Run until the process is told to stop."""
-    leave_out_ssl()
+    leave_out_extras()
     from bergamotshore.conf.logs import start_logs
     from bergamotshore.conf.problems import Problem
     from bergamotshore.conf.settings import read_settings
@@ -29,10 +29,12 @@
     return exitcodes.DONE
 
 
-def leave_out_ssl():
-    """Make ``import ssl`` fail, which http.client and asyncio put up with.
+def leave_out_extras():
+    """Make the imports fail that the libraries do without and a node has no use for.
 
-    A node speaks plain HTTP on its own machine and to the platform. The module would
-    take 4 MB of the 32 MB that a node may use.
+    http.client and asyncio put up with a missing ssl (4 MB): a node speaks plain HTTP
+    on its own machine and to the platform. yaml falls back to its Python parser, which
+    is quick enough for one settings file. A node may use 32 MB.
     """
-    sys.modules.setdefault("ssl", None)
+    for name in ("ssl", "yaml._yaml"):
+        sys.modules.setdefault(name, None)
