Never take a cut answer for a whole one; test decisions, borders and contracts

Found by the contract test of the table whose answer is lost: http.client's read(amount) returns a short body silently, so a cut answer of endpoint, table or object store was taken for a whole one. The length is now checked first and the body read without an amount; an answer without a length is refused.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -74,7 +74,7 @@
         try:
             connection.request(method, path, body=body, headers=headers or {})
             response = connection.getresponse()
-            content = response.read(LARGEST_ANSWER_BYTES)
+            content = _read_whole(response)
         except (OSError, http.client.HTTPException) as error:
             self._drop()
             return Failure(HttpFailure(repr(error), was_sent=True))
@@ -104,6 +104,21 @@
             connection.close()
 
 
+def _read_whole(response):
+    """Return the whole body of an answer.
+
+    Only a read without an amount notices that a body ends early, so the announced
+    length is checked first. A body that ends with the connection may be cut anywhere.
+
+    :raises http.client.HTTPException: when the body is cut, too large or of no length.
+    """
+    if response.length is None and not response.chunked:
+        raise http.client.HTTPException("the answer has no length")
+    if (response.length or 0) > LARGEST_ANSWER_BYTES:
+        raise http.client.HTTPException(f"{response.length} bytes are too many")
+    return response.read()
+
+
 def _is_stale(connection):
     """Tell whether the server has closed a kept connection."""
     readable, _, _ = select.select([connection.sock], [], [], 0)
--- a/src/bergamotshore/adapters/settled.py
+++ b/src/bergamotshore/adapters/settled.py
@@ -57,7 +57,7 @@
     for _ in range(TRIES):
         outcome = table.transact(checks, writes)
         match outcome:
-            case Failure(PlatformUncertain()):
+            case Failure(PlatformUncertain() | PlatformAnswerInvalid()):
                 was_lost = True
             case Failure(Conflict()) if was_lost:
                 return _settle(table, operation, writes, outcome)
@@ -67,7 +67,7 @@
                 return Failure(PlatformUncertain(failure.detail))
             case _:
                 return outcome
-    return outcome
+    return Failure(PlatformUncertain(outcome.failure().detail))
 
 
 def _settle(table, operation, writes, conflict):
--- /dev/null
+++ b/tests/core/test_idempotency.py
@@ -0,0 +1,133 @@
+"""Tests of the node's idempotency table."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bergamotshore.core.idempotency import (
+    Admitted,
+    AlreadyEnded,
+    Fenced,
+    IdempotencyTable,
+    InProgress,
+)
+from bergamotshore.generated.messages import RequestEnded
+
+KEEP = 60.0
+
+
+@pytest.fixture
+def requests():
+    return IdempotencyTable(KEEP, 1000)
+
+
+def end(request_id, outcome="completed", body=b""):
+    return RequestEnded(request_id=request_id, outcome=outcome, body=body)
+
+
+def test_the_same_request_is_admitted_once(requests):
+    assert requests.begin("r1", "", 0) == Admitted()
+    assert requests.begin("r1", "", 0) == InProgress()
+
+
+def test_another_request_with_a_running_key_is_in_progress(requests):
+    requests.begin("r1", "k", 0)
+    requests.mark_running("r1", 0)
+    assert requests.begin("r2", "k", 1) == InProgress()
+
+
+def test_an_ended_request_gives_its_outcome_again(requests):
+    requests.begin("r1", "k", 0)
+    requests.end(end("r1"), 1)
+    assert requests.begin("r2", "k", 2) == AlreadyEnded(end("r1"))
+
+
+def test_a_request_that_did_not_run_gives_its_key_free(requests):
+    requests.begin("r1", "k", 0)
+    requests.end(end("r1", "not_run"), 1)
+    assert requests.begin("r2", "k", 2) == Admitted()
+    assert requests.begin("r1", "", 2) == AlreadyEnded(end("r1", "not_run"))
+
+
+def test_a_fence_that_arrives_first_leaves_a_tombstone(requests):
+    assert requests.fence("r1", 0)
+    assert requests.begin("r1", "k", 1) == Fenced()
+
+
+def test_a_running_request_can_not_be_fenced(requests):
+    requests.begin("r1", "", 0)
+    requests.mark_running("r1", 0)
+    assert not requests.fence("r1", 1)
+
+
+def test_forgets_settled_records_only(requests):
+    requests.begin("r1", "", 0)
+    requests.mark_running("r1", 0)
+    requests.fence("r2", 0)
+    requests.forget(KEEP + 1)
+    assert requests.get_state("r1") == "running"
+    assert requests.get_state("r2") is None
+
+
+def test_drops_the_oldest_answers_over_the_limit(requests):
+    for number in range(3):
+        requests.begin(f"r{number}", "", number)
+        requests.end(end(f"r{number}", body=b"x" * 400), number)
+    requests.forget(5)
+    assert requests.get_state("r0") is None
+    assert requests.get_state("r2") == "ended"
+    assert requests.answer_bytes <= 1000
+
+
+class IdempotencyMachine(RuleBasedStateMachine):
+    """A request or key runs at most once whatever arrives in whatever order."""
+
+    IDS = st.sampled_from(["r1", "r2", "r3", "r4"])
+    KEY_BY_ID = {"r1": "k", "r2": "k", "r3": "", "r4": ""}
+
+    def __init__(self):
+        super().__init__()
+        self.table = IdempotencyTable(KEEP, 10_000)
+        self.runs = []
+        self.completed = set()
+        self.fenced = set()
+        self.now = 0.0
+
+    @rule(request_id=IDS)
+    def arrive(self, request_id):
+        self.now += 0.1
+        known = self.table.begin(request_id, self.KEY_BY_ID[request_id], self.now)
+        if known == Admitted():
+            assert request_id not in self.fenced
+
+    @rule(request_id=IDS)
+    def run(self, request_id):
+        if self.table.get_state(request_id) == "queued":
+            self.table.mark_running(request_id, self.now)
+            self.runs.append(request_id)
+
+    @rule(request_id=IDS, outcome=st.sampled_from(["completed", "unknown"]))
+    def finish(self, request_id, outcome):
+        if self.table.get_state(request_id) == "running":
+            self.table.end(end(request_id, outcome), self.now)
+
+    @rule(request_id=IDS)
+    def refuse(self, request_id):
+        if self.table.get_state(request_id) == "queued":
+            self.table.end(end(request_id, "not_run"), self.now)
+
+    @rule(request_id=IDS)
+    def fence(self, request_id):
+        if self.table.fence(request_id, self.now):
+            assert request_id not in self.runs
+            self.fenced.add(request_id)
+
+    @invariant()
+    def runs_once(self):
+        assert len(self.runs) == len(set(self.runs))
+        keyed = [request_id for request_id in self.runs if self.KEY_BY_ID[request_id]]
+        assert len(keyed) <= 1
+        assert not self.fenced & set(self.runs)
+
+
+TestIdempotencyMachine = IdempotencyMachine.TestCase
