--- a/src/bergamotshore/node/session.py
+++ b/src/bergamotshore/node/session.py
@@ -24,6 +24,7 @@
 
 RENEWALS_PER_TTL = 4
 RETRY_SECONDS = 0.5
+WORKER_WAIT_SECONDS = 0.1
 SESSION_PREFIX = "session/"
 
 
@@ -71,13 +72,17 @@
     def run(self):
         """Keep the session until ``stop`` is called."""
         while not self._stopping.is_set():
-            if not self.get_worker_boot():
-                self._stopping.wait(RETRY_SECONDS / 5)
-                continue
-            is_kept = self._renew() if self._holder.row else self._open()
-            self._stopping.wait(
-                self.ttl / RENEWALS_PER_TTL if is_kept else RETRY_SECONDS
-            )
+            self._stopping.wait(self.step())
+
+    def step(self):
+        """Open or renew the session.
+
+        :returns: Time until the next step, in seconds.
+        """
+        if not self.get_worker_boot():
+            return WORKER_WAIT_SECONDS
+        is_kept = self._renew() if self._holder.row else self._open()
+        return self.ttl / RENEWALS_PER_TTL if is_kept else RETRY_SECONDS
 
     def stop(self):
         """End ``run``."""
--- /dev/null
+++ b/tests/test_architecture.py
@@ -0,0 +1,109 @@
+"""Tests of the layers, of generated code and of the time line."""
+
+import ast
+import importlib.util
+from pathlib import Path
+
+import pytest
+
+import bergamotshore
+from bergamotshore.generated.messages import TimelineEvent
+from bergamotshore.management.parser import SUMMARY_BY_COMMAND, build_parser
+from bergamotshore.timeline.recorder import LamportClock, Recorder, merge_events
+
+PACKAGE = Path(bergamotshore.__file__).parent
+ROOT = PACKAGE.parent.parent
+CORE_ALLOWED = (
+    "bergamotshore.core",
+    "bergamotshore.generated",
+    "bergamotshore.exceptions",
+)
+FORBIDDEN_IN_CORE = {"time", "random", "threading", "socket", "os", "http", "loguru"}
+
+
+def list_imports(path):
+    tree = ast.parse(path.read_text())
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+@pytest.mark.parametrize("path", sorted((PACKAGE / "core").glob("*.py")), ids=str)
+def test_decisions_import_no_io_and_no_upper_layer(path):
+    for name in list_imports(path):
+        assert name.split(".")[0] not in FORBIDDEN_IN_CORE
+        if name.startswith("bergamotshore"):
+            assert name.startswith(CORE_ALLOWED)
+
+
+@pytest.mark.parametrize("folder", ["ports", "adapters", "transport", "timeline"])
+def test_lower_layers_do_not_import_roles(folder):
+    for path in (PACKAGE / folder).glob("*.py"):
+        for name in list_imports(path):
+            assert not name.startswith(("bergamotshore.entry", "bergamotshore.node"))
+
+
+def test_the_product_does_not_import_stand_ins():
+    for path in PACKAGE.rglob("*.py"):
+        assert not any(
+            name.startswith(("standins", "demo")) for name in list_imports(path)
+        )
+
+
+def test_generated_files_are_current():
+    location = ROOT / "tools" / "generate_schema.py"
+    spec = importlib.util.spec_from_file_location("generate_schema", location)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    for path, text in module.render_all().items():
+        assert path.read_text() == text, f"run make generate: {path.name}"
+
+
+def test_every_command_is_there():
+    commands = PACKAGE / "management" / "commands"
+    names = {path.stem for path in commands.glob("*.py")} - {"__init__"}
+    assert names == set(SUMMARY_BY_COMMAND)
+    for name in names:
+        build_parser(name)
+
+
+def build_event(process, sequence, clock, subject="task/t/j/0"):
+    return TimelineEvent(
+        process=process,
+        incarnation="i",
+        sequence=sequence,
+        clock=clock,
+        wall=0.0,
+        kind="k",
+        subject=subject,
+    )
+
+
+def test_events_merge_in_causal_order_without_duplicates():
+    cause = build_event("z", 1, 5)
+    effect = build_event("a", 9, 6)
+    assert merge_events([effect, cause, effect]) == [cause, effect]
+
+
+def test_one_subject_can_be_followed():
+    events = [build_event("a", 1, 1), build_event("a", 2, 2, "config/3")]
+    assert merge_events(events, "config/") == [events[1]]
+
+
+def test_a_cause_always_sorts_before_its_effect(clock):
+    near = Recorder("z-near", "1", LamportClock(), clock, 10)
+    far = Recorder("a-far", "1", LamportClock(), clock, 10)
+    near.record("sent", "r1")
+    far.lamport.witness(near.lamport.tick())
+    far.record("received", "r1")
+    merged = merge_events(far.list_events() + near.list_events())
+    assert [event.kind for event in merged] == ["sent", "received"]
+
+
+def test_the_ring_is_bounded(clock):
+    recorder = Recorder("p", "1", LamportClock(), clock, 3)
+    for number in range(5):
+        recorder.record("k", str(number))
+    assert [event.sequence for event in recorder.list_events()] == [3, 4, 5]
