Close the holes that removed guards left in the tests

Causes: the model worker let a running task be forgotten (so a doubled run vanished), entries always knew the newest gate, messages were doubled only after a hold, stops never failed.

--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -65,6 +65,11 @@
         self._server.is_draining = False
         self._server.channel_class = ClosingChannel
 
+    @property
+    def port(self):
+        """Return the port that the server listens on."""
+        return self._server.effective_port
+
     def run(self):
         """Serve until ``stop`` is called."""
         while not self._is_stopped.is_set():
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -111,9 +111,7 @@
             case "/v1/stop":
                 return self._stop(call)
             case "/v1/forget":
-                with self._lock:
-                    self._task_by_key.pop(_get_key(call["attempt"]), None)
-                return Answer(200, {})
+                return self._forget(call)
             case "/counts":
                 return self._count()
             case "/fail":
@@ -178,6 +176,15 @@
                 self._end(task, "stopped")
             return Answer(200, _list_task(task))
 
+    def _forget(self, call):
+        key = _get_key(call["attempt"])
+        with self._lock:
+            task = self._task_by_key.get(key)
+            if task is not None and task.state == "running":
+                return Answer(409, {"error": "still running"})
+            self._task_by_key.pop(key, None)
+        return Answer(200, {})
+
     def _save_checkpoint(self, task):
         key = f"checkpoint/{task.name}/{task.attempt}-{uuid.uuid4().hex[:8]}"
         content = json.dumps({"progress": task.progress}).encode()
--- a/tests/adapters/test_contracts.py
+++ b/tests/adapters/test_contracts.py
@@ -4,13 +4,13 @@
 
 import pytest
 from returns.result import Failure, Success
-from waitress import create_server
 
 from bergamotshore.adapters.endpoint import HttpEndpoint
 from bergamotshore.adapters.objects import HttpObjectStore
 from bergamotshore.adapters.settled import build_write, decode_row, write_rows
 from bergamotshore.adapters.table import HttpTable
 from bergamotshore.adapters.worker import HttpWorker
+from bergamotshore.entry.wsgi import HttpServer
 from bergamotshore.exceptions import (
     Conflict,
     EndpointAnswerLost,
@@ -32,6 +32,7 @@
 from tests.fakes import FakeTable
 
 TIMEOUT = 5.0
+LARGEST_BODY = 1 << 20
 FAR_FUTURE = 1e12
 REQUEST = RunRequest(
     request_id="r1",
@@ -50,14 +51,16 @@
     servers = []
 
     def start(app):
-        server = create_server(app, host="127.0.0.1", port=0, threads=4)
-        threading.Thread(target=server.run, daemon=True).start()
-        servers.append(server)
-        return f"127.0.0.1:{server.effective_port}"
+        server = HttpServer(app, ("127.0.0.1", 0), 4, LARGEST_BODY)
+        thread = threading.Thread(target=server.run)
+        thread.start()
+        servers.append((server, thread))
+        return f"127.0.0.1:{server.port}"
 
     yield start
-    for server in servers:
-        server.close()
+    for server, thread in servers:
+        server.stop()
+        thread.join()
 
 
 class FaultyTable:
--- a/tests/model.py
+++ b/tests/model.py
@@ -80,6 +80,7 @@
         self.site = site
         self.boots = itertools.count(1)
         self.fault = "none"
+        self.stops_to_fail = 0
         self.restart()
 
     def restart(self):
@@ -144,6 +145,9 @@
         return Success(None)
 
     def stop(self, attempt, with_checkpoint):
+        if self.stops_to_fail:
+            self.stops_to_fail -= 1
+            return Failure(WorkerFailure("cut", is_certain=False))
         key = (attempt.job, attempt.index, attempt.attempt)
         task = self.task_by_key.setdefault(
             key, SimpleNamespace(state="stopped", checkpoint="", result="", size=Size())
@@ -164,7 +168,10 @@
         )
 
     def forget(self, attempt):
-        self.task_by_key.pop((attempt.job, attempt.index, attempt.attempt), None)
+        key = (attempt.job, attempt.index, attempt.attempt)
+        task = self.task_by_key.get(key)
+        if task is not None and task.state != "running":
+            del self.task_by_key[key]
         return Success(None)
 
     def complete(self, key):
@@ -181,6 +188,7 @@
         self.entry = entry
         self.node = node
         self.is_held = False
+        self.is_doubling = False
         self.to_node = []
         self.to_entry = []
         self.entry_side = FakeStream(node.name, node.incarnation, node.zone, "node")
@@ -198,14 +206,18 @@
     def deliver(self):
         """Hand over all that waits."""
         if not self.node.is_paused:
-            messages, self.to_node[:] = list(self.to_node), []
+            messages, self.to_node[:] = self._copy(self.to_node), []
             for message in messages:
                 self.node.receive(self.node_side, message)
         if not self.entry.is_paused:
-            messages, self.to_entry[:] = list(self.to_entry), []
+            messages, self.to_entry[:] = self._copy(self.to_entry), []
             for message in messages:
                 self.entry.receive(self.entry_side, message)
 
+    def _copy(self, messages):
+        copies = 2 if self.is_doubling else 1
+        return [message for message in messages for _ in range(copies)]
+
 
 class ModelEntry:
     """One entry: a real scheduler with its stores."""
@@ -215,6 +227,7 @@
         self.clock = site.clock
         self.incarnation = f"run-{run}"
         self.is_paused = False
+        self.is_blind = False
         recorder = Recorder(name, self.incarnation, LamportClock(), site.clock, 100)
         self.configuration = ConfigurationStore(site.table, recorder)
         self.configuration.configuration = site.configuration
@@ -241,7 +254,8 @@
                 self.scheduler.report(stream.peer.name, message)
 
     def step(self):
-        self.configuration._refresh_gates()
+        if not self.is_blind:
+            self.configuration._refresh_gates()
         self.scheduler.step()
 
 
@@ -428,7 +442,12 @@
         self.table.faults = []
         for member in [*self.entries, *self.nodes]:
             member.is_paused = False
+        for entry in self.entries:
+            entry.is_blind = False
+        for worker in self.worker_by_node.values():
+            worker.stops_to_fail = 0
         for link in self.links:
             link.is_held = False
+            link.is_doubling = False
         for zone in ZONE_BY_NODE.values():
             self.set_gate(zone, True)
--- a/tests/test_task_promises.py
+++ b/tests/test_task_promises.py
@@ -175,6 +175,40 @@
     assert len(list_live(site)) == 1
 
 
+def test_an_entry_that_missed_the_gate_starts_nothing(site):
+    for entry in site.entries:
+        entry.is_blind = True
+    for zone in ZONE_BY_NODE.values():
+        site.set_gate(zone, False)
+    site.entries[0].configuration.gate_by_zone.clear()
+    submit(site, "job")
+    site.advance(6.0)
+    assert site.starts == []
+
+
+def test_messages_that_come_twice_act_once(site):
+    for link in site.links:
+        link.is_doubling = True
+    job_id = submit(site, "job")
+    site.advance(3.0)
+    assert len(list_live(site)) == 2
+    site.set_gate(get_row(site, job_id).tasks[0].zone, False)
+    site.advance(4.0)
+    assert len(list_live(site)) == 2
+
+
+def test_room_is_free_only_after_a_proven_stop(site):
+    submit(site, "job", count=4)
+    site.advance(2.0)
+    for worker in site.worker_by_node.values():
+        worker.stops_to_fail = 8
+    site.set_gate("zone-a", False)
+    site.advance(1.0)
+    site.set_gate("zone-a", True)
+    submit(site, "more", count=2)
+    site.advance(6.0)
+
+
 class TaskMachine(RuleBasedStateMachine):
     """Kills, pauses, cuts, outages, lost answers and operators in any order."""
 
@@ -235,6 +269,19 @@
             messages[:] = copies
         link.deliver()
 
+    @rule(position=st.integers(0, 3), is_doubling=st.booleans())
+    def double_link(self, position, is_doubling):
+        self.site.links[position].is_doubling = is_doubling
+
+    @rule(position=POSITIONS, is_blind=st.booleans())
+    def blind_entry(self, position, is_blind):
+        """Let an entry act on gates that it read long ago."""
+        self.site.entries[position].is_blind = is_blind
+
+    @rule(position=POSITIONS, count=st.integers(1, 6))
+    def fail_stops(self, position, count):
+        list(self.site.worker_by_node.values())[position].stops_to_fail = count
+
     @rule(faults=st.lists(st.sampled_from(["lost", "cut", "down", "none"]), max_size=6))
     def fail_transactions(self, faults):
         self.site.table.faults = list(faults)
