--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: ratios within one run, medians over several; never tests."""
--- a/src/bergamotshore/core/routing.py
+++ b/src/bergamotshore/core/routing.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 
-CONCURRENCY_FLOOR = 1
+OTHERS_WEIGHT = 0.1
+WAVES_FLOOR = 0.5
+SERVICE_SECONDS_FLOOR = 0.001
+TIE_BREAK = 1e-6
 
 
 @dataclass(slots=True)
@@ -12,28 +15,42 @@
     :param node: Name of the node.
     :param slots: Requests that may run at once.
     :param connections: Requests that may be held at once.
-    :param reported: Requests held by the node when it last reported.
-    :param sent_since: Requests in flight from this entry.
+    :param own: Requests in flight from this entry, known exactly.
+    :param others: Requests from elsewhere, smoothed over late reports.
     :param service_seconds: Service time as reported.
     """
 
     node: str
     slots: int
     connections: int
-    reported: int
-    sent_since: int
+    own: int
+    others: float
     service_seconds: float
 
     @property
     def load(self):
         """Return the requests that the node holds, to the best knowledge."""
-        return max(self.reported, self.sent_since)
+        return self.own + self.others
 
     @property
     def cost(self):
-        """Return the expected time until a new request ends, relative."""
-        waves = (self.load + 1) / max(self.slots, CONCURRENCY_FLOOR)
-        return max(waves, 1.0) * max(self.service_seconds, 0.001) + 1e-6 * self.load
+        """Return the expected time until a new request ends, in seconds."""
+        waves = max((self.load + 1) / max(self.slots, 1), WAVES_FLOOR)
+        service = max(self.service_seconds, SERVICE_SECONDS_FLOOR)
+        return waves * service + TIE_BREAK * self.load
+
+
+def smooth_others(others, held, own):
+    """Return the new estimate of requests from elsewhere.
+
+    Reports are late, and every entry sees the same ones: to follow them closely would
+    send all entries to the same node at once.
+
+    :param others: Estimate so far.
+    :param held: Requests that the node reports to hold.
+    :param own: Requests in flight from this entry.
+    """
+    return others + OTHERS_WEIGHT * (max(0, held - own) - others)
 
 
 def choose_node(candidates, random):
--- a/src/bergamotshore/entry/directory.py
+++ b/src/bergamotshore/entry/directory.py
@@ -5,7 +5,7 @@
 
 from bergamotshore.core.capacity import Size
 from bergamotshore.core.placement import NodeRoom
-from bergamotshore.core.routing import Candidate
+from bergamotshore.core.routing import Candidate, smooth_others
 from bergamotshore.generated.messages import Announce, Heartbeat, TaskInventory
 
 
@@ -22,6 +22,7 @@
     :param inventory: Newest list of attempts; None before the first.
     :param inventory_at: When it came, on the entry's clock.
     :param in_flight: Requests of this entry that the node has not answered.
+    :param others: Requests from elsewhere, smoothed.
     """
 
     name: str
@@ -33,6 +34,7 @@
     inventory: TaskInventory | None = None
     inventory_at: float = 0.0
     in_flight: set = field(default_factory=set)
+    others: float = 0.0
 
 
 class NodeDirectory:
@@ -83,6 +85,8 @@
                     view.announce = message
                 case Heartbeat():
                     view.heartbeat = message
+                    held = message.running + message.queued
+                    view.others = smooth_others(view.others, held, len(view.in_flight))
                 case TaskInventory():
                     view.inventory = message
                     view.inventory_at = self.clock.now()
@@ -144,13 +148,12 @@
 
 def _build_candidate(view):
     heartbeat = view.heartbeat
-    reported = heartbeat.running + heartbeat.queued if heartbeat else 0
     return Candidate(
         node=view.name,
         slots=view.announce.slots,
         connections=view.announce.connections,
-        reported=reported,
-        sent_since=len(view.in_flight),
+        own=len(view.in_flight),
+        others=view.others,
         service_seconds=heartbeat.service_seconds if heartbeat else 0.0,
     )
 
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -4,12 +4,17 @@
 
 import pytest
 
-from bergamotshore.core.routing import Candidate, RetryBudget, choose_node
+from bergamotshore.core.routing import (
+    Candidate,
+    RetryBudget,
+    choose_node,
+    smooth_others,
+)
 from bergamotshore.core.silence import SilenceDetector
 
 
-def build(node, reported=0, sent=0, seconds=0.01):
-    return Candidate(node, 8, 64, reported, sent, seconds)
+def build(node, own=0, others=0.0, seconds=0.01):
+    return Candidate(node, 8, 64, own, others, seconds)
 
 
 def test_no_candidate_gives_none():
@@ -17,7 +22,7 @@
 
 
 def test_full_nodes_are_left_out():
-    full = build("full", reported=64)
+    full = build("full", others=64)
     assert choose_node([full], random.Random(1)) is None
     assert choose_node([full, build("free")], random.Random(1)).node == "free"
 
@@ -25,8 +30,8 @@
 @pytest.mark.parametrize(
     ("worse", "better"),
     [
-        (build("worse", reported=20), build("better", reported=3)),
-        (build("worse", sent=20), build("better", sent=3)),
+        (build("worse", others=20), build("better", others=3)),
+        (build("worse", own=20), build("better", own=3)),
         (build("worse", seconds=0.2), build("better", seconds=0.01)),
     ],
 )
@@ -42,6 +47,17 @@
     assert len(chosen) == 11
 
 
+def test_late_reports_are_followed_slowly():
+    others = 0.0
+    for _ in range(5):
+        others = smooth_others(others, held=20, own=5)
+    assert 5.0 < others < 8.0
+    for _ in range(100):
+        others = smooth_others(others, held=20, own=5)
+    assert others == pytest.approx(15.0, abs=0.1)
+    assert smooth_others(0.0, held=3, own=5) == 0.0
+
+
 def test_budget_allows_retries_as_a_share_of_first_tries():
     budget = RetryBudget(0.1, burst=2.0)
     assert [budget.spend() for _ in range(3)] == [True, True, False]
