--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -2,6 +2,7 @@
 
 import http.client
 import select
+import socket
 import threading
 from dataclasses import dataclass
 
@@ -52,7 +53,7 @@
         self._local = threading.local()
 
     def call(self, method, path, body=b"", headers=None, timeout=None):
-        """Send one request and read the whole answer.
+        """Send one request, head and body together, and read the whole answer.
 
         A kept connection may have been closed by the server meanwhile; an idempotent
         GET is sent once more then, anything else is not.
@@ -72,7 +73,9 @@
         except OSError as error:
             return Failure(HttpFailure(repr(error), was_sent=False))
         try:
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
             connection.request(method, path, body=body, headers=headers or {})
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 0)
             response = connection.getresponse()
             content = _read_whole(response)
         except (OSError, http.client.HTTPException) as error:
--- a/src/bergamotshore/core/ledger.py
+++ b/src/bergamotshore/core/ledger.py
@@ -5,6 +5,7 @@
 
 SERVICE_TIME_WEIGHT = 0.1
 RETRY_AFTER_MIN_SECONDS = 0.05
+HEADROOM = 1.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,8 +104,8 @@
             return Refuse(request_id, "no-endpoint", self.suggest_retry_after())
         if self.held >= self.connections:
             return Refuse(request_id, "connections-full", self.suggest_retry_after())
-        expected_end = now + self.predict_wait() + self.service_seconds
-        if expected_end > deadline:
+        expected = self.predict_wait() + self.service_seconds
+        if now + HEADROOM * expected > deadline:
             return Refuse(
                 request_id, "deadline-out-of-reach", self.suggest_retry_after()
             )
--- a/src/bergamotshore/core/routing.py
+++ b/src/bergamotshore/core/routing.py
@@ -1,8 +1,10 @@
 """Choice of a node for a request from delayed load reports."""
 
 from dataclasses import dataclass
+from statistics import median
 
 OTHERS_WEIGHT = 0.1
+NOTICEABLE = 0.9
 WAVES_FLOOR = 0.5
 SERVICE_SECONDS_FLOOR = 0.001
 TIE_BREAK = 1e-6
@@ -56,6 +58,10 @@
 def choose_node(candidates, random):
     """Choose by two random choices on expected time to end.
 
+    A node whose service time is not known counts as an average one, so that it is
+    tried again. Small differences do not count: else the node that happened to be a
+    little quicker would get everything.
+
     :param candidates: List of ``Candidate``.
     :param random: Source of randomness, a ``random.Random``.
     :returns: Chosen ``Candidate``, or None when no node has room.
@@ -65,8 +71,18 @@
         return None
     if len(with_room) == 1:
         return with_room[0]
+    fill_unknown(with_room)
     first, second = random.sample(with_room, 2)
-    return first if first.cost <= second.cost else second
+    return second if second.cost < NOTICEABLE * first.cost else first
+
+
+def fill_unknown(candidates):
+    """Give candidates of unknown service time the median of the others."""
+    known = [c.service_seconds for c in candidates if c.service_seconds > 0]
+    usual = median(known) if known else SERVICE_SECONDS_FLOOR
+    for candidate in candidates:
+        if candidate.service_seconds <= 0:
+            candidate.service_seconds = usual
 
 
 class RetryBudget:
--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import sys
 import threading
 import uuid
 from concurrent.futures import Future, ThreadPoolExecutor, TimeoutError, wait
@@ -51,6 +52,7 @@
 BACKGROUND_THREADS = 8
 LARGEST_OPERATOR_BODY_BYTES = 4 * 1024 * 1024
 STOP_POLL_SECONDS = 0.05
+SWITCH_SECONDS = 0.0005
 
 
 class EntryRole:
@@ -164,6 +166,7 @@
 
     def run(self):
         """Run until a signal asks for the stop."""
+        sys.setswitchinterval(SWITCH_SECONDS)
         signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
         signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
         listen(self.loop, split_address(self.entry.nodes), self._accept)
--- a/src/bergamotshore/node/requests.py
+++ b/src/bergamotshore/node/requests.py
@@ -20,6 +20,7 @@
 KEPT_ANSWERS_BYTES = 2 * 1024 * 1024
 SWEEP_SECONDS = 0.05
 FORGET_SECONDS = 5.0
+SERVICE_TIME_SECONDS = 5.0
 DRAIN_RETRY_AFTER_SECONDS = 0.2
 
 
@@ -67,6 +68,13 @@
         self.ledger = AdmissionLedger()
         self.table = IdempotencyTable(KEEP_SECONDS, KEPT_ANSWERS_BYTES)
         self._held_by_id = {}
+        self._finished_at = 0.0
+
+    @property
+    def service_seconds(self):
+        """Return the moving average of the service time; 0 when it is too old."""
+        age = self.clock.now() - self._finished_at
+        return self.ledger.service_seconds if age < SERVICE_TIME_SECONDS else 0.0
 
     def start(self):
         """Begin to sweep queue and table."""
@@ -163,6 +171,7 @@
     def _finish(self, request_id, outcome, seconds):
         held = self._held_by_id.pop(request_id)
         is_success = isinstance(outcome, Success)
+        self._finished_at = self.clock.now()
         self.ledger.finish(request_id, seconds if is_success else None)
         self.registry.measure("endpoint", seconds)
         ended = _build_end(request_id, outcome)
--- a/src/bergamotshore/node/role.py
+++ b/src/bergamotshore/node/role.py
@@ -1,6 +1,7 @@
 """The node process: wiring, threads and the graceful stop."""
 
 import signal
+import sys
 import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor, wait
@@ -43,6 +44,7 @@
 WORKER_THREADS = 4
 ENTRY_PREFIX = "entry/"
 STOP_POLL_SECONDS = 0.05
+SWITCH_SECONDS = 0.0005
 ALONE_SECONDS = 3.0
 LAST_ANSWERS_SECONDS = 0.2
 
@@ -143,6 +145,7 @@
 
     def run(self):
         """Run until a signal asks for the stop."""
+        sys.setswitchinterval(SWITCH_SECONDS)
         signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
         signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
         self.recorder.record("process-started", f"process/{self.settings.name}")
@@ -342,6 +345,6 @@
             echo=stream.peer_clock,
             running=len(ledger.running),
             queued=len(ledger.queue),
-            service_seconds=ledger.service_seconds,
+            service_seconds=self.requests.service_seconds,
             config_version=self.configuration.version,
         )
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -47,6 +47,21 @@
     assert len(chosen) == 11
 
 
+def test_a_node_of_unknown_service_time_counts_as_an_average_one():
+    nodes = [build("a"), build("b", seconds=0.05), build("c"), build("new", seconds=0)]
+    source = random.Random(3)
+    chosen = [choose_node(nodes, source).node for _ in range(400)]
+    assert 80 < chosen.count("new") < 170
+    assert chosen.count("b") < chosen.count("a")
+
+
+def test_small_differences_do_not_count():
+    nodes = [build("a", seconds=0.0100), build("b", seconds=0.0101)]
+    source = random.Random(3)
+    chosen = [choose_node(nodes, source).node for _ in range(100)]
+    assert 30 < chosen.count("a") < 70
+
+
 def test_late_reports_are_followed_slowly():
     others = 0.0
     for _ in range(5):
