--- a/demo/load.py
+++ b/demo/load.py
@@ -44,9 +44,12 @@
     :param site: ``Site``.
     :param callers: Number of threads.
     :param seed: Seed of the random choices.
+    :param pause: Time between two requests of one caller, in seconds.
     """
 
-    def __init__(self, address, site, callers, seed):
+    def __init__(self, address, site, callers, seed, pause=PAUSE_SECONDS):
+        self.pause = pause
+        self.prefix = "r"
         self.address = address
         self.site = site
         self.sent = []
@@ -75,11 +78,11 @@
         while not self._stopping.is_set():
             is_write = choices.random() < WRITE_SHARE
             self._send(connection, not is_write, choices.randint(*SERVICE_MS))
-            time.sleep(PAUSE_SECONDS)
+            time.sleep(self.pause)
 
     def _send(self, connection, repeatable, service_ms):
         """Send a request; one with a key is sent again until its fate is known."""
-        request_id = f"r{next(self._count)}"
+        request_id = f"{self.prefix}{next(self._count)}"
         for _ in range(TRIES):
             outcome = self._send_once(connection, request_id, repeatable, service_ms)
             if repeatable or outcome == "completed":
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,10 +1,12 @@
 """The promises once more with real processes, counted by the stand-ins."""
 
 import signal
+import socket
 import sys
 import time
 
 import pytest
+import yaml
 
 from demo.cluster import ROOT, SITE_TOKEN, TEAM_TOKEN, Cluster
 from demo.judge import Closure, Evidence, judge_requests, judge_tasks
@@ -26,6 +28,7 @@
 CALLERS = 8
 SEED = 7
 RECOVERED = 100
+LEAVE_BOUND_SECONDS = 3.0
 SLOTS = 8
 PROCESSORS = 16.0
 BATCH_TASKS = ["ledger/annual-statements/0", "ledger/annual-statements/1"]
@@ -295,3 +298,83 @@
         "both entries to agree",
     )
     wait_for_end(cluster)
+
+
+FLOOD_CALLERS = 80
+BAD_CALLS = (
+    (b"GARBAGE\r\n\r\n", b"400"),
+    (
+        b"POST /services/charity-books/x HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n",
+        b"413",
+    ),
+    (b"GET /" + b"x" * 100_000 + b" HTTP/1.1\r\n\r\n", b"431"),
+    (b"POST /services/none/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", b"404"),
+)
+
+
+def send_raw(address, content):
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(content)
+        try:
+            return sock.recv(4096)
+        except ConnectionResetError:
+            return b""
+
+
+def test_bad_and_slow_callers_harm_nobody(cluster, load):
+    address = cluster.member_by_name[ENTRIES[0]].address
+    host, _, port = address.rpartition(":")
+    slow = [socket.create_connection((host, int(port))) for _ in range(50)]
+    for sock in slow:
+        sock.sendall(b"POST /services/charity-books/x HTTP/1.1\r\nContent-Le")
+    before = cluster.read_resident_mb(ENTRIES[0])
+    for content, status in BAD_CALLS:
+        assert status in send_raw(address, content).split(b"\r\n")[0]
+    wait_for_recovery(cluster, load)
+    assert cluster.read_resident_mb(ENTRIES[0]) - before < 20
+    load.stop()
+    assert all(item.outcome == "completed" for item in load.sent)
+    for sock in slow:
+        sock.close()
+
+
+def test_bad_bytes_on_the_stream_harm_nobody(cluster, load):
+    wire = cluster.member_by_name[f"wire-{ENTRIES[0]}"]
+    settings = yaml.safe_load((cluster.folder / f"{ENTRIES[0]}.yaml").read_text())
+    for content in (b"\xc1" * 100, b"\xc6\x7f\xff\xff\xff", b"\x93\x63\x01\x80"):
+        send_raw(settings["entry"]["nodes"], content)
+    assert wire.process.poll() is None
+    wait_for_recovery(cluster, load)
+    nodes = cluster.ask_operators(ENTRIES[0], "/v1/status")["nodes"]
+    assert len(nodes) == len(SITE.list_nodes())
+
+
+def test_a_flood_stays_within_slots_and_connections(cluster):
+    addresses = [cluster.member_by_name[name].address for name in ENTRIES]
+    loads = [Load(item, SITE, FLOOD_CALLERS, SEED, pause=0.0) for item in addresses]
+    for number, load in enumerate(loads):
+        load.prefix = f"flood-{number}-"
+        load.start()
+    time.sleep(4.0)
+    for load in loads:
+        load.stop()
+    sent = [item for load in loads for item in load.sent]
+    assert list_broken(judge_requests(Counts(cluster).gather(sent))) == []
+    assert sum(1 for item in sent if item.outcome == "completed") > len(sent) / 4
+
+
+def test_a_leaving_endpoint_gets_nothing_and_returns(cluster, load):
+    time.sleep(1.0)
+    cluster.ask(f"endpoint-{NODE}", "/leave", {"leaving": True})
+    time.sleep(LEAVE_BOUND_SECONDS)
+    before = len(cluster.ask(f"endpoint-{NODE}", "/counts")["runs"])
+    time.sleep(1.5)
+    assert len(cluster.ask(f"endpoint-{NODE}", "/counts")["runs"]) == before
+    cluster.ask(f"endpoint-{NODE}", "/leave", {"leaving": False})
+    cluster.wait_until(
+        lambda: len(cluster.ask(f"endpoint-{NODE}", "/counts")["runs"]) > before,
+        "the endpoint to get work again",
+    )
+    load.stop()
+    assert all(item.outcome == "completed" for item in load.sent)
