Keep claims in an index, share buckets among entries, fill a returned data centre step by step

Cause: the scheduler went through every task of every job several times in each step of 0.1 s and compared each claim with a node's whole inventory; at 39,400 tasks that is more than a step lasts. Every entry also read all open jobs at every rescan. Change: an index of claims is kept up row by row; stops, lost starts and dead sessions are looked at with each rescan only; placement samples 16 nodes; an entry scans its own buckets (rendezvous) and all of them every 12th time; nodes report an end to the entry that looks after the job; rows of a known version are not decoded again. A returned data centre lets its nodes in one after another over 'ramp' seconds. Found on the way: the demo's callers sent keyed requests four times, since a lost return value made each look unfinished; mended.

--- a/demo/load.py
+++ b/demo/load.py
@@ -123,3 +123,4 @@
     def _note(self, request_id, repeatable, outcome, started, detail, is_own=True):
         seconds = time.monotonic() - started
         self.sent.append(Sent(request_id, repeatable, outcome, seconds, detail, is_own))
+        return outcome
--- a/src/bergamotshore/core/jobs.py
+++ b/src/bergamotshore/core/jobs.py
@@ -40,6 +40,11 @@
     return f"{crc32(job_id.encode()) % BUCKETS:02x}"
 
 
+def list_buckets():
+    """Return every bucket."""
+    return [f"{number:02x}" for number in range(BUCKETS)]
+
+
 def get_open_key(job_id):
     """Return the key of the row while the job has work left."""
     return f"{OPEN_PREFIX}{get_bucket(job_id)}/{job_id}"
--- a/src/bergamotshore/core/placement.py
+++ b/src/bergamotshore/core/placement.py
@@ -5,6 +5,8 @@
 from bergamotshore.core.capacity import Size, get_size
 from bergamotshore.core.jobs import Placement
 
+SAMPLE = 16
+
 
 @dataclass(slots=True)
 class NodeRoom:
@@ -31,29 +33,45 @@
         return min(processors, memory)
 
 
-def place_tasks(row, indexes, rooms, budget):
-    """Choose the least loaded node that fits for each task.
+def place_tasks(row, indexes, rooms, budget, random):
+    """Choose the least loaded of some random nodes that fit for each task.
 
-    Rooms and the budget are charged as tasks are placed.
+    Rooms and the budget are charged as tasks are placed. The time for a task does not
+    grow with the number of nodes, except when none of the sample has room.
 
     :param row: ``JobRow`` of the tasks.
     :param indexes: Indexes of pending tasks.
     :param rooms: List of ``NodeRoom``.
     :param budget: ``TeamBudget`` of the job's team.
+    :param random: Source of randomness, a ``random.Random``.
     :returns: List of ``Placement``; tasks without room are left out.
     """
     size = get_size(row.spec)
     placements = []
     for index in indexes:
-        fitting = [room for room in rooms if room.free.fits(size)]
-        if not fitting or not budget.charge(size):
+        room = _choose_room(rooms, size, random)
+        if room is None or not budget.charge(size):
             break
-        room = max(fitting, key=lambda item: (item.share_free, item.node))
         room.free = room.free - size
         placements.append(Placement(index, room.node, room.zone, room.session))
     return placements
 
 
+def _choose_room(rooms, size, random):
+    """Return the least loaded room of a sample, or of all if the sample is full."""
+    sample = rooms
+    if len(rooms) > SAMPLE:
+        sample = random.sample(rooms, SAMPLE)
+    fitting = [room for room in sample if room.free.fits(size)]
+    if not fitting:
+        fitting = [room for room in rooms if room.free.fits(size)]
+    return max(fitting, key=_get_rank, default=None)
+
+
+def _get_rank(room):
+    return (room.share_free, room.node)
+
+
 class TeamBudget:
     """What a team may still claim.
 
@@ -75,21 +93,6 @@
         return True
 
 
-def measure_usage(rows):
-    """Return the declared size of claimed tasks by team.
-
-    :param rows: Iterable of ``JobRow``.
-    """
-    used_by_team = {}
-    for row in rows:
-        size = get_size(row.spec)
-        for task in row.tasks:
-            if task.state == "claimed":
-                used = used_by_team.get(row.team, Size())
-                used_by_team[row.team] = used + size
-    return used_by_team
-
-
 def explain_misfit(row, rooms):
     """Return the reason when no known worker could ever hold a task of the job.
 
--- a/src/bergamotshore/entry/configuration.py
+++ b/src/bergamotshore/entry/configuration.py
@@ -20,6 +20,7 @@
     merge_document,
     strip_version,
 )
+from bergamotshore.core.ramp import may_return
 from bergamotshore.exceptions import (
     Conflict,
     PlatformAnswerInvalid,
@@ -66,9 +67,14 @@
 
     :param table: ``Table``.
     :param recorder: ``Recorder``.
+    :param clock: ``Clock``.
+    :param ramp: Time in which a returned data centre is filled, in seconds.
     """
 
-    def __init__(self, table, recorder):
+    def __init__(self, table, recorder, clock, ramp):
+        self._clock = clock
+        self._ramp = ramp
+        self._opened_at_by_zone = {}
         self._table = table
         self._recorder = recorder
         self._lock = threading.Lock()
@@ -80,6 +86,21 @@
         """Tell whether new work may go to a node."""
         return self.is_zone_open(zone) and self.configuration.is_vm_in_use(zone, node)
 
+    def may_place(self, zone, node):
+        """Tell whether new work may go to a node now, the ramp of a return included."""
+        opened_at = self._opened_at_by_zone.get(zone)
+        return self.is_usable(zone, node) and may_return(
+            node, opened_at, self._clock.now(), self._ramp
+        )
+
+    def _put_gate(self, gate):
+        """Hold a newer gate; call with the lock."""
+        known = self.gate_by_zone.get(gate.zone)
+        was_closed = known is not None and not known.is_open
+        if gate.is_open and was_closed:
+            self._opened_at_by_zone[gate.zone] = self._clock.now()
+        self.gate_by_zone[gate.zone] = gate
+
     def is_zone_open(self, zone):
         """Tell whether a data centre is in use and not taken out."""
         gate = self.gate_by_zone.get(zone)
@@ -111,7 +132,7 @@
                     if stored.version <= known.version:
                         return
                     gate = Gate(row.zone, stored.version, row.is_open)
-                    self.gate_by_zone[row.zone] = gate
+                    self._put_gate(gate)
                 self._recorder.lamport.witness(row.clock)
                 state = "open" if row.is_open else "closed"
                 self._recorder.record("gate-learned", f"zone/{row.zone}", state)
@@ -274,7 +295,7 @@
             case Success(versions):
                 gate = Gate(zone, versions[key], is_open)
                 with self._lock:
-                    self.gate_by_zone[zone] = gate
+                    self._put_gate(gate)
                 state = "brought-back" if is_open else "taken-out"
                 self._recorder.record(f"zone-{state}", f"zone/{zone}", changed_by)
                 return Success(gate)
--- a/src/bergamotshore/entry/directory.py
+++ b/src/bergamotshore/entry/directory.py
@@ -23,6 +23,7 @@
     :param inventory_at: When it came, on the entry's clock.
     :param in_flight: Requests of this entry that the node has not answered.
     :param others: Requests from elsewhere, smoothed.
+    :param listed: Attempts of the inventory as (job, index, attempt).
     """
 
     name: str
@@ -35,6 +36,7 @@
     inventory_at: float = 0.0
     in_flight: set = field(default_factory=set)
     others: float = 0.0
+    listed: frozenset = frozenset()
 
 
 class NodeDirectory:
@@ -89,6 +91,10 @@
                     view.others = smooth_others(view.others, held, len(view.in_flight))
                 case TaskInventory():
                     view.inventory = message
+                    view.listed = frozenset(
+                        (item.job, item.index, item.attempt)
+                        for item in message.attempts
+                    )
                     view.inventory_at = self.clock.now()
 
     def begin_request(self, node, request_id):
@@ -133,10 +139,14 @@
             and is_usable(view.zone, view.name)
         ]
 
-    def list_rooms(self, is_usable):
-        """Return the room for tasks on each node that may take some."""
+    def list_rooms(self, is_usable, claims):
+        """Return the room for tasks on each node that may take some.
+
+        :param is_usable: Tells whether a data centre and node may be used.
+        :param claims: ``ClaimIndex``; claims not listed yet are taken off.
+        """
         return [
-            _build_room(view)
+            _build_room(view, claims)
             for view in self.list_views()
             if view.announce is not None
             and view.announce.session
@@ -158,17 +168,18 @@
     )
 
 
-def _build_room(view):
+def _build_room(view, claims):
     announce = view.announce
     inventory = view.inventory
+    free = Size(
+        inventory.processors_free,
+        inventory.memory_free_gb,
+        inventory.accelerators_free,
+    )
     return NodeRoom(
         node=view.name,
         zone=view.zone,
         session=announce.session,
         total=Size(announce.processors, announce.memory_gb, announce.accelerators),
-        free=Size(
-            inventory.processors_free,
-            inventory.memory_free_gb,
-            inventory.accelerators_free,
-        ),
+        free=free - claims.get_unlisted(view.name, view.listed),
     )
--- a/src/bergamotshore/entry/jobstore.py
+++ b/src/bergamotshore/entry/jobstore.py
@@ -1,5 +1,6 @@
 """Job rows as an entry knows them, and conditional writes to them."""
 
+import threading
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
@@ -10,9 +11,11 @@
     decode_row,
     write_rows,
 )
+from bergamotshore.core.claims import ClaimIndex
 from bergamotshore.core.jobs import (
     DONE_PREFIX,
     OPEN_PREFIX,
+    get_bucket,
     get_done_key,
     get_job_id,
     get_open_key,
@@ -45,19 +48,52 @@
     def __init__(self, table, lamport):
         self._table = table
         self._lamport = lamport
+        self._lock = threading.Lock()
         self.by_job_id = {}
+        self.claims = ClaimIndex()
+        self.created_here = set()
+
+    def _put(self, job_id, held):
+        """Hold a newer state of a job; None when it is not open any more."""
+        with self._lock:
+            known = self.by_job_id.pop(job_id, None)
+            old = known.row if known is not None else None
+            self.claims.replace(old, held.row if held is not None else None)
+            if held is not None:
+                self.by_job_id[job_id] = held
+            else:
+                self.created_here.discard(job_id)
 
-    def rescan(self):
-        """Read every open job anew.
+    def rescan(self, buckets):
+        """Read the open jobs of some buckets anew.
 
+        :param buckets: Buckets to read.
         :returns: ``Result`` of None.
         """
-        outcome = self._table.scan(OPEN_PREFIX)
-        match outcome:
-            case Success(rows):
-                self.by_job_id = self._decode_all(rows)
+        outcome = Success(None)
+        for bucket in buckets:
+            outcome = self._table.scan(f"{OPEN_PREFIX}{bucket}/")
+            match outcome:
+                case Success(rows):
+                    self._take_scan(bucket, rows)
+                case _:
+                    return outcome
         return outcome.map(lambda _: None)
 
+    def _take_scan(self, bucket, stored_rows):
+        """Take in what changed; rows of a known version are not even decoded."""
+        found = set()
+        for stored in stored_rows:
+            job_id = stored.key.split("/", 2)[2]
+            found.add(job_id)
+            known = self.by_job_id.get(job_id)
+            if known is None or known.version < stored.version:
+                for held in self._decode_all([stored]).values():
+                    self._put(job_id, held)
+        for job_id in set(self.by_job_id) - found:
+            if get_bucket(job_id) == bucket:
+                self._put(job_id, None)
+
     def _decode_all(self, stored_rows):
         by_job_id = {}
         for stored in stored_rows:
@@ -79,10 +115,8 @@
             )
         )
         match outcome:
-            case Success(None):
-                self.by_job_id.pop(job_id, None)
             case Success(held):
-                self.by_job_id[job_id] = held
+                self._put(job_id, held)
         return outcome
 
     def create(self, row):
@@ -97,7 +131,8 @@
         match write_rows(self._table, stamped.operation, checks, writes):
             case Success(versions):
                 held = HeldJob(stamped, versions[get_open_key(job_id)])
-                self.by_job_id[job_id] = held
+                self._put(job_id, held)
+                self.created_here.add(job_id)
                 return Success(held)
             case Failure(Conflict()):
                 return Failure(JobExists(job_id))
@@ -126,11 +161,11 @@
         outcome = write_rows(self._table, stamped.operation, list(checks), writes)
         match outcome:
             case Success(versions) if is_over(stamped):
-                self.by_job_id.pop(job_id, None)
+                self._put(job_id, None)
                 return Success(HeldJob(stamped, versions[done_key]))
             case Success(versions):
                 new = HeldJob(stamped, versions[open_key])
-                self.by_job_id[job_id] = new
+                self._put(job_id, new)
                 return Success(new)
         return outcome
 
--- a/src/bergamotshore/entry/presence.py
+++ b/src/bergamotshore/entry/presence.py
@@ -1,15 +1,15 @@
 """Presence of entries in the table service, and shares of jobs among them."""
 
-import hashlib
 from dataclasses import replace
 
 from returns.result import Success
 
 from bergamotshore.adapters.settled import build_write, decode_row
+from bergamotshore.core.ownership import choose_owner
 from bergamotshore.generated.rows import EntryRow
 
 ENTRY_PREFIX = "entry/"
-LOST_SECONDS = 15.0
+LOST_SECONDS = 6.0
 
 
 class Presence:
@@ -71,11 +71,6 @@
             )
         )
 
-    def owns(self, job_id):
-        """Tell whether this entry has the highest weight for a job."""
-        best = max(self.live_names, key=lambda name: _weigh(name, job_id))
-        return best == self._row.name
-
-
-def _weigh(name, job_id):
-    return hashlib.blake2b(f"{name}|{job_id}".encode(), digest_size=8).digest()
+    def owns(self, bucket):
+        """Tell whether this entry looks after a bucket of jobs."""
+        return choose_owner(self.live_names, bucket) == self._row.name
--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -46,7 +46,7 @@
 from bergamotshore.utils.addresses import split_address
 
 SCHEDULE_SECONDS = 0.1
-PRESENCE_SECONDS = 5.0
+PRESENCE_SECONDS = 2.0
 QUERY_SECONDS = 1.0
 OPERATOR_THREADS = 8
 BACKGROUND_THREADS = 8
@@ -85,7 +85,9 @@
         self.executor = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
         self.loop = Loop(self.clock)
         self.directory = NodeDirectory(self.clock)
-        self.configuration = ConfigurationStore(self.table, self.recorder)
+        self.configuration = ConfigurationStore(
+            self.table, self.recorder, self.clock, entry.ramp
+        )
         self.jobs = JobStore(self.table, self.lamport)
         self.presence = self._build_presence()
         self.router = self._build_router()
@@ -113,7 +115,7 @@
         return RequestRouter(
             self.incarnation,
             self.directory,
-            self.configuration.is_usable,
+            self.configuration.may_place,
             keys,
             self.entry,
             self.clock,
@@ -133,6 +135,7 @@
             self.clock,
             self.recorder,
             self.registry,
+            random.Random(),
         )
 
     def _build_caller_server(self):
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -11,17 +11,18 @@
     decode_row,
     write_rows,
 )
-from bergamotshore.core.capacity import Size, get_size
 from bergamotshore.core.jobs import (
     cancel_job,
     claim_tasks,
     create_job,
     end_attempt,
+    get_bucket,
     get_job_id,
+    list_buckets,
     list_pending,
     release_attempt,
 )
-from bergamotshore.core.placement import TeamBudget, measure_usage, place_tasks
+from bergamotshore.core.placement import TeamBudget, place_tasks
 from bergamotshore.core.sessions import SessionObserver
 from bergamotshore.exceptions import Conflict, StaleAttempt
 from bergamotshore.generated.messages import (
@@ -38,6 +39,7 @@
 SESSION_PREFIX = "session/"
 STOP_RESEND_SECONDS = 2.0
 INBOX_BATCH = 512
+RESCANS_PER_WHOLE = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +87,12 @@
     :param jobs: ``JobStore``.
     :param configuration: ``ConfigurationStore``.
     :param directory: ``NodeDirectory``.
-    :param owns: Tells whether this entry places the tasks of a job.
+    :param owns: Tells whether this entry looks after a bucket of jobs.
     :param settings: ``settings.Entry``.
     :param clock: ``Clock``.
     :param recorder: ``Recorder``.
     :param registry: ``Registry``.
+    :param random: ``random.Random``.
     """
 
     def __init__(
@@ -103,7 +106,9 @@
         clock,
         recorder,
         registry,
+        random,
     ):
+        self.random = random
         self.table = table
         self.jobs = jobs
         self.configuration = configuration
@@ -120,6 +125,7 @@
         self._stop_sent_by_attempt = {}
         self._session_by_node = {}
         self._next_rescan = 0.0
+        self._rescans = 0
 
     def report(self, node, ended):
         """Take a report of a node; from any thread."""
@@ -139,14 +145,16 @@
             return
         if self.clock.now() >= self._next_rescan:
             self._rescan()
+            self._stop_unwanted()
+            self._hand_back_lost_starts()
         self._reconcile()
-        self._stop_unwanted()
-        self._hand_back_lost_starts()
         self._place()
 
     def _rescan(self):
         self._next_rescan = self.clock.now() + self.settings.rescan
-        outcome = self.jobs.rescan().bind(lambda _: self._scan_sessions())
+        outcome = self.jobs.rescan(self._choose_buckets()).bind(
+            lambda _: self._scan_sessions()
+        )
         match outcome:
             case Failure(failure):
                 self.observer.note_outage()
@@ -155,6 +163,13 @@
         self._note_attempts()
         self._release_dead_sessions()
 
+    def _choose_buckets(self):
+        """Return this entry's own buckets, and now and then all of them."""
+        self._rescans += 1
+        if self._rescans % RESCANS_PER_WHOLE == 1:
+            return list_buckets()
+        return [bucket for bucket in list_buckets() if self.owns(bucket)]
+
     def _note_attempts(self):
         now = self.clock.now()
         current = {
@@ -391,47 +406,34 @@
 
     def _place(self):
         waiting = [
-            held
-            for job_id, held in list(self.jobs.by_job_id.items())
-            if list_pending(held.row) and self.owns(job_id)
+            self.jobs.by_job_id[job_id]
+            for job_id in list(self.jobs.claims.pending_jobs)
+            if job_id in self.jobs.by_job_id and self._may_place_job(job_id)
         ]
         if not waiting:
             return
-        rooms = self.directory.list_rooms(self.configuration.is_usable)
-        self._charge_rooms(rooms)
-        used_by_team = measure_usage(
-            held.row for held in list(self.jobs.by_job_id.values())
+        rooms = self.directory.list_rooms(
+            self.configuration.may_place, self.jobs.claims
         )
         waiting.sort(key=lambda held: (not held.row.urgent, held.version))
         for held in waiting:
-            quota = self.configuration.configuration.get_quota(held.row.team)
-            budget = TeamBudget(quota, used_by_team.get(held.row.team, Size()))
-            self._place_job(held, rooms, budget, used_by_team)
+            self._place_job(held, rooms)
 
-    def _charge_rooms(self, rooms):
-        """Take claims off the room that the inventories do not list yet."""
-        room_by_node = {room.node: room for room in rooms}
-        for held in list(self.jobs.by_job_id.values()):
-            for task in held.row.tasks:
-                room = room_by_node.get(task.node)
-                if task.state != "claimed" or room is None:
-                    continue
-                if not self._is_listed(held.row, task):
-                    room.free = room.free - get_size(held.row.spec)
+    def _may_place_job(self, job_id):
+        return job_id in self.jobs.created_here or self.owns(get_bucket(job_id))
 
     def _is_listed(self, row, task):
         view = self.directory.get(task.node)
-        if view is None or view.inventory is None:
-            return False
-        key = _get_key(row, task)
-        return any(
-            (item.job, item.index, item.attempt) == key
-            for item in view.inventory.attempts
-        )
+        return view is not None and _get_key(row, task) in view.listed
 
-    def _place_job(self, held, rooms, budget, used_by_team):
+    def _place_job(self, held, rooms):
+        team = held.row.team
+        quota = self.configuration.configuration.get_quota(team)
+        budget = TeamBudget(quota, self.jobs.claims.get_used(team))
         before = {room.node: room.free for room in rooms}
-        placements = place_tasks(held.row, list_pending(held.row), rooms, budget)
+        placements = place_tasks(
+            held.row, list_pending(held.row), rooms, budget, self.random
+        )
         if not placements:
             return
         clock_by_node = self._hold_node_clocks(placements)
@@ -439,10 +441,6 @@
         zones = sorted({placement.zone for placement in placements})
         match self.jobs.replace(held, row, self._check_gates(zones)):
             case Success(claimed):
-                used = get_size(row.spec)
-                for _ in placements:
-                    total = used_by_team.get(row.team, Size())
-                    used_by_team[row.team] = total + used
                 self._start(claimed.row, placements, clock_by_node)
             case Failure(failure):
                 for room in rooms:
--- a/src/bergamotshore/node/tasks.py
+++ b/src/bergamotshore/node/tasks.py
@@ -6,6 +6,8 @@
 
 from bergamotshore.core.capacity import ReservationLedger, Size, get_size
 from bergamotshore.core.freshness import is_fresh
+from bergamotshore.core.jobs import get_bucket
+from bergamotshore.core.ownership import choose_owner
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import AttemptId, TaskEnded, TaskInventory
 
@@ -282,10 +284,11 @@
         self.loop.call_later(REPORT_SECONDS, self._report)
 
     def _report_one(self, held):
-        streams = self.links.list_streams()
-        if streams:
-            chosen = min(streams, key=lambda stream: stream.peer.name)
-            chosen.send(held.ended)
+        """Report to the entry that looks after the job, or to any other."""
+        stream_by_name = {item.peer.name: item for item in self.links.list_streams()}
+        if stream_by_name:
+            owner = choose_owner(stream_by_name, get_bucket(held.id.job))
+            stream_by_name[owner].send(held.ended)
 
     def _send_inventories(self):
         for stream in self.links.list_streams():
--- a/tests/core/test_jobs.py
+++ b/tests/core/test_jobs.py
@@ -1,9 +1,12 @@
 """Tests of job transitions, capacity and placement."""
 
+from random import Random
+
 import pytest
 from returns.result import Failure, Success
 
 from bergamotshore.core.capacity import ReservationLedger, Size
+from bergamotshore.core.claims import ClaimIndex
 from bergamotshore.core.jobs import (
     FAILURES_MAX,
     Placement,
@@ -21,7 +24,6 @@
     NodeRoom,
     TeamBudget,
     explain_misfit,
-    measure_usage,
     place_tasks,
 )
 from bergamotshore.exceptions import StaleAttempt
@@ -140,19 +142,41 @@
 def test_placement_takes_the_least_loaded_node_that_fits():
     rooms = [build_room("small", 1.0), build_room("a", 8.0), build_room("b", 10.0)]
     budget = TeamBudget(Size(100, 100), Size())
-    placements = place_tasks(build_job(count=3), [0, 1, 2], rooms, budget)
+    placements = place_tasks(build_job(count=3), [0, 1, 2], rooms, budget, Random(1))
     assert [item.node for item in placements] == ["b", "b", "a"]
 
 
 def test_placement_stops_at_the_quota():
     rooms = [build_room("a", 16.0)]
     budget = TeamBudget(Size(5.0, 100), Size(1.0, 1.0))
-    assert len(place_tasks(build_job(count=3), [0, 1, 2], rooms, budget)) == 2
+    assert (
+        len(place_tasks(build_job(count=3), [0, 1, 2], rooms, budget, Random(1))) == 2
+    )
 
 
-def test_usage_counts_claimed_tasks_by_team():
-    row = claim(build_job(count=2))
-    assert measure_usage([row]) == {"team": Size(2.0, 4.0)}
+def test_placement_looks_at_all_nodes_when_its_sample_is_full():
+    rooms = [build_room(f"full-{number}", 0.5) for number in range(100)]
+    rooms.append(build_room("free", 8.0))
+    budget = TeamBudget(Size(100, 100), Size())
+    placements = place_tasks(build_job(), [0], rooms, budget, Random(1))
+    assert [item.node for item in placements] == ["free"]
+
+
+def test_the_index_follows_every_change_of_a_row():
+    index = ClaimIndex()
+    pending = build_job(count=2)
+    index.replace(None, pending)
+    assert index.pending_jobs == {"team/job"}
+    claimed = claim(pending)
+    index.replace(pending, claimed)
+    assert index.get_used("team") == Size(2.0, 4.0)
+    assert index.get_unlisted("node-1", frozenset()) == Size(2.0, 4.0)
+    assert index.get_unlisted("node-1", {("team/job", 0, 1)}) == Size()
+    ended = end_attempt(claimed, report("completed")).unwrap()
+    index.replace(claimed, ended)
+    assert index.get_used("team") == Size()
+    index.replace(ended, None)
+    assert index.pending_jobs == set()
 
 
 def test_a_task_larger_than_any_worker_is_explained():
--- a/tests/entry/test_operators.py
+++ b/tests/entry/test_operators.py
@@ -20,13 +20,14 @@
     services: {books: {slots: %d}}
 """
 OTHER = "teams:\n  audit:\n    version: %d\n    watchers: {w: {command: [x]}}\n"
+RAMP = 10.0
 JOB = b"command: [compile]\ntasks: 2\n"
 TOKENS = {"site": "t-site", "ledger": "t-ledger", "audit": "t-audit"}
 
 
-def build_services(table, recorder, registry):
+def build_services(table, recorder, registry, clock):
     """Return what an entry offers to its operators."""
-    configuration = ConfigurationStore(table, recorder)
+    configuration = ConfigurationStore(table, recorder, clock, RAMP)
     return SimpleNamespace(
         configuration=configuration,
         jobs=JobStore(table, LamportClock()),
@@ -40,14 +41,14 @@
 
 
 @pytest.fixture
-def app(table, recorder, registry):
-    return OperatorApp(build_services(table, recorder, registry))
+def app(table, recorder, registry, clock):
+    return OperatorApp(build_services(table, recorder, registry, clock))
 
 
 @pytest.fixture
-def other_entry(table, recorder, registry):
+def other_entry(table, recorder, registry, clock):
     """Return the application of a second entry on the same table."""
-    return OperatorApp(build_services(table, recorder, registry))
+    return OperatorApp(build_services(table, recorder, registry, clock))
 
 
 def ask(app, method, path, team="site", body=b""):
@@ -175,6 +176,27 @@
     assert app.services.configuration.is_usable("zone-a", "a-1")
 
 
+def test_a_returned_data_centre_is_filled_step_by_step(app, clock):
+    apply(app, "site", SITE % 0)
+    configuration = app.services.configuration
+    nodes = [f"a-{number}" for number in range(50)]
+
+    def count():
+        return sum(1 for node in nodes if configuration.may_place("zone-a", node))
+
+    assert count() == 50
+    ask(app, "POST", "/v1/zones/zone-a/take-out")
+    assert count() == 0
+    ask(app, "POST", "/v1/zones/zone-a/bring-back")
+    counts = []
+    for _ in range(5):
+        clock.advance(RAMP / 5)
+        counts.append(count())
+    assert counts == sorted(counts)
+    assert 0 < counts[0] < 25
+    assert counts[-1] == 50
+
+
 def test_only_vms_in_use_may_work(app):
     apply(app, "site", SITE % 0)
     usable = app.services.configuration.is_usable
@@ -240,14 +262,16 @@
     assert ask(app, "POST", path, team, body).code == code
 
 
-def test_a_configuration_that_can_not_be_read_keeps_what_is_in_force(app, table):
+def test_a_configuration_that_can_not_be_read_keeps_what_is_in_force(
+    app, table, recorder, clock
+):
     apply(app, "ledger", TEAM % (0, 8))
     old = dict(table.row_by_key)
     apply(app, "audit", OTHER % 0)
     for key in ("config", "section/audit"):
         row = table.row_by_key[key]
         table.row_by_key[key] = type(row)(key, row.version, b"{")
-        store = ConfigurationStore(table, app.services.configuration._recorder)
+        store = ConfigurationStore(table, recorder, clock, RAMP)
         assert store.refresh().failure().code == "platform-answer-invalid"
         assert not store.is_loaded
         table.row_by_key[key] = row
--- a/tests/model.py
+++ b/tests/model.py
@@ -6,6 +6,7 @@
 
 import heapq
 import itertools
+import random
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
@@ -36,6 +37,7 @@
 
 STEP_SECONDS = 0.25
 TTL_SECONDS = 4.0
+RAMP_SECONDS = 2.0
 START_WITHIN_SECONDS = 2.0
 HEARTBEAT_SECONDS = 0.5
 SIZE = Size(4.0, 16.0)
@@ -229,7 +231,9 @@
         self.is_paused = False
         self.is_blind = False
         recorder = Recorder(name, self.incarnation, LamportClock(), site.clock, 100)
-        self.configuration = ConfigurationStore(site.table, recorder)
+        self.configuration = ConfigurationStore(
+            site.table, recorder, site.clock, RAMP_SECONDS
+        )
         self.configuration.configuration = site.configuration
         self.directory = NodeDirectory(site.clock)
         self.jobs = JobStore(site.table, recorder.lamport)
@@ -238,11 +242,12 @@
             self.jobs,
             self.configuration,
             self.directory,
-            lambda job_id: True,
+            lambda bucket: True,
             ENTRY_SETTINGS,
             site.clock,
             recorder,
             Registry(),
+            random.Random(run),
         )
         self.scheduler.reconciled_version = site.configuration.version
 
