--- a/standins/wire.py
+++ b/standins/wire.py
@@ -43,6 +43,7 @@
         super().__init__()
         self.target = target
         self._directions = []
+        self._bytes_by_name = {"in": 0, "out": 0}
         self._lock = threading.Lock()
         self._selector = selectors.DefaultSelector()
         listener = socket.create_server(("127.0.0.1", listen_port), backlog=64)
@@ -50,7 +51,9 @@
         start_thread(self._forward)
 
     def handle(self, method, path, body, environ):
-        """Make the present connections silent."""
+        """Make the present connections silent, or tell the bytes forwarded."""
+        if path == "/counts":
+            return Answer(200, dict(self._bytes_by_name))
         names = json.loads(body)["directions"]
         with self._lock:
             for direction in self._directions:
@@ -86,6 +89,7 @@
         except OSError:
             content = b""
         if content and not direction.is_silent:
+            self._bytes_by_name[direction.name] += len(content)
             try:
                 direction.target.sendall(content)
             except OSError:
