Release work kept over a node's restart when its machine dies later

Ruled out: the lapse itself (recorded after 6.6 s). Change: once the newest session of a node is over, all its claims are. New test fails before and passes after.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -62,6 +62,7 @@
         self.program = program
         self.member_by_name = {}
         self.operators_by_entry = {}
+        self.nodes_by_entry = {}
 
     def start_platform(self):
         """Start table service and object store."""
@@ -116,6 +117,7 @@
             self._start_stand_in("wire", wire, *arguments)
         settings = {"name": name, "zone": self.site.zones[0], "entry": entry}
         self.operators_by_entry[name] = entry["operators"]
+        self.nodes_by_entry[name] = entry["nodes"]
         self._start_program("entry", settings, ports[0])
 
     def start_node(self, name, zone):
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -220,7 +220,8 @@
         """Make tasks eligible again whose session is over.
 
         A newer session of the same node opens only after the old one is proven over or
-        its worker listed what runs; what runs on is in the node's inventory.
+        its worker listed what runs; what runs on is in the node's inventory. Once the
+        newest session is over, all earlier ones are.
         """
         for held in list(self.jobs.by_job_id.values()):
             row = held.row
@@ -235,9 +236,10 @@
         session = self._session_by_node.get(task.node)
         if session is None:
             return False
-        if session.session == task.session:
-            return session.state != "live"
-        return not self._may_be_adopted(row, task)
+        if session.state != "live":
+            return True
+        is_newer = session.session != task.session
+        return is_newer and not self._may_be_adopted(row, task)
 
     def _may_be_adopted(self, row, task):
         """Tell whether the node's newer session may hold the attempt still."""
--- a/tests/test_task_promises.py
+++ b/tests/test_task_promises.py
@@ -94,6 +94,19 @@
     assert [task.state for task in get_row(site, job_id).tasks] == ["completed"] * 2
 
 
+def test_work_kept_over_a_restart_moves_when_the_machine_dies_later(site):
+    job_id = submit(site, "job")
+    site.advance(2.0)
+    for position in (0, 1):
+        site.replace_node(position, with_worker=False)
+    site.advance(3.0)
+    name = get_row(site, job_id).tasks[0].node
+    site.nodes[list(ZONE_BY_NODE).index(name)].is_paused = True
+    site.worker_by_node[name].restart()
+    site.advance(3 * TTL_SECONDS)
+    assert len(list_live(site)) == 2
+
+
 def test_a_long_outage_costs_progress_but_no_promise(site):
     job_id = submit(site, "job")
     site.advance(2.0)
