Hold back workers that fail everything, tell jobs that can never run, make room for urgent work

Cause: a task that failed was placed again in the next step, most likely on the same empty, failing worker, and used up its five attempts within a second; a job larger than every worker waited without a word; urgent work waited behind batch work that filled the site. Change: back-off, another node after a failure, quarantine against the fleet's failure share with a probe, a reason on tasks that fit nowhere, eviction for urgent work. Tests in virtual time: 8 of 8 jobs complete with one failing worker of two; urgent work runs within 4.5 s on a full site.

--- a/src/bergamotshore/core/jobs.py
+++ b/src/bergamotshore/core/jobs.py
@@ -160,6 +160,18 @@
     return _replace_task(row, replace(task, state=state, reason=reason))
 
 
+def explain_pending(row, reason):
+    """Write why pending tasks can not run.
+
+    :returns: New row, or the same row when it says so already.
+    """
+    tasks = [
+        replace(task, reason=reason) if task.state == "pending" else task
+        for task in row.tasks
+    ]
+    return row if tasks == row.tasks else replace(row, tasks=tasks)
+
+
 def cancel_job(row):
     """Ask for the end of a job; pending tasks end at once.
 
--- a/src/bergamotshore/core/placement.py
+++ b/src/bergamotshore/core/placement.py
@@ -49,7 +49,7 @@
     size = get_size(row.spec)
     placements = []
     for index in indexes:
-        room = _choose_room(rooms, size, random)
+        room = _choose_room(_leave_out(rooms, row.tasks[index]), size, random)
         if room is None or not budget.charge(size):
             break
         room.free = room.free - size
@@ -57,6 +57,16 @@
     return placements
 
 
+def _leave_out(rooms, task):
+    """Return the rooms without the one where the task failed last, if there are others.
+
+    :param task: ``TaskState``.
+    """
+    if not task.failures or len(rooms) < 2:
+        return rooms
+    return [room for room in rooms if room.node != task.node]
+
+
 def _choose_room(rooms, size, random):
     """Return the least loaded room of a sample, or of all if the sample is full."""
     sample = rooms
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -11,18 +11,23 @@
     decode_row,
     write_rows,
 )
+from bergamotshore.core.backoff import Backoff
+from bergamotshore.core.capacity import get_size
 from bergamotshore.core.jobs import (
     cancel_job,
     claim_tasks,
     create_job,
     end_attempt,
+    explain_pending,
     get_bucket,
     get_job_id,
     list_buckets,
     list_pending,
     release_attempt,
 )
-from bergamotshore.core.placement import TeamBudget, place_tasks
+from bergamotshore.core.placement import TeamBudget, explain_misfit, place_tasks
+from bergamotshore.core.quarantine import Quarantine
+from bergamotshore.core.reclaim import Victim, choose_victims
 from bergamotshore.core.sessions import SessionObserver
 from bergamotshore.exceptions import Conflict, StaleAttempt
 from bergamotshore.generated.messages import (
@@ -40,6 +45,7 @@
 STOP_RESEND_SECONDS = 2.0
 INBOX_BATCH = 512
 RESCANS_PER_WHOLE = 12
+RECLAIM_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +125,8 @@
         self.recorder = recorder
         self.registry = registry
         self.observer = SessionObserver()
+        self.quarantine = Quarantine()
+        self.backoff = Backoff()
         self.reconciled_version = 0
         self._inbox = queue.SimpleQueue()
         self._sight_by_attempt = {}
@@ -126,6 +134,7 @@
         self._session_by_node = {}
         self._next_rescan = 0.0
         self._next_session_scan = 0.0
+        self._next_reclaim = 0.0
         self._rescans = 0
 
     def report(self, node, ended):
@@ -148,6 +157,7 @@
             self._rescan()
             self._stop_unwanted()
             self._hand_back_lost_starts()
+            self._explain_misfits()
         self._reconcile()
         self._place()
 
@@ -298,7 +308,7 @@
         is_written = isinstance(self.jobs.replace(held, row), Success)
         if is_written:
             for report in reports:
-                self._note_end(report.ended)
+                self._note_end(report, row)
         return is_written
 
     def _confirm_stale(self, held, reports):
@@ -313,14 +323,22 @@
                 )
         return False
 
-    def _note_end(self, ended):
+    def _note_end(self, report, row):
+        ended = report.ended
         attempt = ended.attempt
+        name = f"task/{attempt.job}/{attempt.index}#{attempt.attempt}"
         self.registry.count(f'tasks_ended_total{{outcome="{ended.outcome}"}}')
-        self.recorder.record(
-            "task-end-recorded",
-            f"task/{attempt.job}/{attempt.index}#{attempt.attempt}",
-            ended.outcome,
-        )
+        self.recorder.record("task-end-recorded", name, ended.outcome)
+        if ended.outcome not in ("completed", "failed"):
+            return
+        now = self.clock.now()
+        is_failure = ended.outcome == "failed"
+        if is_failure:
+            failures = row.tasks[attempt.index].failures
+            self.backoff.note_failure((attempt.job, attempt.index), failures, now)
+        if self.quarantine.note_end(report.node, is_failure, now):
+            self.registry.count("nodes_quarantined_total")
+            self.recorder.record("node-quarantined", f"node/{report.node}")
 
     def _acknowledge(self, reports):
         for report in reports:
@@ -418,12 +436,67 @@
         ]
         if not waiting:
             return
-        rooms = self.directory.list_rooms(
-            self.configuration.may_place, self.jobs.claims
-        )
+        rooms = self.directory.list_rooms(self._may_use, self.jobs.claims)
         waiting.sort(key=lambda held: (not held.row.urgent, held.version))
         for held in waiting:
-            self._place_job(held, rooms)
+            is_placed = self._place_job(held, rooms)
+            if held.row.urgent and not is_placed:
+                self._reclaim(held.row, rooms)
+
+    def _may_use(self, zone, node):
+        is_usable = self.configuration.may_place(zone, node)
+        return is_usable and self.quarantine.may_place(node, self.clock.now())
+
+    def _list_due(self, row):
+        """Return the pending tasks of a job that need not wait after a failure."""
+        job_id = get_job_id(row)
+        now = self.clock.now()
+        return [
+            index
+            for index in list_pending(row)
+            if not self.backoff.is_held((job_id, index), now)
+        ]
+
+    def _reclaim(self, row, rooms):
+        """Ask for the eviction of tasks that are not urgent to make room."""
+        now = self.clock.now()
+        if now < self._next_reclaim or not self._list_due(row):
+            return
+        self._next_reclaim = now + RECLAIM_SECONDS
+        for victim in choose_victims(get_size(row.spec), rooms, self._list_victims()):
+            held = self.jobs.by_job_id[victim.job]
+            self._send_stop(held.row, held.row.tasks[victim.index], "evict")
+            self.registry.count("tasks_reclaimed_total")
+
+    def _list_victims(self):
+        return [
+            Victim(
+                get_job_id(held.row),
+                task.index,
+                task.attempt,
+                task.node,
+                get_size(held.row.spec),
+            )
+            for held in list(self.jobs.by_job_id.values())
+            if held.row.kind == "batch" and not held.row.urgent
+            for task in held.row.tasks
+            if task.state == "claimed"
+        ]
+
+    def _explain_misfits(self):
+        """Tell the owners of jobs that no worker could ever hold."""
+        rooms = self.directory.list_rooms(
+            self.configuration.is_usable, self.jobs.claims
+        )
+        for job_id in list(self.jobs.claims.pending_jobs):
+            held = self.jobs.by_job_id.get(job_id)
+            if held is None or not self._may_place_job(job_id):
+                continue
+            reason = explain_misfit(held.row, rooms)
+            row = explain_pending(held.row, reason) if reason else held.row
+            if row is not held.row:
+                self.jobs.replace(held, row)
+                self.recorder.record("job-can-not-run", f"job/{job_id}", reason)
 
     def _may_place_job(self, job_id):
         return job_id in self.jobs.created_here or self.owns(get_bucket(job_id))
@@ -433,15 +506,17 @@
         return view is not None and _get_key(row, task) in view.listed
 
     def _place_job(self, held, rooms):
+        """Claim what fits; True when some task was placed or none was due."""
+        due = self._list_due(held.row)
+        if not due:
+            return True
         team = held.row.team
         quota = self.configuration.configuration.get_quota(team)
         budget = TeamBudget(quota, self.jobs.claims.get_used(team))
         before = {room.node: room.free for room in rooms}
-        placements = place_tasks(
-            held.row, list_pending(held.row), rooms, budget, self.random
-        )
+        placements = place_tasks(held.row, due, rooms, budget, self.random)
         if not placements:
-            return
+            return False
         clock_by_node = self._hold_node_clocks(placements)
         row = claim_tasks(held.row, placements, create_operation())
         zones = sorted({placement.zone for placement in placements})
@@ -455,6 +530,7 @@
                 if not isinstance(failure, Conflict):
                     self.observer.note_outage()
                 self.poke()
+        return True
 
     def _hold_node_clocks(self, placements):
         """Return the newest clock heard of each node, before the transaction."""
@@ -477,6 +553,7 @@
         now = self.clock.now()
         for placement in placements:
             task = row.tasks[placement.index]
+            self.quarantine.note_start(placement.node, now)
             self._sight_by_attempt[_get_key(row, task)] = ClaimSight(now)
             self.registry.count("tasks_claimed_total")
             self.recorder.record(
--- a/tests/model.py
+++ b/tests/model.py
@@ -84,6 +84,7 @@
         self.boots = itertools.count(1)
         self.fault = "none"
         self.stops_to_fail = 0
+        self.fails_everything = False
         self.restart()
 
     def restart(self):
@@ -101,7 +102,11 @@
         ]
 
     def tick(self):
-        """Stop what runs without a lease."""
+        """Stop what runs without a lease, and fail what is to fail."""
+        if self.fails_everything:
+            for task in self.task_by_key.values():
+                if task.state == "running":
+                    task.state = "failed"
         if self.clock.now() >= self.lease_end:
             for task in self.task_by_key.values():
                 if task.state == "running":
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -34,6 +34,7 @@
 BATCH_TASKS = ["ledger/annual-statements/0", "ledger/annual-statements/1"]
 WATCHER = "ledger/donor-ledger/0"
 BATCH_SECONDS = 40.0
+WORK_SECONDS = 12.0
 NEVER = Closure("", 0.0, 0.0)
 KILL_LINES = {"cut off by the stop"}
 
@@ -252,7 +253,43 @@
     cluster.start_node(node, dict(SITE.list_nodes())[node])
 
 
+def take_out(cluster, node):
+    zone = dict(SITE.list_nodes())[node]
+    done = cluster.run_cli(ENTRIES[1], SITE_TOKEN, "zone", "take-out", zone)
+    assert done.returncode == 0
+
+
+def kill_node_while_it_evicts(cluster, node):
+    take_out(cluster, node)
+    restart_node(cluster, node)
+
+
+def kill_entry_while_a_zone_leaves(cluster, node):
+    take_out(cluster, node)
+    kill_entry(cluster)
+
+
+def kill_node_as_tasks_complete(cluster, node):
+    time.sleep(WORK_SECONDS - 1.7)
+    restart_node(cluster, node)
+
+
+def fail_worker(cluster, node):
+    cluster.ask(f"worker-{node}", "/fail", {"everything": True})
+
+
+def kill_machine(cluster, node):
+    kill(cluster, node)
+    kill(cluster, f"worker-{node}")
+    cluster.start_worker(node)
+
+
 TASK_FAULTS = {
+    "node killed while it evicts": kill_node_while_it_evicts,
+    "entry killed while a zone leaves": kill_entry_while_a_zone_leaves,
+    "node killed as tasks complete": kill_node_as_tasks_complete,
+    "worker fails everything": fail_worker,
+    "machine killed": kill_machine,
     "node killed and restarted": restart_node,
     "node stopped past its lease": lambda c, node: pause(c, node, 9.0),
     "worker stopped past its lease": lambda c, node: pause(c, f"worker-{node}", 9.0),
--- a/tests/test_task_promises.py
+++ b/tests/test_task_promises.py
@@ -1,6 +1,7 @@
 """The promises about tasks over any order of events and faults."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import settings
@@ -107,6 +108,58 @@
     assert len(list_live(site)) == 2
 
 
+def test_a_worker_that_fails_everything_does_not_fail_the_jobs(site):
+    bad = site.worker_by_node["node-1"]
+    bad.fails_everything = True
+    jobs = [submit(site, f"job-{number}", count=1) for number in range(8)]
+    for _ in range(30):
+        site.advance(1.0)
+        for key in site.worker_by_node["node-2"].list_live():
+            site.worker_by_node["node-2"].complete(key)
+    states = [get_row(site, job_id).tasks[0].state for job_id in jobs]
+    assert states == ["completed"] * 8
+    assert any(
+        entry.scheduler.quarantine.list_held(site.clock.now()) == ["node-1"]
+        for entry in site.entries
+    )
+
+
+def test_a_job_that_can_never_run_is_told_so_and_starves_nobody(site):
+    spec = replace(SPEC, processors=64.0)
+    row = create_job("t", "huge", "batch", "submitted", spec, 1)
+    site.entries[0].jobs.create(row)
+    submit(site, "job")
+    site.advance(3.0)
+    assert get_row(site, "t/huge").tasks[0].reason == "larger-than-any-worker"
+    assert len(list_live(site)) == 2
+
+
+def test_urgent_work_takes_the_room_of_other_work(site):
+    submit(site, "batch", count=4)
+    site.advance(3.0)
+    row = create_job("t", "urgent", "batch", "submitted", SPEC, 2, urgent=True)
+    site.entries[0].jobs.create(row)
+    site.advance(4.5)
+    running = [key[0] for key in list_live(site)]
+    assert running.count("t/urgent") == 2
+    for _ in range(3):
+        complete_all(site)
+        site.advance(3.0)
+    states = {task.state for task in get_row(site, "t/batch").tasks}
+    assert states == {"completed"}
+
+
+def test_a_wave_of_cancellations_leaves_nothing_running(site):
+    jobs = [submit(site, f"job-{number}", count=2) for number in range(10)]
+    site.advance(1.0)
+    for job_id in jobs:
+        held = site.entries[0].jobs.read(job_id).unwrap()
+        site.entries[0].jobs.replace(held, cancel_job(held.row))
+    site.advance(3.0)
+    assert list_live(site) == []
+    assert site.table.scan("job-open/").unwrap() == []
+
+
 def test_a_long_outage_costs_progress_but_no_promise(site):
     job_id = submit(site, "job")
     site.advance(2.0)
