--- a/src/bergamotshore/entry/router.py
+++ b/src/bergamotshore/entry/router.py
@@ -2,9 +2,10 @@
 
 import itertools
 import threading
-from concurrent.futures import Future, TimeoutError
+from concurrent.futures import FIRST_COMPLETED, Future, wait
 from dataclasses import dataclass, field
 
+from bergamotshore.core.hedging import HedgeTimer
 from bergamotshore.core.routing import RetryBudget, choose_node
 from bergamotshore.entry.keys import HeldKey
 from bergamotshore.entry.outcomes import Completed, NotRun, Unknown
@@ -33,6 +34,7 @@
     :param is_undecided: The stream was lost; a fence is needed.
     :param held_key: Key to settle by a late answer, or None.
     :param given_up_at: When the caller was told; None before.
+    :param sent_at: When it was sent, on the entry's clock.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     is_undecided: bool = False
     held_key: HeldKey | None = None
     given_up_at: float | None = None
+    sent_at: float = 0.0
 
 
 class RequestRouter:
@@ -57,6 +60,7 @@
     :param registry: ``Registry``.
     :param recorder: ``Recorder``.
     :param random: ``random.Random``.
+    :param wait: Waits for the first of some futures, some seconds at most.
     """
 
     def __init__(
@@ -70,7 +74,9 @@
         registry,
         recorder,
         random,
+        wait=None,
     ):
+        self.wait = wait or _wait_first
         self.incarnation = incarnation
         self.directory = directory
         self.is_usable = is_usable
@@ -81,6 +87,8 @@
         self.recorder = recorder
         self.random = random
         self.budget = RetryBudget(settings.retry_share)
+        self.hedge_budget = RetryBudget(settings.hedge_share)
+        self.hedge_timer = HedgeTimer()
         self._count = itertools.count(1)
         self._lock = threading.Lock()
         self._pending_by_id = {}
@@ -128,9 +136,11 @@
     def _route(self, request, request_id, held):
         self.recorder.record("request-received", request_id, request.service)
         self.budget.earn()
+        self.hedge_budget.earn()
         tried = set()
+        outcome = None
         while True:
-            outcome = self._try_once(request, request_id, held, tried)
+            outcome = combine(outcome, self._try_once(request, request_id, held, tried))
             if not self._may_retry(request, outcome, tried):
                 self.recorder.record("request-ended", request_id, _name(outcome))
                 return outcome
@@ -158,17 +168,31 @@
         if chosen is None:
             return NotRun("no-node", RETRY_AFTER_SECONDS)
         tried.add(chosen.node)
+        begun = self._begin(request, request_id, held, chosen.node)
+        if not isinstance(begun, Pending):
+            return begun
+        if request.repeatable:
+            return self._await_hedged(request, begun, held, tried)
+        return self._await(begun, request.deadline)
+
+    def _begin(self, request, request_id, held, node):
+        """Send a request to a node.
+
+        :returns: ``Pending``, or ``NotRun`` when nothing was sent.
+        """
         remaining = request.deadline - self.clock.now()
         if remaining <= 0:
             return NotRun("deadline-passed", RETRY_AFTER_SECONDS)
-        return self._send(request, request_id, held, chosen.node, remaining)
-
-    def _send(self, request, request_id, held, node, remaining):
         view = self.directory.get(node)
         if view is None:
             return NotRun("node-gone", RETRY_AFTER_SECONDS)
         pending = Pending(
-            request_id, node, view.incarnation, request.repeatable, held_key=held
+            request_id,
+            node,
+            view.incarnation,
+            request.repeatable,
+            held_key=held,
+            sent_at=self.clock.now(),
         )
         message = RunRequest(
             request_id=request_id,
@@ -190,15 +214,63 @@
             return NotRun("node-gone", RETRY_AFTER_SECONDS)
         if not view.stream.is_open:
             self._note_lost(pending)
-        return self._await(pending, remaining)
+        return pending
 
-    def _await(self, pending, remaining):
-        try:
-            outcome = pending.future.result(timeout=max(0.0, remaining))
-        except TimeoutError:
+    def _await(self, pending, deadline):
+        self.wait([pending.future], self._get_left(deadline))
+        if not pending.future.done():
             return self._give_up(pending)
         self._forget(pending)
-        return outcome
+        return pending.future.result()
+
+    def _get_left(self, deadline):
+        return max(0.0, deadline - self.clock.now())
+
+    def _await_hedged(self, request, first, held, tried):
+        """Wait for a repeatable request; send it once more when it is slow.
+
+        The first completed answer counts; the other try is fenced, so that it does not
+        run if it still waits.
+        """
+        delay = self.hedge_timer.delay
+        if delay is None or delay >= self._get_left(request.deadline):
+            return self._await(first, request.deadline)
+        self.wait([first.future], delay)
+        if first.future.done():
+            return self._await(first, request.deadline)
+        second = self._begin_hedge(request, held, tried)
+        if second is None:
+            return self._await(first, request.deadline)
+        left = self._get_left(request.deadline)
+        self.wait([first.future, second.future], left)
+        winner, loser = first, second
+        if second.future.done() and not _is_completed(first):
+            winner, loser = second, first
+        outcome = self._await(winner, request.deadline)
+        if isinstance(outcome, Completed):
+            self._abandon(loser)
+            return outcome
+        return combine(outcome, self._await(loser, request.deadline))
+
+    def _begin_hedge(self, request, held, tried):
+        candidates = self.directory.list_candidates(
+            request.service, self.is_usable, tried
+        )
+        chosen = choose_node(candidates, self.random)
+        if chosen is None or not self.hedge_budget.spend():
+            return None
+        tried.add(chosen.node)
+        request_id = self._create_request_id()
+        self.registry.count("request_hedges_total")
+        self.recorder.record("request-hedged", request_id, chosen.node)
+        begun = self._begin(request, request_id, held, chosen.node)
+        return begun if isinstance(begun, Pending) else None
+
+    def _abandon(self, pending):
+        """Fence a try whose answer is not needed any more."""
+        if not pending.future.done():
+            self._send_fence(pending)
+        self._forget(pending)
 
     def _give_up(self, pending):
         with self._lock:
@@ -208,10 +280,14 @@
             self._forget(pending)
             return pending.future.result()
         self.registry.count("request_given_up_total")
+        self._send_fence(pending)
+        return Unknown("deadline", RETRY_AFTER_SECONDS)
+
+    def _send_fence(self, pending):
+        """Fence a request, if the run of the node that got it is connected."""
         view = self.directory.get(pending.node)
         if view is not None and view.incarnation == pending.incarnation:
             view.stream.send(Fence(request_id=pending.request_id))
-        return Unknown("deadline", RETRY_AFTER_SECONDS)
 
     def _forget(self, pending):
         with self._lock:
@@ -236,10 +312,8 @@
         pending.is_undecided = True
         if pending.repeatable:
             self._decide(pending, Unknown("stream-lost", RETRY_AFTER_SECONDS))
-            return
-        view = self.directory.get(pending.node)
-        if view is not None and view.incarnation == pending.incarnation:
-            view.stream.send(Fence(request_id=pending.request_id))
+        else:
+            self._send_fence(pending)
 
     def handle_message(self, message):
         """Take an answer of a node; one for another run of this entry is dropped."""
@@ -250,6 +324,8 @@
             return
         match message:
             case RequestEnded():
+                if message.outcome == "completed":
+                    self.hedge_timer.record(self.clock.now() - pending.sent_at)
                 self._decide(pending, _read_outcome(message))
             case FenceResult():
                 pending.is_undecided = False
@@ -288,6 +364,31 @@
             self._forget(pending)
 
 
+def combine(earlier, later):
+    """Return what is known of a request after two tries of it.
+
+    "Not run" is true only when no try may have run.
+
+    :param earlier: Outcome of the earlier tries; None before the first.
+    :param later: Outcome of the latest try.
+    """
+    match earlier, later:
+        case _, Completed():
+            return later
+        case Unknown(), _:
+            return earlier
+        case _:
+            return later
+
+
+def _wait_first(futures, seconds):
+    wait(futures, timeout=seconds, return_when=FIRST_COMPLETED)
+
+
+def _is_completed(pending):
+    return pending.future.done() and isinstance(pending.future.result(), Completed)
+
+
 def _name(outcome):
     match outcome:
         case Completed(status=status):
--- a/src/bergamotshore/node/requests.py
+++ b/src/bergamotshore/node/requests.py
@@ -184,8 +184,8 @@
 
     def _answer_late(self, held, ended):
         """Tell the entry what became of a request that it was told is unknown."""
+        self._note_end(ended)
         if ended.outcome != "unknown":
-            self._note_end(ended)
             self._answer(held, ended)
 
     def _note_end(self, ended):
--- a/tests/entry/test_router.py
+++ b/tests/entry/test_router.py
@@ -2,10 +2,13 @@
 
 import random
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from bergamotshore.core.hedging import WINDOW, HedgeTimer
+from bergamotshore.core.routing import RetryBudget
 from bergamotshore.entry.directory import NodeDirectory
 from bergamotshore.entry.keys import KeyStore
 from bergamotshore.entry.outcomes import (
@@ -16,7 +19,7 @@
     NotRun,
     Unknown,
 )
-from bergamotshore.entry.router import RequestRouter
+from bergamotshore.entry.router import RequestRouter, combine
 from bergamotshore.generated.messages import (
     Announce,
     Fence,
@@ -150,6 +153,33 @@
     assert len(first.sent) + len(second.sent) == 3
 
 
+def test_not_run_is_not_said_when_an_earlier_try_may_have_run(directory, router):
+    first = connect(directory, router, "node-1")
+    second = connect(directory, router, "node-2")
+    answers = iter(["unknown", "not_run"])
+
+    def answer(message):
+        if isinstance(message, RunRequest):
+            answer_with(router, next(answers), reason="x")(message)
+
+    first.on_send = second.on_send = answer
+    assert router.serve(build_request()) == Unknown("x", 1.0)
+
+
+@pytest.mark.parametrize(
+    ("earlier", "later", "expected"),
+    [
+        (None, NotRun("a"), NotRun("a")),
+        (NotRun("a"), NotRun("b"), NotRun("b")),
+        (NotRun("a"), Unknown("b"), Unknown("b")),
+        (Unknown("a"), NotRun("b"), Unknown("a")),
+        (Unknown("a"), Completed(200, "", b""), Completed(200, "", b"")),
+    ],
+)
+def test_what_is_known_after_two_tries(earlier, later, expected):
+    assert combine(earlier, later) == expected
+
+
 def test_the_deadline_gives_unknown_at_once_and_fences(directory, router):
     stream = connect(directory, router)
     outcome = router.serve(build_request(seconds=0.05))
@@ -307,3 +337,81 @@
     stream.on_send = answer_with(router, "completed", status=200)
     table.faults = ["lost"]
     assert router.serve(build_request(key="k")).status == 200
+
+
+def make_slow_requests_hedged(router, delay=0.02):
+    router.hedge_timer.delay = delay
+
+
+def test_a_slow_repeatable_request_is_sent_again_and_the_rest_is_fenced(
+    directory, router
+):
+    make_slow_requests_hedged(router)
+    slow = connect(directory, router, "node-1")
+    slow_ids = []
+    slow.on_send = lambda message: slow_ids.append(message.request_id)
+    quick = connect(directory, router, "node-2")
+    quick.on_send = answer_with(router, "completed", status=200)
+    for _ in range(6):
+        assert router.serve(build_request()).status == 200
+    hedged = slow.list_sent(RunRequest)
+    assert hedged
+    fenced = {message.request_id for message in slow.list_sent(Fence)}
+    assert fenced == {message.request_id for message in hedged}
+
+
+def test_a_request_that_may_not_be_repeated_is_never_hedged(directory, router):
+    make_slow_requests_hedged(router)
+    streams = [connect(directory, router, name) for name in ("node-1", "node-2")]
+    router.serve(build_request(key="k", seconds=0.2))
+    assert sum(len(stream.list_sent(RunRequest)) for stream in streams) == 1
+
+
+def test_hedges_end_with_their_budget(directory, router):
+    make_slow_requests_hedged(router, delay=0.001)
+    router.hedge_budget = RetryBudget(0.0, burst=2.0)
+    streams = [connect(directory, router, name) for name in ("node-1", "node-2")]
+    for _ in range(5):
+        router.serve(build_request(seconds=0.02))
+    assert sum(len(stream.list_sent(RunRequest)) for stream in streams) == 7
+
+
+def test_a_hedge_that_is_refused_leaves_the_first_try(directory, router, served):
+    make_slow_requests_hedged(router)
+    first = connect(directory, router, "node-1")
+    future, request_id = served(build_request(), first)
+    second = connect(directory, router, "node-2")
+    second.on_send = answer_with(router, "not_run", reason="connections-full")
+    time.sleep(0.1)
+    router.handle_message(
+        RequestEnded(request_id=request_id, outcome="completed", status=200)
+    )
+    assert future.result(5).status == 200
+
+
+def test_the_delay_is_a_quantile_of_the_latest_window():
+    timer = HedgeTimer()
+    for number in range(WINDOW - 1):
+        timer.record(0.01 if number % 10 else 0.1)
+    assert timer.delay is None
+    timer.record(0.01)
+    assert timer.delay == pytest.approx(0.1, rel=0.05)
+
+
+def test_answers_that_come_twice_or_in_any_order_reach_their_own_callers(
+    directory, router, served
+):
+    stream = connect(directory, router)
+    calls = [served(build_request(key=f"k{n}"), stream) for n in range(4)]
+    for number, (_, request_id) in reversed(list(enumerate(calls))):
+        for _ in range(2):
+            router.handle_message(
+                RequestEnded(
+                    request_id=request_id,
+                    outcome="completed",
+                    status=200,
+                    body=b"%d" % number,
+                )
+            )
+    bodies = [future.result(5).body for future, _ in calls]
+    assert bodies == [b"0", b"1", b"2", b"3"]
--- a/tests/node/test_requests.py
+++ b/tests/node/test_requests.py
@@ -204,3 +204,17 @@
     assert endpoint.runs == ["r1", "r2"]
     assert ("r3", "not_run", "draining") in list_ends(stream)
     assert runner.is_idle
+
+
+def test_a_fence_after_a_lost_late_answer_is_answered(
+    runner, executor, endpoint, loop, stream
+):
+    endpoint.outcome = Failure(EndpointAnswerLost("x"))
+    runner.handle_run(stream, build_request("r1", remaining=1.0))
+    loop.advance(2.0)
+    executor.run_all()
+    runner.handle_fence(stream, "r1")
+    assert list_ends(stream) == [
+        ("r1", "unknown", "deadline"),
+        ("r1", "unknown", "endpoint-answer-lost"),
+    ]
