Measure hedging; checkpoint and stop tasks in the last eighth of a lease

A share of 0 now allows no retry at all; before, ten were saved up. Leases: in a long outage workers stopped tasks with a checkpoint of some time ago; the node now checkpoints them before the lease ends.

--- a/bench/path.py
+++ b/bench/path.py
@@ -32,6 +32,13 @@
 FACTORS = (1.0, 2.0, 5.0, 0.9)
 CLIENT_TIMEOUT_SECONDS = 10.0
 SPREAD_SECONDS = 0.5
+HEDGE_SHARES = (0.0, 0.05, 0.0, 0.05)
+HEDGE_RATE = 120.0
+HEDGE_SECONDS = 20.0
+HEDGE_WARM_UP_SECONDS = 5.0
+HEDGE_SERVICE_MS = 10
+SLOW_SHARE = 0.02
+SLOW_FACTOR = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,10 +117,14 @@
         self.samples.append(Sample(due - self.started, seconds, outcome))
 
 
-def start_cluster(folder):
-    """Start a site of three nodes and return its ``Cluster``."""
+def start_cluster(folder, entry_settings=None):
+    """Start a site of three nodes and return its ``Cluster``.
+
+    :param entry_settings: Settings of the entries that differ from the usual ones.
+    """
     site = replace(SITE_BY_NAME["tsehay"], nodes_per_zone=1)
     cluster = Cluster(site, folder, [sys.executable, "-m", "bergamotshore"])
+    cluster.entry_settings = entry_settings or {}
     cluster.start_platform()
     cluster.wait_for_platform()
     cluster.start_vms()
@@ -165,6 +176,40 @@
     print(f"  added                   p50 {path50 - direct50:6.2f} ms")
 
 
+def measure_hedging(folder, share):
+    """Print quantiles when some runs are slow, whatever the endpoint.
+
+    :param share: Hedges as a share of first tries.
+    """
+    cluster = start_cluster(folder, {"hedge_share": share})
+    try:
+        entries = [cluster.member_by_name[name].address for name in ENTRIES]
+        path = f"/services/{cluster.site.service}{cluster.site.read_path}"
+        for name, _ in cluster.site.list_nodes():
+            slow = {"factor": SLOW_FACTOR, "share": SLOW_SHARE}
+            cluster.ask(f"endpoint-{name}", "/slowdown", slow)
+        load = OpenLoad(
+            entries, path, HEDGE_RATE, HEDGE_SECONDS, HEDGE_SERVICE_MS, LATENCY_THREADS
+        )
+        samples = load.run()
+        seconds = sorted(
+            sample.seconds * 1000
+            for sample in samples
+            if sample.begun > HEDGE_WARM_UP_SECONDS
+        )
+        runs = sum(
+            len(cluster.ask(f"endpoint-{name}", "/counts")["runs"])
+            for name, _ in cluster.site.list_nodes()
+        )
+    finally:
+        cluster.kill_all()
+    p50, p99, p999 = (seconds[int(q * (len(seconds) - 1))] for q in (0.5, 0.99, 0.999))
+    print(
+        f"  hedge share {share:4.2f}: p50 {p50:6.1f} ms, p99 {p99:6.1f} ms, "
+        f"p99.9 {p999:6.1f} ms, {runs / len(samples):.3f} runs a request"
+    )
+
+
 def measure_overload(cluster):
     """Print goodput and refusals at several loads, one after the other."""
     site = cluster.site
@@ -206,8 +251,15 @@
 def main():
     """Run both measurements."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--only", choices=("latency", "overload"), default="")
+    parser.add_argument("--only", choices=("latency", "overload", "hedge"), default="")
     options = parser.parse_args()
+    if options.only in ("", "hedge"):
+        print(f"hedging, {SLOW_SHARE:.0%} of all runs {SLOW_FACTOR:g}x slow")
+        for share in HEDGE_SHARES:
+            with tempfile.TemporaryDirectory() as folder:
+                measure_hedging(folder, share)
+    if options.only == "hedge":
+        return
     with tempfile.TemporaryDirectory() as folder:
         cluster = start_cluster(folder)
         try:
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -61,6 +61,7 @@
         self.folder = Path(folder)
         self.program = program
         self.member_by_name = {}
+        self.entry_settings = {}
         self.operators_by_entry = {}
         self.nodes_by_entry = {}
 
@@ -110,6 +111,7 @@
             "rescan_sessions": 0.5,
             "ramp": 3.0,
         }
+        entry.update(self.entry_settings)
         if with_wire:
             wire = f"wire-{name}"
             port = reserve_ports(1)[0]
--- a/src/bergamotshore/core/routing.py
+++ b/src/bergamotshore/core/routing.py
@@ -88,14 +88,14 @@
 class RetryBudget:
     """Allow retries as a share of first tries.
 
-    :param share: Retries allowed per first try.
+    :param share: Retries allowed per first try; 0 allows none.
     :param burst: Most retries that may be saved up.
     """
 
     def __init__(self, share, burst=10.0):
         self.share = share
-        self.burst = burst
-        self.balance = burst
+        self.burst = burst if share > 0 else 0.0
+        self.balance = self.burst
 
     def earn(self):
         """Count a first try."""
--- a/src/bergamotshore/node/tasks.py
+++ b/src/bergamotshore/node/tasks.py
@@ -13,6 +13,7 @@
 
 REPORT_SECONDS = 1.0
 INVENTORY_SECONDS = 1.0
+FREEZE_SHARE = 0.125
 OUTCOME_BY_STATE = {"completed": "completed", "failed": "failed", "stopped": "evicted"}
 
 
@@ -226,12 +227,26 @@
         self._report_one(held)
 
     def _poll(self):
+        self._freeze_before_lapse()
         if not self._is_listing:
             self._is_listing = True
             self._listings += 1
             self.executor.submit(self._call_list, self._listings, self.get_lease_end())
         self.loop.call_later(self.settings.poll, self._poll)
 
+    def _freeze_before_lapse(self):
+        """Stop what runs with a fresh checkpoint when the lease is about to end.
+
+        The worker would stop it anyway, but with an older checkpoint. Ends are reported
+        once an entry can record them.
+        """
+        lease_end = self.get_lease_end()
+        remaining = lease_end - self.clock.now()
+        margin = self.settings.session_ttl * FREEZE_SHARE
+        if lease_end > 0 and remaining < margin and self.is_busy:
+            self.registry.count("freezes_total")
+            self.evict_all()
+
     def _call_list(self, listing, lease_end):
         if lease_end > self.clock.now():
             self.worker.renew(lease_end)
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -74,6 +74,7 @@
 
 
 def test_budget_allows_retries_as_a_share_of_first_tries():
+    assert not RetryBudget(0.0).spend()
     budget = RetryBudget(0.1, burst=2.0)
     assert [budget.spend() for _ in range(3)] == [True, True, False]
     for _ in range(11):
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -189,6 +189,21 @@
     assert attempt in runner.build_inventory(stream).attempts
 
 
+def test_tasks_are_frozen_with_a_checkpoint_before_the_lease_ends(
+    tasks, executor, loop, clock, stream
+):
+    lease_end = clock.now() + 120.0
+    tasks.get_lease_end = lambda: lease_end
+    tasks.handle_start(stream, build_start(clock))
+    executor.run_all()
+    loop.advance(104.0)
+    executor.run_all()
+    assert list_ends(stream) == []
+    loop.advance(1.5)
+    executor.run_all()
+    assert stream.list_sent(TaskEnded)[0].checkpoint == "checkpoint-1"
+
+
 def test_draining_evicts_and_starts_nothing(tasks, executor, clock, stream, starts):
     tasks.handle_start(stream, build_start(clock))
     executor.run_all()
--- a/tests/test_task_promises.py
+++ b/tests/test_task_promises.py
@@ -167,6 +167,8 @@
     site.advance(3 * TTL_SECONDS)
     assert list_live(site) == []
     site.table.is_down = False
+    site.advance(1.0)
+    assert get_row(site, job_id).tasks[0].checkpoint == "checkpoint-1"
     site.advance(4 * TTL_SECONDS)
     assert len(list_live(site)) == 2
     complete_all(site)
