Split the scheduler, share the run of services and the start of a site

Both roles ran their threads with the same lines: now run_services; a failed service gives exit code 1 instead of 0. Demo, bench and tests each started a site by themselves: now start_site. Found while reading: an entry that leaves stopped recording ends as soon as no request was in flight; it now goes on until it has finished.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,7 +18,7 @@
 )
 from bergamotshore.transport.codec import encode_message
 from bergamotshore.utils.addresses import split_address
-from demo.cluster import ROOT, SITE_TOKEN, TEAM_TOKEN, Cluster
+from demo.cluster import TEAM_TOKEN, Cluster
 from demo.sites import SITE_BY_NAME
 
 ENTRY = "entry-1"
@@ -135,23 +135,8 @@
         SITE_BY_NAME["tsehay"], nodes_per_zone=nodes_per_zone, zones=("addis-bole",)
     )
     cluster = Cluster(site, folder, [sys.executable, "-m", "bergamotshore"])
-    cluster.start_platform()
-    cluster.wait_for_platform()
-    cluster.start_vms()
-    cluster.start_entry(ENTRY, with_wire=True)
-    for number in range(further_entries):
-        cluster.start_entry(f"further-{number + 1}")
-    for name, zone in site.list_nodes():
-        cluster.start_node(name, zone)
-    cluster.wait_until(
-        lambda: cluster.ask_operators(ENTRY, "/v1/zones"), "the operators' port"
-    )
-    document = folder + "/document.yaml"
-    with open(document, "w") as file:
-        file.write((ROOT / site.document).read_text().split("    jobs:")[0])
-    for team, token in (("site", SITE_TOKEN), (site.team, TEAM_TOKEN)):
-        cluster.run_cli(ENTRY, token, "apply", document, "--team", team)
-    cluster.wait_for_nodes(ENTRY)
+    entries = [ENTRY, *(f"further-{number + 1}" for number in range(further_entries))]
+    cluster.start_site(entries, True, cluster.write_idle_document())
     return cluster
 
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -14,7 +14,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from demo.cluster import ROOT, SITE_TOKEN, TEAM_TOKEN, Cluster
+from demo.cluster import Cluster
 from demo.sites import SITE_BY_NAME
 
 ENTRIES = ("entry-1", "entry-2")
@@ -32,6 +32,7 @@
 FACTORS = (1.0, 2.0, 5.0, 0.9)
 CLIENT_TIMEOUT_SECONDS = 10.0
 SPREAD_SECONDS = 0.5
+USUAL_SETTINGS = {"poll": 1.0, "rescan": 5.0, "rescan_sessions": 15.0}
 HEDGE_SHARES = (0.0, 0.05, 0.0, 0.05)
 HEDGE_RATE = 120.0
 HEDGE_SECONDS = 20.0
@@ -124,21 +125,8 @@
     """
     site = replace(SITE_BY_NAME["tsehay"], nodes_per_zone=1)
     cluster = Cluster(site, folder, [sys.executable, "-m", "bergamotshore"])
-    cluster.entry_settings = entry_settings or {}
-    cluster.start_platform()
-    cluster.wait_for_platform()
-    cluster.start_vms()
-    cluster.start_entries(ENTRIES)
-    for name, zone in site.list_nodes():
-        cluster.start_node(name, zone)
-    cluster.wait_until(
-        lambda: cluster.ask_operators(ENTRIES[0], "/v1/zones"), "the operators' port"
-    )
-    for team, token in (("site", SITE_TOKEN), (site.team, TEAM_TOKEN)):
-        document = str(ROOT / site.document)
-        cluster.run_cli(ENTRIES[0], token, "apply", document, "--team", team)
-    for name in ENTRIES:
-        cluster.wait_for_nodes(name)
+    cluster.entry_settings = {**USUAL_SETTINGS, **(entry_settings or {})}
+    cluster.start_site(ENTRIES)
     return cluster
 
 
--- a/bench/tasks.py
+++ b/bench/tasks.py
@@ -12,7 +12,6 @@
 
 from bench.path import ENTRIES
 from demo.cluster import (
-    ROOT,
     SESSION_TTL_SECONDS,
     SITE_TOKEN,
     TEAM_TOKEN,
@@ -37,22 +36,7 @@
     """Start a site of three nodes in three data centres."""
     site = replace(SITE_BY_NAME["tsehay"], nodes_per_zone=1)
     cluster = Cluster(site, folder, [sys.executable, "-m", "bergamotshore"])
-    cluster.start_platform()
-    cluster.wait_for_platform()
-    cluster.start_vms()
-    cluster.start_entries(ENTRIES)
-    for name, zone in site.list_nodes():
-        cluster.start_node(name, zone)
-    cluster.wait_until(
-        lambda: cluster.ask_operators(ENTRIES[0], "/v1/zones"), "the operators' port"
-    )
-    (cluster.folder / "document.yaml").write_text(
-        (ROOT / site.document).read_text().split("    jobs:")[0]
-    )
-    apply(cluster, "site", SITE_TOKEN)
-    apply(cluster, site.team, TEAM_TOKEN)
-    for name in ENTRIES:
-        cluster.wait_for_nodes(name)
+    cluster.start_site(ENTRIES, document=cluster.write_idle_document())
     submit(cluster, "load")
     time.sleep(SETTLE_SECONDS)
     return cluster
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -94,6 +94,47 @@
         addresses = ",".join(self.member_by_name[name].address for name in names)
         self._start_stand_in("balancer", "balancer", "--entries", addresses)
 
+    def start_site(self, entries, with_wire=False, document=None):
+        """Start everything, apply the document and wait until every node serves.
+
+        :param entries: Names of the entries.
+        :param with_wire: Put wires that can be cut between entries and nodes.
+        :param document: Path of the document; None for the site's own.
+        """
+        self.start_platform()
+        self.wait_for_platform()
+        self.start_vms()
+        self.start_entries(entries, with_wire)
+        for name, zone in self.site.list_nodes():
+            self.start_node(name, zone)
+        self.wait_until(
+            lambda: self.ask_operators(entries[0], "/v1/zones"), "the operators' port"
+        )
+        self.apply_document(entries[0], document or ROOT / self.site.document)
+        for name in entries:
+            self.wait_for_nodes(name)
+
+    def apply_document(self, entry, document):
+        """Apply the site's section and the team's.
+
+        :returns: What the commands printed.
+        :raises RuntimeError: when a section is refused.
+        """
+        printed = []
+        for team, token in (("site", SITE_TOKEN), (self.site.team, TEAM_TOKEN)):
+            done = self.run_cli(entry, token, "apply", str(document), "--team", team)
+            if done.returncode:
+                raise RuntimeError(done.stderr)
+            printed.append(done.stdout.strip())
+        return printed
+
+    def write_idle_document(self):
+        """Write the site's document without jobs and watchers and return its path."""
+        path = self.folder / "document.yaml"
+        text = (ROOT / self.site.document).read_text()
+        path.write_text(text.split("    jobs:")[0])
+        return path
+
     def start_entry(self, name, with_wire=False):
         """Start one entry.
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -11,7 +11,7 @@
 
 from bergamotshore.generated.messages import TimelineEvent
 from bergamotshore.timeline.recorder import merge_events
-from demo.cluster import ROOT, SITE_TOKEN, TEAM_TOKEN, Cluster
+from demo.cluster import SITE_TOKEN, Cluster
 from demo.judge import Closure, Evidence, judge_requests, judge_tasks, measure_latency
 from demo.load import Load
 from demo.sites import SITE_BY_NAME
@@ -68,7 +68,6 @@
     def run(self):
         """Run every step; True when all promises were kept."""
         self._start()
-        self._apply()
         self.load = Load(
             self.cluster.member_by_name["balancer"].address, self.site, CALLERS, SEED
         )
@@ -88,31 +87,9 @@
         print(f"[{time.monotonic() - self.began:5.1f} s] {text}", flush=True)
 
     def _start(self):
-        self.cluster.start_platform()
-        self.cluster.wait_for_platform()
-        self.cluster.start_vms()
-        self.cluster.start_entries(ENTRIES)
-        for name, zone in self.site.list_nodes():
-            self.cluster.start_node(name, zone)
+        self.cluster.start_site(ENTRIES)
         count = len(self.cluster.member_by_name)
-        self._say(f"{count} processes started for {self.site.name}")
-
-    def _apply(self):
-        entry = ENTRIES[0]
-        self.cluster.wait_until(
-            lambda: self.cluster.ask_operators(entry, "/v1/zones"),
-            "the operators' port",
-        )
-        for team, token in (("site", SITE_TOKEN), (self.site.team, TEAM_TOKEN)):
-            done = self.cluster.run_cli(
-                entry, token, "apply", str(ROOT / self.site.document), "--team", team
-            )
-            if done.returncode:
-                raise RuntimeError(done.stderr)
-            self._say(f"applied: {done.stdout.strip()}")
-        for name in ENTRIES:
-            self.cluster.wait_for_nodes(name)
-        self._say("every node serves at every entry")
+        self._say(f"{count} processes of {self.site.name} serve")
 
     def _list_worker_records(self):
         return [
--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -1,8 +1,6 @@
 """The entry process: wiring, threads and the graceful stop."""
 
 import random
-import signal
-import sys
 import threading
 import uuid
 from concurrent.futures import Future, ThreadPoolExecutor, TimeoutError, wait
@@ -44,6 +42,7 @@
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
 from bergamotshore.utils.addresses import split_address
+from bergamotshore.utils.services import run_services
 
 SCHEDULE_SECONDS = 0.1
 PRESENCE_SECONDS = 2.0
@@ -52,7 +51,6 @@
 BACKGROUND_THREADS = 8
 LARGEST_OPERATOR_BODY_BYTES = 4 * 1024 * 1024
 STOP_POLL_SECONDS = 0.05
-SWITCH_SECONDS = 0.0005
 
 
 class EntryRole:
@@ -77,6 +75,7 @@
             settings.timeline_events,
         )
         self.stopping = threading.Event()
+        self.finished = threading.Event()
         self.is_draining = False
         self.tokens = entry.tokens
         self._is_dirty = threading.Event()
@@ -168,10 +167,10 @@
         return self.configuration.is_loaded and not self.is_draining
 
     def run(self):
-        """Run until a signal asks for the stop."""
-        sys.setswitchinterval(SWITCH_SECONDS)
-        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
-        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
+        """Run until a signal asks for the stop.
+
+        :returns: True when nothing failed.
+        """
         listen(self.loop, split_address(self.entry.nodes), self._accept)
         self.recorder.record("process-started", f"process/{self.settings.name}")
         services = (
@@ -182,22 +181,9 @@
             self._run_scheduler,
             self._run_presence,
         )
-        with ThreadPoolExecutor(len(services), "service") as pool:
-            futures = [pool.submit(service) for service in services]
-            for future in futures:
-                future.add_done_callback(self._note_service_end)
-            logger.info("entry {} started", self.settings.name)
-            self.stopping.wait()
-            self._stop()
-            wait(futures)
+        is_whole = run_services(self.settings.name, services, self.stopping, self._stop)
         self.executor.shutdown(wait=False, cancel_futures=True)
-        logger.info("entry {} stopped", self.settings.name)
-
-    def _note_service_end(self, future):
-        error = future.exception()
-        if error is not None:
-            logger.opt(exception=error).error("a service of the entry failed")
-        self.stopping.set()
+        return is_whole
 
     def _stop(self):
         """Leave gracefully: the balancer first, then requests in flight."""
@@ -210,6 +196,8 @@
         give_up_at = self.clock.now() + self.entry.stop_within
         while self._is_busy() and self.clock.now() < give_up_at:
             pause.wait(STOP_POLL_SECONDS)
+        self.finished.set()
+        self._is_dirty.set()
         self.presence.withdraw()
         self.caller_server.stop()
         self.operator_server.stop()
@@ -289,7 +277,7 @@
         self._is_dirty.set()
 
     def _poll_configuration(self):
-        while not self.loop_is_over():
+        while not self.finished.is_set():
             match self.configuration.refresh():
                 case Success(is_changed):
                     if is_changed or self._is_dirty.is_set():
@@ -306,16 +294,12 @@
             self._push_to(view.stream)
         self.scheduler.poke()
 
-    def loop_is_over(self):
-        """Tell whether background work should end."""
-        return self.stopping.is_set() and not self._is_busy()
-
     def _run_scheduler(self):
-        while not self.loop_is_over():
+        while not self.finished.is_set():
             if self.configuration.is_loaded:
                 self.scheduler.step(may_place=not self.is_draining)
             self.router.forget_late()
-            threading.Event().wait(SCHEDULE_SECONDS)
+            self.finished.wait(SCHEDULE_SECONDS)
 
     def _run_presence(self):
         while not self.stopping.is_set():
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -1,15 +1,11 @@
 """The scheduling of tasks at an entry: claims, ends, evictions, lapses."""
 
-import queue
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.settled import (
-    build_write,
     create_operation,
-    decode_row,
-    write_rows,
 )
 from bergamotshore.core.backoff import Backoff
 from bergamotshore.core.capacity import get_size
@@ -17,7 +13,6 @@
     cancel_job,
     claim_tasks,
     create_job,
-    end_attempt,
     explain_pending,
     get_bucket,
     get_job_id,
@@ -28,38 +23,22 @@
 from bergamotshore.core.placement import TeamBudget, explain_misfit, place_tasks
 from bergamotshore.core.quarantine import Quarantine
 from bergamotshore.core.reclaim import Victim, choose_victims
-from bergamotshore.core.sessions import SessionObserver
-from bergamotshore.exceptions import Conflict, StaleAttempt
+from bergamotshore.entry.ends import EndRecorder
+from bergamotshore.entry.sessionwatch import SessionWatch
+from bergamotshore.exceptions import Conflict
 from bergamotshore.generated.messages import (
-    AckTask,
     AttemptId,
     StartTask,
     StopTask,
-    TaskEnded,
     TaskSpec,
 )
-from bergamotshore.generated.rows import SessionRow
 from bergamotshore.ports.table import Check
 
-SESSION_PREFIX = "session/"
 STOP_RESEND_SECONDS = 2.0
-INBOX_BATCH = 512
 RESCANS_PER_WHOLE = 12
 RECLAIM_SECONDS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedEnd:
-    """A report with the node that sent it.
-
-    :param node: Name of the node.
-    :param ended: ``TaskEnded``.
-    """
-
-    node: str
-    ended: TaskEnded
-
-
 @dataclass(slots=True)
 class ClaimSight:
     """When a claim was first seen, on both clocks.
@@ -124,22 +103,30 @@
         self.clock = clock
         self.recorder = recorder
         self.registry = registry
-        self.observer = SessionObserver()
         self.quarantine = Quarantine()
         self.backoff = Backoff()
         self.reconciled_version = 0
-        self._inbox = queue.SimpleQueue()
+        self.ends = EndRecorder(
+            jobs,
+            directory,
+            self.quarantine,
+            self.backoff,
+            clock,
+            recorder,
+            registry,
+        )
+        self.sessions = SessionWatch(
+            table, settings.rescan_sessions, clock, recorder, registry
+        )
         self._sight_by_attempt = {}
         self._stop_sent_by_attempt = {}
-        self._session_by_node = {}
         self._next_rescan = 0.0
-        self._next_session_scan = 0.0
         self._next_reclaim = 0.0
         self._rescans = 0
 
     def report(self, node, ended):
         """Take a report of a node; from any thread."""
-        self._inbox.put(ReportedEnd(node, ended))
+        self.ends.report(node, ended)
 
     def poke(self):
         """Make the next step look at everything; from any thread."""
@@ -150,7 +137,7 @@
 
         :param may_place: False while the entry leaves: ends are still recorded.
         """
-        self._record_ends()
+        self.ends.record_all()
         if not may_place:
             return
         if self.clock.now() >= self._next_rescan:
@@ -164,11 +151,11 @@
     def _rescan(self):
         self._next_rescan = self.clock.now() + self.settings.rescan
         outcome = self.jobs.rescan(self._choose_buckets()).bind(
-            lambda _: self._scan_sessions()
+            lambda _: self.sessions.scan()
         )
         match outcome:
             case Failure(failure):
-                self.observer.note_outage()
+                self.sessions.note_outage()
                 self.registry.count(f'table_failures_total{{code="{failure.code}"}}')
                 return
         self._note_attempts()
@@ -198,38 +185,6 @@
             if key in current
         }
 
-    def _scan_sessions(self):
-        if self.clock.now() < self._next_session_scan:
-            return Success(None)
-        self._next_session_scan = self.clock.now() + self.settings.rescan_sessions
-        outcome = self.table.scan(SESSION_PREFIX)
-        match outcome:
-            case Success(rows):
-                for stored in rows:
-                    self._observe_session(stored)
-        return outcome.map(lambda _: None)
-
-    def _observe_session(self, stored):
-        match decode_row(stored, SessionRow):
-            case Success(SessionRow() as row):
-                self._session_by_node[row.node] = row
-                if self.observer.observe(row, self.clock.now()):
-                    self._declare_lapsed(row, stored)
-
-    def _declare_lapsed(self, row, stored):
-        lapsed = replace(
-            row,
-            state="lapsed",
-            operation=create_operation(),
-            clock=self.recorder.lamport.tick(),
-        )
-        writes = [build_write(stored.key, stored.version, lapsed)]
-        match write_rows(self.table, lapsed.operation, [], writes):
-            case Success(_):
-                self._session_by_node[row.node] = lapsed
-                self.registry.count("sessions_lapsed_total")
-                self.recorder.record("session-lapsed", f"session/{row.node}")
-
     def _release_dead_sessions(self):
         """Make tasks eligible again whose session is over.
 
@@ -247,7 +202,7 @@
                 self.jobs.replace(held, row)
 
     def _is_session_over(self, row, task):
-        session = self._session_by_node.get(task.node)
+        session = self.sessions.by_node.get(task.node)
         if session is None:
             return False
         if session.state != "live":
@@ -260,7 +215,7 @@
         view = self.directory.get(task.node)
         if view is None or view.inventory is None:
             return True
-        session = self._session_by_node[task.node]
+        session = self.sessions.by_node[task.node]
         if view.inventory.session != session.session:
             return True
         return self._is_listed(row, task)
@@ -271,81 +226,6 @@
             "task-released", _name_attempt(get_job_id(row), task), reason
         )
 
-    def _record_ends(self):
-        reports_by_job = {}
-        for _ in range(INBOX_BATCH):
-            try:
-                report = self._inbox.get_nowait()
-            except queue.Empty:
-                break
-            reports_by_job.setdefault(report.ended.attempt.job, []).append(report)
-        for job_id, reports in reports_by_job.items():
-            self._record_job_ends(job_id, reports)
-
-    def _record_job_ends(self, job_id, reports):
-        held = self.jobs.by_job_id.get(job_id)
-        outcome = Success(held) if held is not None else self.jobs.read(job_id)
-        match outcome:
-            case Success(None):
-                self._acknowledge(reports)
-            case Success(held) if self._write_ends(held, reports):
-                self._acknowledge(reports)
-            case Success(_):
-                self.jobs.read(job_id)
-
-    def _write_ends(self, held, reports):
-        """Write the ends of attempts of one job; True when nothing is left to do."""
-        row = held.row
-        for report in reports:
-            match end_attempt(row, report.ended):
-                case Success(new_row):
-                    row = new_row
-                case Failure(StaleAttempt(current=current, reported=reported)):
-                    if current < reported:
-                        return False
-        if row is held.row:
-            return self._confirm_stale(held, reports)
-        is_written = isinstance(self.jobs.replace(held, row), Success)
-        if is_written:
-            for report in reports:
-                self._note_end(report, row)
-        return is_written
-
-    def _confirm_stale(self, held, reports):
-        """Make sure from the table that no report was missed by an old copy."""
-        match self.jobs.read(get_job_id(held.row)):
-            case Success(None):
-                return True
-            case Success(fresh):
-                return not any(
-                    isinstance(end_attempt(fresh.row, report.ended), Success)
-                    for report in reports
-                )
-        return False
-
-    def _note_end(self, report, row):
-        ended = report.ended
-        attempt = ended.attempt
-        name = f"task/{attempt.job}/{attempt.index}#{attempt.attempt}"
-        self.registry.count(f'tasks_ended_total{{outcome="{ended.outcome}"}}')
-        self.recorder.record("task-end-recorded", name, ended.outcome)
-        if ended.outcome not in ("completed", "failed"):
-            return
-        now = self.clock.now()
-        is_failure = ended.outcome == "failed"
-        if is_failure:
-            failures = row.tasks[attempt.index].failures
-            self.backoff.note_failure((attempt.job, attempt.index), failures, now)
-        if self.quarantine.note_end(report.node, is_failure, now):
-            self.registry.count("nodes_quarantined_total")
-            self.recorder.record("node-quarantined", f"node/{report.node}")
-
-    def _acknowledge(self, reports):
-        for report in reports:
-            view = self.directory.get(report.node)
-            if view is not None:
-                view.stream.send(AckTask(attempt=report.ended.attempt))
-
     def _reconcile(self):
         """Create the jobs that the document declares and cancel those it dropped."""
         configuration = self.configuration.configuration
@@ -528,7 +408,7 @@
                     room.free = before[room.node]
                 self.registry.count(f'claims_failed_total{{code="{failure.code}"}}')
                 if not isinstance(failure, Conflict):
-                    self.observer.note_outage()
+                    self.sessions.note_outage()
                 self.poke()
         return True
 
--- a/src/bergamotshore/management/commands/entry.py
+++ b/src/bergamotshore/management/commands/entry.py
@@ -22,5 +22,5 @@
     start_logs(settings)
     from bergamotshore.entry.role import EntryRole
 
-    EntryRole(settings).run()
-    return exitcodes.DONE
+    is_whole = EntryRole(settings).run()
+    return exitcodes.DONE if is_whole else exitcodes.FAILED
--- a/src/bergamotshore/management/commands/node.py
+++ b/src/bergamotshore/management/commands/node.py
@@ -25,8 +25,8 @@
             [Problem("settings.E014", "node", 0, "these settings are for an entry")]
         )
     start_logs(settings)
-    NodeRole(settings).run()
-    return exitcodes.DONE
+    is_whole = NodeRole(settings).run()
+    return exitcodes.DONE if is_whole else exitcodes.FAILED
 
 
 def leave_out_extras():
--- a/src/bergamotshore/node/role.py
+++ b/src/bergamotshore/node/role.py
@@ -1,12 +1,9 @@
 """The node process: wiring, threads and the graceful stop."""
 
-import signal
-import sys
 import threading
 import uuid
-from concurrent.futures import ThreadPoolExecutor, wait
+from concurrent.futures import ThreadPoolExecutor
 
-from loguru import logger
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.endpoint import HttpEndpoint
@@ -38,13 +35,13 @@
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock, Recorder
 from bergamotshore.transport.loop import Loop
+from bergamotshore.utils.services import run_services
 
 ENDPOINT_STATUS_SECONDS = 2.0
 ENDPOINT_THREADS_MAX = 256
 WORKER_THREADS = 4
 ENTRY_PREFIX = "entry/"
 STOP_POLL_SECONDS = 0.05
-SWITCH_SECONDS = 0.0005
 ALONE_SECONDS = 3.0
 LAST_ANSWERS_SECONDS = 0.2
 
@@ -144,10 +141,10 @@
         return self._may_work() and status is not None and not status.leaving
 
     def run(self):
-        """Run until a signal asks for the stop."""
-        sys.setswitchinterval(SWITCH_SECONDS)
-        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
-        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
+        """Run until a signal asks for the stop.
+
+        :returns: True when nothing failed.
+        """
         self.recorder.record("process-started", f"process/{self.settings.name}")
         self.loop.call(self._start)
         services = [self.loop.run, self._watch_entries]
@@ -155,23 +152,10 @@
             services.append(self.session.run)
         if self.endpoint is not None:
             services.append(self._watch_endpoint)
-        with ThreadPoolExecutor(len(services), "service") as pool:
-            futures = [pool.submit(service) for service in services]
-            for future in futures:
-                future.add_done_callback(self._note_service_end)
-            logger.info("node {} started", self.settings.name)
-            self.stopping.wait()
-            self._stop()
-            wait(futures)
+        is_whole = run_services(self.settings.name, services, self.stopping, self._stop)
         self.endpoint_calls.shutdown(wait=False, cancel_futures=True)
         self.worker_calls.shutdown(wait=False, cancel_futures=True)
-        logger.info("node {} stopped", self.settings.name)
-
-    def _note_service_end(self, future):
-        error = future.exception()
-        if error is not None:
-            logger.opt(exception=error).error("a service of the node failed")
-            self.stopping.set()
+        return is_whole
 
     def _start(self):
         self.requests.start()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,7 +8,7 @@
 import pytest
 import yaml
 
-from demo.cluster import ROOT, SITE_TOKEN, TEAM_TOKEN, Cluster
+from demo.cluster import SITE_TOKEN, Cluster
 from demo.judge import Closure, Evidence, judge_requests, judge_tasks
 from demo.load import Load
 from demo.sites import SITE_BY_NAME, Site
@@ -43,30 +43,12 @@
 def cluster(tmp_path):
     cluster = Cluster(SITE, tmp_path, [sys.executable, "-m", "bergamotshore"])
     try:
-        cluster.start_platform()
-        cluster.wait_for_platform()
-        cluster.start_vms()
-        cluster.start_entries(ENTRIES, with_wire=True)
-        for name, zone in SITE.list_nodes():
-            cluster.start_node(name, zone)
-        apply_document(cluster)
+        cluster.start_site(ENTRIES, with_wire=True)
         yield cluster
     finally:
         cluster.kill_all()
 
 
-def apply_document(cluster):
-    cluster.wait_until(
-        lambda: cluster.ask_operators(ENTRIES[0], "/v1/zones"), "the operators' port"
-    )
-    for team, token in (("site", SITE_TOKEN), (SITE.team, TEAM_TOKEN)):
-        document = str(ROOT / SITE.document)
-        done = cluster.run_cli(ENTRIES[0], token, "apply", document, "--team", team)
-        assert done.returncode == 0, done.stderr
-    for name in ENTRIES:
-        cluster.wait_for_nodes(name)
-
-
 @pytest.fixture
 def load(cluster):
     load = Load(cluster.member_by_name["balancer"].address, SITE, CALLERS, SEED)
