Let no lagging entry cancel what a newer configuration declares

Cause, found by reading: an entry that has not yet read the newest configuration, but has read the jobs, takes a job that the newer one declares for one that was dropped, and cancels it for good. Creating and cancelling declared jobs is now conditional on the configuration's row. A failed cancel reads the row anew instead of trying the old copy ten times a second. Nodes of the demo know the entries from their settings too, as a site's would: a node that starts in an outage finds them. A case for restarts of node and entry in an outage is added (not yet run).

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -64,6 +64,7 @@
         self.entry_settings = {}
         self.operators_by_entry = {}
         self.nodes_by_entry = {}
+        self.advertised_by_entry = {}
 
     def start_platform(self):
         """Start table service and object store."""
@@ -159,6 +160,7 @@
             entry["nodes_advertised"] = f"{HOST}:{port}"
             arguments = ("--listen", str(port), "--target", entry["nodes"])
             self._start_stand_in("wire", wire, *arguments)
+        self.advertised_by_entry[name] = entry.get("nodes_advertised", entry["nodes"])
         settings = {"name": name, "zone": self.site.zones[0], "entry": entry}
         self.operators_by_entry[name] = entry["operators"]
         self.nodes_by_entry[name] = entry["nodes"]
@@ -169,6 +171,7 @@
         node = {
             "endpoint": self.member_by_name[f"endpoint-{name}"].address,
             "worker": self.member_by_name[f"worker-{name}"].address,
+            "entries": list(self.advertised_by_entry.values()),
             "session_ttl": SESSION_TTL_SECONDS,
             "entry_poll": 1.0,
         }
--- a/src/bergamotshore/core/configuration.py
+++ b/src/bergamotshore/core/configuration.py
@@ -6,6 +6,8 @@
 from bergamotshore.generated.document import Document, Section, SiteSection
 from bergamotshore.generated.messages import PushConfig, ServiceLimits, ZoneGate
 
+CONFIG_KEY = "config"
+
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
@@ -14,11 +16,13 @@
     :param version: Version of the whole.
     :param site: Section of the site's operators.
     :param teams: Sections by team.
+    :param row_version: Version of the table's row that it was read from.
     """
 
     version: int = 0
     site: SiteSection | None = None
     teams: dict[str, Section] = field(default_factory=dict)
+    row_version: int = 0
 
     def get_quota(self, team):
         """Return the quota of a team as a size; nothing for an unknown team."""
--- a/src/bergamotshore/entry/configuration.py
+++ b/src/bergamotshore/entry/configuration.py
@@ -14,6 +14,7 @@
 )
 from bergamotshore.conf.document import check_document
 from bergamotshore.core.configuration import (
+    CONFIG_KEY,
     Configuration,
     Gate,
     list_sections,
@@ -30,7 +31,6 @@
 from bergamotshore.generated.document import Document, Section, SiteSection
 from bergamotshore.generated.rows import ConfigRow, GateRow, SectionRow
 
-CONFIG_KEY = "config"
 GATE_PREFIX = "gate/"
 SECTION_PREFIX = "section/"
 SITE = "site"
@@ -139,7 +139,7 @@
 
     def _refresh_sections(self):
         match self._read_config():
-            case Success((row, _)):
+            case Success((row, row_version)):
                 pass
             case failure:
                 return failure
@@ -149,6 +149,7 @@
         outcome = self._read_sections(row)
         match outcome:
             case Success(configuration):
+                configuration = replace(configuration, row_version=row_version)
                 self._put_in_force(configuration, row.clock)
         return outcome
 
--- a/src/bergamotshore/entry/jobstore.py
+++ b/src/bergamotshore/entry/jobstore.py
@@ -119,22 +119,23 @@
                 self._put(job_id, held)
         return outcome
 
-    def create(self, row):
+    def create(self, row, checks=()):
         """Insert a job unless one of its name was ever created.
 
-        :returns: ``Result`` of ``HeldJob``, or of ``JobExists``.
+        :param checks: Further conditions.
+        :returns: ``Result`` of ``HeldJob``, or of ``JobExists`` and other failures.
         """
         job_id = get_job_id(row)
         stamped = self._stamp(row)
         writes = [build_write(get_open_key(job_id), 0, stamped)]
-        checks = [Check(get_done_key(job_id), 0)]
-        match write_rows(self._table, stamped.operation, checks, writes):
+        all_checks = [Check(get_done_key(job_id), 0), *checks]
+        match write_rows(self._table, stamped.operation, all_checks, writes):
             case Success(versions):
                 held = HeldJob(stamped, versions[get_open_key(job_id)])
                 self._put(job_id, held)
                 self.created_here.add(job_id)
                 return Success(held)
-            case Failure(Conflict()):
+            case Failure(Conflict(key=key)) if key.endswith(f"/{job_id}"):
                 return Failure(JobExists(job_id))
             case failure:
                 return failure
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -9,6 +9,7 @@
 )
 from bergamotshore.core.backoff import Backoff
 from bergamotshore.core.capacity import get_size
+from bergamotshore.core.configuration import CONFIG_KEY
 from bergamotshore.core.jobs import (
     cancel_job,
     claim_tasks,
@@ -227,33 +228,44 @@
         )
 
     def _reconcile(self):
-        """Create the jobs that the document declares and cancel those it dropped."""
+        """Create the jobs that the document declares and cancel those it dropped.
+
+        Every write is conditional on the configuration being the newest: an entry that
+        lags must not cancel what a newer one declares.
+        """
         configuration = self.configuration.configuration
         if configuration.version <= self.reconciled_version:
             return
+        checks = [Check(CONFIG_KEY, configuration.row_version)]
         declared = {get_job_id(row): row for row in list_declared(configuration)}
         is_whole = True
         for job_id, row in declared.items():
             if job_id not in self.jobs.by_job_id:
-                is_whole &= self._create_declared(row)
+                is_whole &= self._create_declared(row, checks)
         for held in list(self.jobs.by_job_id.values()):
-            row = held.row
-            is_dropped = get_job_id(row) not in declared and row.origin == "declared"
-            if is_dropped and not row.is_cancelled:
-                is_whole &= isinstance(
-                    self.jobs.replace(held, cancel_job(row)), Success
-                )
+            is_dropped = get_job_id(held.row) not in declared
+            if is_dropped and held.row.origin == "declared":
+                is_whole &= self._cancel_dropped(held, checks)
         if is_whole:
             self.reconciled_version = configuration.version
 
-    def _create_declared(self, row):
-        match self.jobs.create(row):
+    def _create_declared(self, row, checks):
+        match self.jobs.create(row, checks):
             case Success(_):
                 self.recorder.record("job-created", f"job/{get_job_id(row)}")
                 return True
             case Failure(failure):
                 return failure.code == "job-exists"
 
+    def _cancel_dropped(self, held, checks):
+        """Cancel a job; True when nothing is left to do."""
+        if held.row.is_cancelled:
+            return True
+        if isinstance(self.jobs.replace(held, cancel_job(held.row), checks), Success):
+            return True
+        self.jobs.read(get_job_id(held.row))
+        return False
+
     def _stop_unwanted(self):
         """Ask nodes to evict from closed data centres and to stop cancelled work."""
         for held in list(self.jobs.by_job_id.values()):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -397,3 +397,35 @@
     )
     load.stop()
     assert all(item.outcome == "completed" for item in load.sent)
+
+
+def test_processes_that_restart_in_an_outage_never_revert(cluster, load):
+    time.sleep(1.0)
+    version = cluster.ask_operators(ENTRIES[0], "/v1/status")["config_version"]
+    cluster.ask("table", "/fault", {"mode": "down"})
+    kill(cluster, NODE)
+    cluster.start_node(NODE, ZONE)
+
+    def has_learned():
+        nodes = cluster.ask_operators(ENTRIES[0], "/v1/status")["nodes"]
+        node = next(item for item in nodes if item["name"] == NODE)
+        return node["config_version"] == version and not node["draining"]
+
+    cluster.wait_until(has_learned, "the node to learn the configuration")
+    kill(cluster, ENTRIES[1])
+    cluster.start_entry(ENTRIES[1], with_wire=True)
+    cluster.wait_until(
+        lambda: not cluster.ask_operators(ENTRIES[1], "/v1/status")["is_ready"],
+        "the entry to answer operators",
+    )
+    cluster.ask("table", "/fault", {"mode": "none"})
+    cluster.wait_until(
+        lambda: (
+            cluster.ask_operators(ENTRIES[1], "/v1/status")["config_version"] == version
+        ),
+        "the entry to learn the configuration",
+    )
+    load.stop()
+    allowed = KILL_LINES
+    evidence = Counts(cluster).gather(load.sent)
+    assert list_broken(judge_requests(evidence), allowed) == []
--- a/tests/test_task_promises.py
+++ b/tests/test_task_promises.py
@@ -8,8 +8,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from bergamotshore.adapters.settled import build_write
 from bergamotshore.core.jobs import cancel_job, create_job, get_job_id
 from bergamotshore.generated.messages import TaskSpec
+from bergamotshore.generated.rows import ConfigRow
 from tests.model import TTL_SECONDS, ZONE_BY_NODE, ModelSite
 
 SPEC = TaskSpec(command=["x"], processors=1.5, memory_gb=2.0, work_seconds=5)
@@ -149,6 +151,18 @@
     assert states == {"completed"}
 
 
+def test_an_entry_that_lags_cancels_nothing_that_a_newer_document_declares(site):
+    """The newer configuration is in the table; this entry still holds the older one."""
+    newer = ConfigRow(version=2, versions_by_team={})
+    site.table.transact([], [build_write("config", 0, newer)])
+    row = create_job("t", "new", "batch", "declared", SPEC, 1)
+    site.entries[0].jobs.create(row)
+    site.entries[1].scheduler.reconciled_version = 0
+    site.advance(4.0)
+    assert len(list_live(site)) == 1
+    assert not get_row(site, "t/new").is_cancelled
+
+
 def test_a_wave_of_cancellations_leaves_nothing_running(site):
     jobs = [submit(site, f"job-{number}", count=2) for number in range(10)]
     site.advance(1.0)
