--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -104,6 +104,12 @@
         due = self.clock.now() + delay
         heapq.heappush(self._timers, (due, next(self._count), function, arguments))
 
+    def run_due(self):
+        """Run the timers that are due, for a clock that others advance."""
+        while self._timers and self._timers[0][0] <= self.clock.now():
+            _, _, function, arguments = heapq.heappop(self._timers)
+            function(*arguments)
+
     def advance(self, seconds):
         until = self.clock.now() + seconds
         while self._timers and self._timers[0][0] <= until:
--- a/tests/model.py
+++ b/tests/model.py
@@ -4,7 +4,6 @@
 clocks are shared, processes can be paused and replaced, the table can fail.
 """
 
-import heapq
 import itertools
 import random
 from types import SimpleNamespace
@@ -33,7 +32,7 @@
 from bergamotshore.node.tasks import TaskRunner
 from bergamotshore.ports.worker import WorkerStatus, WorkerTask
 from bergamotshore.timeline.recorder import LamportClock, Recorder
-from tests.fakes import FakeClock, FakeStream, FakeTable, ManualExecutor
+from tests.fakes import FakeClock, FakeLoop, FakeStream, FakeTable, ManualExecutor
 
 STEP_SECONDS = 0.25
 TTL_SECONDS = 4.0
@@ -53,27 +52,6 @@
 NODE_SETTINGS = Node(start_within=START_WITHIN_SECONDS, session_ttl=TTL_SECONDS)
 
 
-class SiteLoop:
-    """The loop of one node; due timers run when asked to."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self._timers = []
-        self._count = itertools.count()
-
-    def call(self, function, *arguments):
-        function(*arguments)
-
-    def call_later(self, delay, function, *arguments):
-        due = self.clock.now() + delay
-        heapq.heappush(self._timers, (due, next(self._count), function, arguments))
-
-    def run_due(self):
-        while self._timers and self._timers[0][0] <= self.clock.now():
-            _, _, function, arguments = heapq.heappop(self._timers)
-            function(*arguments)
-
-
 class ModelWorker:
     """A worker that keeps leases and remembers every start."""
 
@@ -280,7 +258,7 @@
         self.incarnation = f"run-{run}"
         self.is_paused = False
         self.worker = worker
-        self.loop = SiteLoop(site.clock)
+        self.loop = FakeLoop(site.clock)
         self.executor = ManualExecutor()
         self.streams = []
         recorder = Recorder(name, self.incarnation, LamportClock(), site.clock, 100)
--- a/tests/test_request_promises.py
+++ b/tests/test_request_promises.py
@@ -31,8 +31,14 @@
 from bergamotshore.node.requests import RequestRunner
 from bergamotshore.ports.endpoint import EndpointAnswer
 from bergamotshore.timeline.recorder import LamportClock, Recorder
-from tests.fakes import FakeClock, FakeLinks, FakeStream, FakeTable, ManualExecutor
-from tests.model import SiteLoop
+from tests.fakes import (
+    FakeClock,
+    FakeLinks,
+    FakeLoop,
+    FakeStream,
+    FakeTable,
+    ManualExecutor,
+)
 
 DEADLINE_SECONDS = 5.0
 HEDGE_SECONDS = 1.0
@@ -94,7 +100,7 @@
         self.site = site
         self.name = name
         self.incarnation = f"run-{run}"
-        self.loop = SiteLoop(site.clock)
+        self.loop = FakeLoop(site.clock)
         self.executor = ManualExecutor()
         self.links = FakeLinks()
         recorder = Recorder(name, self.incarnation, LamportClock(), site.clock, 50)
