--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -408,11 +408,16 @@
 
     def has_learned():
         nodes = cluster.ask_operators(ENTRIES[0], "/v1/status")["nodes"]
-        node = next(item for item in nodes if item["name"] == NODE)
-        return node["config_version"] == version and not node["draining"]
+        return any(
+            node["name"] == NODE
+            and node["config_version"] == version
+            and not node["draining"]
+            for node in nodes
+        )
 
     cluster.wait_until(has_learned, "the node to learn the configuration")
     kill(cluster, ENTRIES[1])
+    kill(cluster, f"wire-{ENTRIES[1]}")
     cluster.start_entry(ENTRIES[1], with_wire=True)
     cluster.wait_until(
         lambda: not cluster.ask_operators(ENTRIES[1], "/v1/status")["is_ready"],
