Never say 'not run' of a request that a node may have forgotten

Cause, found by reading: the node's table dropped whole records of ended requests, by age and, with large answers, within seconds for room. A fence of such a request left a tombstone and was answered 'not run', though it had run; a retry with the key would then run twice. Change: for room only answers are dropped, and given as unknown; by age the newest forgotten number of each entry's run is kept, and nothing up to it is run or denied. Records are kept 30 s instead of 600 s, which at 400 requests a second would not fit in 32 MB.

--- a/src/bergamotshore/core/idempotency.py
+++ b/src/bergamotshore/core/idempotency.py
@@ -5,6 +5,8 @@
 
 from bergamotshore.generated.messages import RequestEnded
 
+NONE_FORGOTTEN = -1
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -31,6 +33,11 @@
     """The request was fenced before it arrived; it must never run."""
 
 
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """The request is so old that it may have ended and been forgotten."""
+
+
 @dataclass(slots=True)
 class Record:
     """What the table knows of one request.
@@ -52,9 +59,9 @@
 class IdempotencyTable:
     """Remember requests so that none runs twice and a fence holds.
 
-    Ended and fenced records are forgotten after ``keep`` seconds; by then the entry
-    has given the caller its final answer, and the echo check of the entry's request
-    deadline refuses what is older.
+    Ended and fenced records are forgotten after ``keep`` seconds. What is older than a
+    forgotten request of the same entry is never said not to have run, and never run.
+    Over ``bytes_limit`` only answers are dropped, never the fact that a request ran.
 
     :param keep: Time that ended and fenced records are kept, in seconds.
     :param bytes_limit: Largest sum of kept answers, in bytes.
@@ -66,6 +73,7 @@
         self.by_request_id = OrderedDict()
         self.request_id_by_key = {}
         self.answer_bytes = 0
+        self.newest_forgotten_by_entry = {}
 
     def begin(self, request_id, key, now):
         """Look up a request that arrived and record it when it is new.
@@ -73,9 +81,12 @@
         :param request_id: Identifier of the request.
         :param key: Idempotency key; empty when there is none.
         :param now: Current time.
-        :returns: ``Admitted``, ``InProgress``, ``AlreadyEnded`` or ``Fenced``.
+        :returns: ``Admitted``, ``InProgress``, ``AlreadyEnded``, ``Fenced`` or
+            ``Forgotten``.
         """
         record = self._find(request_id, key)
+        if record is None and self.is_forgotten(request_id):
+            return Forgotten()
         if record is None:
             self.by_request_id[request_id] = Record(
                 request_id, "queued", key, None, now
@@ -97,6 +108,13 @@
             record = self.by_request_id.get(self.request_id_by_key[key])
         return record
 
+    def is_forgotten(self, request_id):
+        """Tell whether a request may have ended and been forgotten."""
+        if request_id in self.by_request_id:
+            return False
+        entry, number = split_request_id(request_id)
+        return number <= self.newest_forgotten_by_entry.get(entry, NONE_FORGOTTEN)
+
     def get_state(self, request_id):
         """Return the state of a request, or None when it is unknown."""
         record = self.by_request_id.get(request_id)
@@ -168,10 +186,29 @@
             if self.answer_bytes <= self.bytes_limit:
                 return
             if record.state == "ended" and record.ended.body:
-                self._drop(record)
+                self._drop_answer(record)
 
     def _drop(self, record):
         del self.by_request_id[record.request_id]
         self._release_key(record)
         if record.ended is not None:
             self.answer_bytes -= len(record.ended.body)
+        entry, number = split_request_id(record.request_id)
+        newest = self.newest_forgotten_by_entry.get(entry, NONE_FORGOTTEN)
+        self.newest_forgotten_by_entry[entry] = max(newest, number)
+
+    def _drop_answer(self, record):
+        self.answer_bytes -= len(record.ended.body)
+        record.ended = RequestEnded(
+            request_id=record.request_id, outcome="unknown", reason="answer-not-kept"
+        )
+
+
+def split_request_id(request_id):
+    """Return the entry's run and the number of a request identifier.
+
+    :param request_id: Identifier as ``run.number``; anything else counts as number 0
+        of a run of its own.
+    """
+    run, _, number = request_id.rpartition(".")
+    return (run, int(number)) if number.isdigit() and run else (request_id, 0)
--- a/src/bergamotshore/node/requests.py
+++ b/src/bergamotshore/node/requests.py
@@ -8,6 +8,7 @@
     Admitted,
     AlreadyEnded,
     Fenced,
+    Forgotten,
     IdempotencyTable,
     InProgress,
 )
@@ -16,7 +17,7 @@
 from bergamotshore.generated.messages import FenceResult, RequestEnded, RunRequest
 
 ENDPOINT_LIMIT_SECONDS = 3600.0
-KEEP_SECONDS = 600.0
+KEEP_SECONDS = 30.0
 KEPT_ANSWERS_BYTES = 2 * 1024 * 1024
 SWEEP_SECONDS = 0.05
 FORGET_SECONDS = 5.0
@@ -99,6 +100,13 @@
                 self._send_known(stream, request.request_id, ended)
             case InProgress():
                 self._answer_in_progress(stream, request)
+            case Forgotten():
+                self._send_forgotten(stream, request.request_id)
+
+    def _send_forgotten(self, stream, request_id):
+        stream.send(
+            RequestEnded(request_id=request_id, outcome="unknown", reason="forgotten")
+        )
 
     def _send_known(self, stream, request_id, ended):
         answer = RequestEnded(
@@ -230,6 +238,9 @@
         if ended is not None:
             self._send_known(stream, request_id, ended)
             return
+        if self.table.is_forgotten(request_id):
+            self._send_forgotten(stream, request_id)
+            return
         if self.table.fence(request_id, now):
             self.ledger.remove(request_id)
             self._held_by_id.pop(request_id, None)
--- a/tests/node/test_requests.py
+++ b/tests/node/test_requests.py
@@ -5,7 +5,7 @@
 
 from bergamotshore.exceptions import EndpointAnswerLost, EndpointNotReached
 from bergamotshore.generated.messages import FenceResult, RequestEnded, RunRequest
-from bergamotshore.node.requests import RequestRunner
+from bergamotshore.node.requests import KEEP_SECONDS, RequestRunner
 from bergamotshore.ports.endpoint import EndpointAnswer
 from tests.fakes import FakeStream
 
@@ -218,3 +218,19 @@
         ("r1", "unknown", "deadline"),
         ("r1", "unknown", "endpoint-answer-lost"),
     ]
+
+
+def test_a_fence_of_a_forgotten_request_does_not_say_not_run(
+    runner, executor, loop, stream
+):
+    runner.handle_run(stream, build_request("entry.1"))
+    executor.run_all()
+    loop.advance(2 * KEEP_SECONDS)
+    runner.handle_fence(stream, "entry.1")
+    runner.handle_run(stream, build_request("entry.1"))
+    executor.run_all()
+    assert list_ends(stream) == [
+        ("entry.1", "completed", ""),
+        ("entry.1", "unknown", "forgotten"),
+        ("entry.1", "unknown", "forgotten"),
+    ]
