Wait for the balancer before load begins, and tell what was cut off

Suspected: load began before the balancer had seen an entry. The site now waits for that, and the test prints what was cut off.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -114,6 +114,10 @@
         self.apply_document(entries[0], document or ROOT / self.site.document)
         for name in entries:
             self.wait_for_nodes(name)
+        self.wait_until(
+            lambda: self.ask("balancer", "/balancer") == len(entries),
+            "the balancer to see every entry",
+        )
 
     def apply_document(self, entry, document):
         """Apply the site's section and the team's.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,6 +4,7 @@
 import socket
 import sys
 import time
+from collections import Counter
 
 import pytest
 import yaml
@@ -167,7 +168,8 @@
     load.stop()
     evidence = Counts(cluster).gather(load.sent)
     allowed = KILL_LINES if name.startswith("entry") else frozenset()
-    assert list_broken(judge_requests(evidence), allowed) == []
+    details = Counter((item.outcome, item.detail) for item in load.sent)
+    assert list_broken(judge_requests(evidence), allowed) == [], details
 
 
 def test_a_killed_endpoint_is_answered_for_truly(cluster, load):
