Let tasks outlive longer outages: echo on for 4 s after the lease

Nobody can take the lease while the store is away, so the echo may go on as long as a successor waits for it to be over. Ruled out: a longer right, which delays the move of tasks of every lost node.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -2,9 +2,11 @@
 
 The scheduling entry holds a row in the store. Others may take over once they have seen
 the same version of the row for its time to live. A node may extend the lease of its
-worker for ``RIGHT_SECONDS`` after a clock reading of its own that the scheduling entry
-has echoed. The entry reads the echo before it looks at its own lease, so that a
-successor knows an upper bound of every right: its own takeover plus the right.
+worker for a while after a clock reading of its own that the scheduling entry has
+echoed. An entry that can not renew its lease decides nothing more, but goes on echoing
+for ``ECHO_GRACE_SECONDS``, so that tasks outlive an outage of the store. It reads the
+echo before it looks at its own lease, so that a successor knows an upper bound of every
+right: its own takeover, the grace and the right.
 """
 
 from dataclasses import dataclass
@@ -13,6 +15,9 @@
 # while the store is slow; renewals are this many seconds apart.
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 0.8
+# How long an entry goes on echoing after the end of its lease, in seconds. Lease, grace
+# and right together outlast an outage of 9 s and the second until the next renewal.
+ECHO_GRACE_SECONDS = 4.0
 # Clocks of processes may differ in rate by 2%, as those of workers do.
 DRIFT_SHARE = 0.02
 # Part of the longest worker lease that is left for the way of a call, in seconds.
@@ -36,6 +41,14 @@
     return right * (1.0 + 3 * DRIFT_SHARE) + HOLD_MARGIN_SECONDS
 
 
+def get_last_echo_time(lapsed_at):
+    """Return when an entry whose lease lapsed has sent its last echo, in seconds.
+
+    :param lapsed_at: A time after the end of its lease.
+    """
+    return lapsed_at + ECHO_GRACE_SECONDS * (1.0 + 2 * DRIFT_SHARE)
+
+
 # What scheduling needs: a whole core, and four times the 4 Mbit/s that the reports of
 # 70 nodes take. Smaller entries leave a free place to larger ones for a while.
 ENOUGH_CORES = 1.0
@@ -78,6 +91,10 @@
         """Tell whether no other entry can lead at this moment."""
         return self.epoch > 0 and now < self.valid_until
 
+    def may_echo(self, now):
+        """Tell whether nodes may go on extending leases by this entry's echoes."""
+        return self.epoch > 0 and now < self.valid_until + ECHO_GRACE_SECONDS
+
 
 @dataclass(slots=True)
 class LeaseSighting:
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -334,7 +334,7 @@
         for worker in self.board.worker_by_node.values():
             last_heard = self.directory.get_heard_at(worker.node)
             worker.is_heard = now - last_heard < HEARD_SECONDS
-            heard_at = max(self.taken_at, last_heard)
+            heard_at = max(self.taken_at, self.election.echoed_until, last_heard)
             if worker.held_by_key and now - heard_at > lapse:
                 self._release_worker(worker, "node-silent", now)
 
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -5,7 +5,11 @@
 import msgspec
 from returns.result import Failure, Success
 
-from bergamotshore.core.work.leases import LeaderLease, LeaseSighting
+from bergamotshore.core.work.leases import (
+    LeaderLease,
+    LeaseSighting,
+    get_last_echo_time,
+)
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 LEADER_ROW = RowId("leader", "", "scheduler")
@@ -20,12 +24,21 @@
     :param incarnation: Run of its process.
     :param address: Address of its streams.
     :param epoch: Number of the term.
+    :param is_alone: Whether no entry of an earlier term echoes any more.
     """
 
     name: str
     incarnation: str
     address: str
     epoch: int
+    is_alone: bool = False
+
+    def is_same_term(self, other):
+        """Tell whether another row was written by the same process in this term."""
+        return other is not None and (self.incarnation, self.epoch) == (
+            other.incarnation,
+            other.epoch,
+        )
 
 
 class Election:
@@ -38,12 +51,15 @@
     :param clock: ``Clock``.
     :param log: ``EventLog``.
     :param patience: Time for which it leaves a free lease to others, in seconds.
+
+    ``echoed_until`` is when entries of earlier terms have sent their last echo.
     """
 
     def __init__(self, store, name, incarnation, address, clock, log, patience=0.0):
         self.lease = LeaderLease()
         self.row = None
         self.may_stand = True
+        self.echoed_until = 0.0
         self._store = store
         self._name = name
         self._incarnation = incarnation
@@ -86,7 +102,10 @@
             self._free_since = now
         if self.may_stand and now - self._free_since >= self._patience:
             epoch = self.row.epoch + 1 if self.row is not None else 1
-            return self._write(epoch, version, "lapsed" if has_lapsed else "free")
+            is_free = self._is_free()
+            if version and not (is_free and self.row is not None and self.row.is_alone):
+                self.echoed_until = get_last_echo_time(now)
+            return self._write(epoch, version, "free" if is_free else "lapsed")
         return True
 
     def _is_free(self):
@@ -116,8 +135,9 @@
         return self._write(self.lease.epoch, self._version, "renewal")
 
     def _write(self, epoch, version, reason):
-        row = LeaderRow(self._name, self._incarnation, self._address, epoch)
         sent_at = self._clock.now()
+        is_alone = sent_at >= self.echoed_until
+        row = LeaderRow(self._name, self._incarnation, self._address, epoch, is_alone)
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(row))],
@@ -136,7 +156,9 @@
     def _settle(self, row, version, sent_at, reason):
         """Find out whether a write of ours took effect before its answer was lost."""
         match self._read():
-            case Success(stored) if self.row == row and stored.version != version:
+            case Success(stored) if (
+                row.is_same_term(self.row) and stored.version != version
+            ):
                 # The write that took effect may be an earlier one, so it extends
                 # nothing; the next renewal does.
                 self._version = stored.version
@@ -165,7 +187,8 @@
             return
         epoch, version = self.lease.epoch, self._version
         self.lease.resign()
-        vacant = LeaderRow("", self._incarnation, "", epoch)
+        is_alone = self._clock.now() >= self.echoed_until
+        vacant = LeaderRow("", self._incarnation, "", epoch, is_alone)
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(vacant))],
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -299,7 +299,7 @@
         """
         echo = stream.peer_clock
         now = self.clock.now()
-        epoch = self.dispatcher.epoch if self.election.lease.is_valid(now) else 0
+        epoch = self.dispatcher.epoch if self.election.lease.may_echo(now) else 0
         return Heartbeat(
             sent_at=now,
             echo=echo,
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotshore.core.work.leases import (
+    ECHO_GRACE_SECONDS,
     LEASE_SECONDS,
     PATIENCE_SECONDS,
     LeaderLease,
@@ -119,3 +120,43 @@
     assert not sighting.observe(2, LEASE_SECONDS + 1.0)
     assert sighting.observe(2, 2 * LEASE_SECONDS + 2.0)
     assert not LeaderLease().is_valid(0.0)
+
+
+def test_echoes_of_an_entry_that_lapsed_are_waited_for_by_every_later_term(
+    build, clock
+):
+    build("a").step()
+    second, third = build("b"), build("c")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    last_echo = clock.now() + ECHO_GRACE_SECONDS
+    second.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    assert third.echoed_until >= last_echo
+
+
+def test_no_echo_is_waited_for_after_a_predecessor_that_gave_up_its_lease(build, clock):
+    first, second = build("a"), build("b")
+    first.step()
+    assert first.echoed_until <= clock.now()
+    first.resign()
+    second.step()
+    assert second.lease.epoch == 2
+    assert second.echoed_until <= clock.now()
+
+
+def test_echoes_are_waited_for_no_longer_once_a_holder_has_outlasted_them(build, clock):
+    build("a").step()
+    second, third = build("b"), build("c")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    for _ in range(6):
+        clock.advance(1.0)
+        second.step()
+    second.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    assert third.echoed_until <= clock.now()
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -3,7 +3,11 @@
 import pytest
 from returns.result import Failure, Success
 
-from bergamotshore.core.work.leases import LEASE_SECONDS, get_right_seconds
+from bergamotshore.core.work.leases import (
+    ECHO_GRACE_SECONDS,
+    LEASE_SECONDS,
+    get_right_seconds,
+)
 from bergamotshore.core.work.model import Step
 from bergamotshore.exceptions import PlatformUncertain
 from tests.site.world import LONGEST_HOLD_SECONDS, World
@@ -135,6 +139,25 @@
     assert len(world.running) == 2
 
 
+def test_tasks_that_a_former_scheduler_keeps_alive_are_not_moved(world):
+    """A node hears only an entry that has lost the store and been succeeded."""
+    world.submit("watch", LASTING)
+    world.advance(0.5)
+    former = world.leader
+    node = next(n for n, r in world.runner_by_node.items() if r.run_by_task)
+    for entry in world.entry_by_name:
+        if entry != former.name:
+            world.cut(entry, node)
+    world.without_store.add(former.name)
+    world.advance(LEASE_SECONDS + ECHO_GRACE_SECONDS + RIGHT - 1.0)
+    successor = next(e for e in world.entry_by_name.values() if e is not former)
+    assert successor.dispatcher.epoch > former.dispatcher.epoch
+    assert len(world.ledger.starts) == 2
+    world.advance(4.0)
+    assert len(world.ledger.starts) == 4
+    assert world.ledger.problems == []
+
+
 def test_a_killed_scheduler_is_succeeded_and_nothing_runs_twice(world):
     world.submit("watch", LASTING)
     world.submit("job1")
@@ -323,6 +346,28 @@
     assert [world.get_state(job) for job in jobs] == ["done"] * len(jobs)
 
 
+@pytest.mark.parametrize("seed", range(25))
+def test_promises_hold_while_single_entries_lose_the_store(clock, seed):
+    """As above, and single entries can not reach the store for a while."""
+    world = World(clock, entries=3, nodes=4, seed=seed)
+    world.advance(1.0)
+    chance = world.random
+    for round_ in range(60):
+        if chance.random() < 0.4:
+            name = chance.choice(["entry-0", "entry-1", "entry-2"])
+            world.without_store.symmetric_difference_update({name})
+        else:
+            play_fault(world, chance)
+        if chance.random() < 0.5:
+            world.submit(f"job{round_}", LASTING if chance.random() < 0.3 else None)
+        world.advance(chance.choice([0.1, 0.4, 1.0, 3.0]))
+        assert world.ledger.problems == []
+    settle(world)
+    world.finish_all()
+    world.advance(8.0)
+    assert world.ledger.problems == []
+
+
 def play_fault(world, chance):
     """Let one thing go wrong, or come right."""
     entry = chance.choice(["entry-0", "entry-1", "entry-2"])
@@ -364,6 +409,7 @@
     """End every fault."""
     world.heal()
     world.paused.clear()
+    world.without_store.clear()
     world.store.is_down = False
     world.store.faults = []
     world.store.run_late()
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -136,6 +136,28 @@
         self.oldest = self.version
 
 
+class StoreDoor:
+    """The way of one process to the store; nothing passes while it is cut."""
+
+    def __init__(self, store, is_cut):
+        self._store = store
+        self._is_cut = is_cut
+
+    def transact(self, *arguments, **options):
+        return self._call(self._store.transact, arguments, options)
+
+    def read(self, *arguments, **options):
+        return self._call(self._store.read, arguments, options)
+
+    def follow(self, *arguments, **options):
+        return self._call(self._store.follow, arguments, options)
+
+    def _call(self, function, arguments, options):
+        if self._is_cut():
+            return Failure(PlatformUnavailable("cut off"))
+        return function(*arguments, **options)
+
+
 class FakeRunner:
     """One worker; ``faults`` lists what the next orders to start suffer.
 
@@ -400,7 +422,7 @@
         self.clock = world.clock
         self.registry = Registry()
         self.log = EventLog(world.clock, emit=world.lines.append)
-        self.store = world.store
+        self.store = StoreDoor(world.store, lambda: name in world.without_store)
         self.peers = []
         self.follower = SiteFollower(self.store, self.clock, self.registry, self.log)
         self.follower.state.accept(world.configuration)
@@ -506,6 +528,7 @@
             for index in range(nodes)
         }
         self.cut_pairs = set()
+        self.without_store = set()
         self.paused = set()
         self.entry_by_name = {}
         self.node_by_name = {}
@@ -543,7 +566,7 @@
         self.cut_pairs.add((entry, node))
 
     def heal(self):
-        """End all cuts."""
+        """End all cuts between processes."""
         self.cut_pairs.clear()
 
     def _connect(self):
