--- a/src/bergamotshore/core/work/board.py
+++ b/src/bergamotshore/core/work/board.py
@@ -127,7 +127,7 @@
     def get_retries(self, spec):
         """Return after how many failed runs a job has failed."""
         queue = self.get_queue(spec.queue)
-        return queue.retries if queue is not None else 1
+        return queue.retries if queue is not None else spec.retries
 
     def get_service(self, spec):
         """Return the service whose workers may run a job now."""
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -63,6 +63,8 @@
     :param service: Service that the queue named when the job was accepted.
     :param payload: What its tasks run, as the caller gave it.
     :param steps: Tuple of ``Step``.
+    :param retries: Failed runs of a task after which the job has failed, as its queue
+        said when it was accepted; counts once the queue is removed.
     :param repeats: Number of occurrences; 0 for a job without times.
     :param first_at: Due time of the first occurrence, in seconds since the epoch.
     :param interval: Time between occurrences, in seconds.
@@ -74,6 +76,7 @@
     service: str
     payload: str
     steps: tuple[Step, ...]
+    retries: int = 1
     repeats: int = 0
     first_at: float = 0.0
     interval: float = 0.0
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -51,14 +51,24 @@
     :param clock: ``Clock``.
     :param log: ``EventLog``.
     :param patience: Time for which it leaves a free lease to others, in seconds.
+    :param may_stand: Tells whether this entry could schedule now.
 
     ``echoed_until`` is when entries of earlier terms have sent their last echo.
     """
 
-    def __init__(self, store, name, incarnation, address, clock, log, patience=0.0):
+    def __init__(
+        self,
+        store,
+        name,
+        incarnation,
+        address,
+        clock,
+        log,
+        patience=0.0,
+        may_stand=lambda: True,
+    ):
         self.lease = LeaderLease()
         self.row = None
-        self.may_stand = True
         self.echoed_until = 0.0
         self._store = store
         self._name = name
@@ -67,6 +77,7 @@
         self._clock = clock
         self._log = log
         self._patience = patience
+        self._may_stand = may_stand
         self._free_since = None
         self._version = 0
         self._sighting = LeaseSighting()
@@ -100,7 +111,7 @@
             return True
         if self._free_since is None:
             self._free_since = now
-        if self.may_stand and now - self._free_since >= self._patience:
+        if self._may_stand() and now - self._free_since >= self._patience:
             epoch = self.row.epoch + 1 if self.row is not None else 1
             is_free = self._is_free()
             if version and not (is_free and self.row is not None and self.row.is_alone):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -108,6 +108,7 @@
             get_patience(
                 self.site.processor_share * self.site.cores, self.site.link_mbps
             ),
+            self.may_stand,
         )
         self.directory = StreamDirectory(self.clock, self._greet)
         self.dispatcher = self._build_dispatcher()
@@ -191,6 +192,13 @@
         is_fresh = self.clock.now() - self.follower.fresh_at < UNREADY_SECONDS
         return self.follower.state.is_loaded and is_fresh and not self.is_draining
 
+    def may_stand(self):
+        """Tell whether this entry could schedule.
+
+        Without a configuration it would not know how often a task may fail.
+        """
+        return self.follower.state.is_loaded and not self.stopping.is_set()
+
     def run(self):
         """Run until a signal asks for the stop.
 
@@ -229,7 +237,6 @@
         """Leave gracefully: the term first, then the balancer, then calls in flight."""
         self.is_draining = True
         self.log.write("process-draining", self.settings.name)
-        self.election.may_stand = False
         self.dispatcher.is_leaving = True
         self.caller_server.drain()
         pause = threading.Event()
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -118,9 +118,7 @@
 
     def _submit(self, call):
         queue = call.queue
-        decoded = decode_submission(
-            call.body, queue.name, call.job_id, queue.service, self._clock.wall()
-        )
+        decoded = decode_submission(call.body, queue, call.job_id, self._clock.wall())
         match decoded:
             case Success(spec):
                 pass
--- a/src/bergamotshore/platform/jobs.py
+++ b/src/bergamotshore/platform/jobs.py
@@ -53,9 +53,10 @@
     interval_ms: int = 0
 
 
-def decode_submission(body, queue, job_id, service, now):
+def decode_submission(body, queue, job_id, now):
     """Return ``Result`` of the ``JobSpec`` in a submission.
 
+    :param queue: ``Queue`` that it was sent to.
     :param now: Wall clock, in seconds.
     """
     try:
@@ -67,11 +68,12 @@
         return Failure(SubmissionInvalid(problem))
     return Success(
         JobSpec(
-            queue=queue,
+            queue=queue.name,
             job_id=job_id,
-            service=service,
+            service=queue.service,
             payload=job.spec,
             steps=tuple(_decode_step(step) for step in job.steps),
+            retries=queue.retries,
             repeats=job.repeats,
             first_at=job.start_at_ms / 1000,
             interval=job.interval_ms / 1000,
--- a/tests/site/test_borders.py
+++ b/tests/site/test_borders.py
@@ -20,6 +20,7 @@
 from bergamotshore.platform.store import decode_page, decode_transaction
 from bergamotshore.ports.rows import RowsConflict
 from bergamotshore.ports.runner import WorkerLife
+from tests.site.world import build_configuration
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -39,7 +40,7 @@
 @given(BYTES)
 def test_any_bytes_give_a_value_or_a_typed_failure(content):
     decoders = [
-        lambda: decode_submission(content, "q", "j", "s", 0.0),
+        lambda: decode_submission(content, build_configuration().queues[0], "j", 0.0),
         lambda: decode_configuration(content),
         lambda: decode_wave("wave/1", content),
         lambda: decode_report("w", content),
@@ -96,7 +97,7 @@
 
 @given(st.lists(steps, min_size=1, max_size=3), st.integers(0, 3))
 def test_jobs_and_their_progress_survive_the_store(step_list, repeats):
-    spec = JobSpec("q", "j", "s", "p", tuple(step_list), repeats=repeats)
+    spec = JobSpec("q", "j", "s", "p", tuple(step_list), 3, repeats=repeats)
     assert decode_spec(encode_spec(spec)) == spec
     progress = JobProgress(spec)
     progress.open_due(1.0)
--- a/tests/site/test_interference.py
+++ b/tests/site/test_interference.py
@@ -171,7 +171,7 @@
 
 def add_filling_job(board, name, tasks=4):
     step = Step(tasks=tasks, cpu=1600, image="crunch", is_filling=True)
-    return board.add_job(JobSpec("queue", name, SERVICE, "payload", (step,)))
+    return board.add_job(JobSpec("queue", name, SERVICE, "payload", (step,), retries=3))
 
 
 def test_a_burst_of_filling_jobs_leaves_no_job_without_a_run(board):
@@ -214,7 +214,7 @@
     """Short jobs that are due soon go before long ones that were there before."""
     for name, accepted_at, estimate in (("long", 90.0, 9.0), ("short", 95.0, 1.0)):
         step = Step(tasks=1, cpu=1000, estimate=estimate)
-        spec = JobSpec("queue", name, SERVICE, "p", (step,), accepted_at=accepted_at)
+        spec = JobSpec("queue", name, SERVICE, "p", (step,), 3, accepted_at=accepted_at)
         board.add_job(spec)
     order = [item.progress.spec.job_id for item in list_waiting(view_of(board, 100.0))]
     assert order == ["short", "long"]
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -9,6 +9,7 @@
     get_right_seconds,
 )
 from bergamotshore.core.work.model import Step
+from bergamotshore.core.work.site import SiteConfiguration
 from bergamotshore.exceptions import PlatformUncertain
 from tests.site.world import LONGEST_HOLD_SECONDS, World
 
@@ -278,6 +279,34 @@
     assert len(world.ledger.starts) == 3
 
 
+def test_a_job_of_a_queue_that_was_removed_keeps_its_retries(world):
+    world.submit("job1", (Step(tasks=1, cpu=100),))
+    for entry in world.entry_by_name.values():
+        entry.follower.state.accept(SiteConfiguration(2, ()))
+    world.advance(0.4)
+    world.finish_all("failed")
+    world.advance(0.6)
+    assert world.get_state("job1") == "running"
+    assert len(world.ledger.starts) == 2
+
+
+def test_an_entry_without_a_configuration_does_not_schedule(world):
+    world.submit("job1", (Step(tasks=1, cpu=100),))
+    world.advance(0.4)
+    world.finish_all("failed")
+    configuration, world.configuration = world.configuration, SiteConfiguration()
+    for entry in list(world.entry_by_name):
+        world.start_entry(entry)
+    world.advance(5.0)
+    assert world.get_state("job1") == "running"
+    assert world.leader is None
+    for entry in world.entry_by_name.values():
+        entry.follower.state.accept(configuration)
+    world.advance(5.0)
+    assert world.get_state("job1") == "running"
+    assert len(world.ledger.starts) == 2
+
+
 @pytest.mark.parametrize("fault", ["lost", "late", "down"])
 def test_a_claim_whose_write_is_unanswered_is_ordered_once(world, fault):
     world.submit("job1")
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -7,6 +7,7 @@
 import itertools
 import queue
 import random
+import threading
 from concurrent.futures import Future
 
 from returns.result import Failure, Success
@@ -426,8 +427,15 @@
         self.peers = []
         self.follower = SiteFollower(self.store, self.clock, self.registry, self.log)
         self.follower.state.accept(world.configuration)
+        self.stopping = threading.Event()
         self.election = Election(
-            self.store, name, f"{name}-{run}", f"{name}:1", self.clock, self.log
+            self.store,
+            name,
+            f"{name}-{run}",
+            f"{name}:1",
+            self.clock,
+            self.log,
+            may_stand=self.may_stand,
         )
         self.directory = StreamDirectory(self.clock, self._greet)
         self.dispatcher = Dispatcher(
@@ -647,7 +655,10 @@
     def submit(self, job_id, steps=None, **fields):
         """Hand a job in."""
         steps = steps or (Step(tasks=2, cpu=4000, memory=100, estimate=1.0),)
-        spec = JobSpec("queue", job_id, SERVICE, "payload", steps, **fields)
+        queue_ = self.configuration.get_queue("queue")
+        spec = JobSpec(
+            "queue", job_id, SERVICE, "payload", steps, queue_.retries, **fields
+        )
         self.ledger.size_by_job[job_id] = max(step.cpu for step in steps)
         return self.rows.accept(spec, self.clock.now() + 2.0)
 
