Find the entries that replaced all that a node knew

Ruled out: the worker (it answered), the settings (reloaded four times, unused once peers are known). An address that does not answer counts as away for 5 s and another one is taken, for relays too; seeds count beside peers; entries refresh their row and forget rows that nobody keeps fresh.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -98,24 +98,26 @@
 
 @dataclass(slots=True)
 class LeaseSighting:
-    """When an observer first saw a version of the row of the lease.
+    """When an observer first saw a version of a row that its holder keeps fresh.
 
+    :param lifetime: Time after which an unchanged row has lapsed, in seconds.
     :param version: Version of the row; 0 when it is absent.
     :param first_seen: Clock of the observer, in seconds.
     """
 
+    lifetime: float = LEASE_SECONDS
     version: int = -1
     first_seen: float = 0.0
 
     def observe(self, version, now):
         """Take note of the row as read.
 
-        :returns: True when the lease has certainly run out.
+        :returns: True when the row has certainly lapsed.
         """
         if version != self.version:
             self.version = version
             self.first_seen = now
-        return now - self.first_seen > LEASE_SECONDS * (1.0 + 2 * DRIFT_SHARE)
+        return now - self.first_seen > self.lifetime * (1.0 + 2 * DRIFT_SHARE)
 
 
 @dataclass(slots=True)
--- a/src/bergamotshore/core/work/peers.py
+++ b/src/bergamotshore/core/work/peers.py
@@ -10,39 +10,42 @@
 RELAYS = 4
 
 
-def choose_peers(node, peers, seeds, leader):
+def choose_peers(node, peers, seeds, leader, away=frozenset()):
     """Return the addresses of the entries that a node connects to.
 
     Each node takes other spare entries, so that a site of many nodes shares them
-    evenly.
+    evenly. Entries that were replaced stay known for a while, so spare streams go to
+    those that are not known to be away.
 
     :param node: Name of the node.
     :param peers: Addresses of all known entries.
     :param seeds: Addresses from the settings; they may be stale.
     :param leader: Address of the scheduling entry; empty when unknown.
+    :param away: Addresses that did not answer a moment ago.
     """
-    known = set(peers) or set(seeds)
+    known = set(peers) | set(seeds)
     if len(known) <= SMALL_SITE_ENTRIES:
         return known | ({leader} if leader else set())
     chosen = {leader} if leader else set(seeds)
-    rest = known - chosen
-    while rest and len(chosen) < 1 + SPARE_STREAMS:
-        address = choose_owner(rest, node)
-        chosen.add(address)
-        rest.discard(address)
-    return chosen
+    return _add_reachable(chosen, known, away, node, 1 + SPARE_STREAMS)
 
 
-def choose_relays(entry, others):
+def choose_relays(entry, others, away=frozenset()):
     """Return the addresses of the entries through which an entry can call the store.
 
     :param entry: Name of the entry.
     :param others: Addresses of all other entries.
+    :param away: Addresses that did not answer a moment ago.
     """
-    rest = set(others)
-    chosen = set()
-    while rest and len(chosen) < RELAYS:
-        address = choose_owner(rest, entry)
+    return _add_reachable(set(), set(others), away, entry, RELAYS)
+
+
+def _add_reachable(chosen, known, away, name, wanted):
+    """Return the chosen addresses and more, until enough of them are not away."""
+    rest = known - chosen - away
+    while rest and len(chosen - away) < wanted:
+        address = choose_owner(rest, name)
         chosen.add(address)
         rest.discard(address)
-    return chosen
+    # When none is known to answer, all are tried.
+    return chosen if chosen - away else chosen | known
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -13,7 +13,6 @@
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 LEADER_ROW = RowId("leader", "", "scheduler")
-ENTRIES_TABLE = "entries"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/bergamotshore/entry/entrylist.py
@@ -0,0 +1,69 @@
+"""Addresses of all entries, kept in the store: each keeps its own row fresh."""
+
+from returns.result import Failure, Success
+
+from bergamotshore.core.work.leases import LeaseSighting
+from bergamotshore.ports.rows import Expect, Put, RowId
+
+ENTRIES_TABLE = "entries"
+# An entry writes its row again after this time, and any entry removes a row that did
+# not change for three times as long: its machine was taken away. In seconds.
+REFRESH_SECONDS = 60.0
+FORGET_SECONDS = 3 * REFRESH_SECONDS
+
+
+class EntryList:
+    """List this entry and read who else there is.
+
+    :param store: ``RowStore``.
+    :param name: Name of this entry.
+    :param address: Address of its streams.
+    :param clock: ``Clock``.
+    :param log: ``EventLog``.
+    """
+
+    def __init__(self, store, name, address, clock, log):
+        self._store = store
+        self._row = RowId(ENTRIES_TABLE, "", name)
+        self._address = address
+        self._clock = clock
+        self._log = log
+        self._refresh_at = 0.0
+        self._sighting_by_name = {}
+
+    def read(self):
+        """Return the addresses of all entries, sorted; None when the store fails."""
+        if self._clock.now() >= self._refresh_at and not self._refresh():
+            return None
+        match self._store.read(ENTRIES_TABLE, ""):
+            case Success(page):
+                rows = [row for row in page.rows if not self._is_forgotten(row)]
+                return sorted(row.value.decode(errors="replace") for row in rows)
+            case Failure(failure):
+                self._log.write("store-failed", "entries", why=str(failure))
+                return None
+
+    def _refresh(self):
+        put = Put(self._row, self._address.encode())
+        match self._store.transact([], [put], []):
+            case Success(_):
+                self._refresh_at = self._clock.now() + REFRESH_SECONDS
+                return True
+            case Failure(failure):
+                self._log.write("store-failed", "entries", why=str(failure))
+                return False
+
+    def _is_forgotten(self, row):
+        """Remove a row that nobody keeps fresh; tells whether it was removed."""
+        name = row.id.key
+        sighting = self._sighting_by_name.setdefault(
+            name, LeaseSighting(FORGET_SECONDS)
+        )
+        if not sighting.observe(row.version, self._clock.now()):
+            return False
+        outcome = self._store.transact([Expect(row.id, row.version)], [], [row.id])
+        is_removed = isinstance(outcome, Success)
+        self._log.write("entry-forgotten", name, done=is_removed)
+        if is_removed:
+            del self._sighting_by_name[name]
+        return is_removed
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
+from bergamotshore.core.work.peers import choose_relays
 from bergamotshore.generated.messages import Heartbeat, StoreAnswer, StoreCall
 from bergamotshore.node.links import EntryLinks
 
@@ -129,7 +130,20 @@
         self._future_by_call = {}
         self._turns = itertools.count()
         self._prefix = incarnation
-        self.links = EntryLinks(loop, settings, incarnation, lamport, self, "entry")
+        self._name = settings.name
+        self._others = []
+        self.links = EntryLinks(
+            loop, settings, incarnation, lamport, self, "entry", self._choose
+        )
+
+    def set_others(self, addresses):
+        """Take note of the addresses of all other entries; in the loop's thread."""
+        self._others = addresses
+        self._choose()
+
+    def _choose(self):
+        away = self.links.list_away()
+        self.links.set_addresses(choose_relays(self._name, self._others, away))
 
     def has_peer(self):
         """Tell whether a peer can be asked."""
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -14,14 +14,14 @@
     get_patience,
     get_right_seconds,
 )
-from bergamotshore.core.work.peers import choose_relays
 from bergamotshore.entry.dispatcher import (
     Dispatcher,
     NodeEvent,
     RowsChanged,
     StreamClosed,
 )
-from bergamotshore.entry.election import ENTRIES_TABLE, Election
+from bergamotshore.entry.election import Election
+from bergamotshore.entry.entrylist import EntryList
 from bergamotshore.entry.jobrows import JOBS, JobRows
 from bergamotshore.entry.relay import RelayedClient, StoreRelay
 from bergamotshore.entry.sitefollower import RETRY_SECONDS, SiteFollower
@@ -43,7 +43,7 @@
 from bergamotshore.platform.advice import AdviceClient
 from bergamotshore.platform.store import PlatformRowStore
 from bergamotshore.ports.clock import SystemClock
-from bergamotshore.ports.rows import HistoryLost, Put, RowId
+from bergamotshore.ports.rows import HistoryLost
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
@@ -90,7 +90,6 @@
         self.is_draining = False
         self.address = self.entry.nodes_advertised or self.entry.nodes
         self.peers = [self.address]
-        self.is_listed = False
         self.loop = Loop(self.clock)
         self.executor = ThreadPoolExecutor(WRITER_THREADS, "writer")
         self.advice_calls = ThreadPoolExecutor(1, "advice")
@@ -98,6 +97,9 @@
         self.relay, self.client = self._build_client()
         self.store = PlatformRowStore(self.client)
         self.follower = SiteFollower(self.store, self.clock, self.registry, self.log)
+        self.entries = EntryList(
+            self.store, settings.name, self.address, self.clock, self.log
+        )
         self.election = Election(
             self.store,
             settings.name,
@@ -231,7 +233,7 @@
     def _connect_seeds(self):
         """Connect to entries of the settings, before the store tells of all."""
         others = [address for address in self.site.peers if address != self.address]
-        self.relay.links.set_addresses(others)
+        self.relay.set_others(others)
 
     def _stop(self):
         """Leave gracefully: the term first, then the balancer, then calls in flight."""
@@ -335,27 +337,15 @@
                 return
 
     def _share_peers(self):
-        """Write this entry's address and tell the nodes of all entries.
+        """Tell the nodes and the relay of all entries.
 
         :returns: True when the store answered.
         """
-        if not self.is_listed:
-            row = RowId(ENTRIES_TABLE, "", self.settings.name)
-            match self.store.transact([], [Put(row, self.address.encode())], []):
-                case Failure(failure):
-                    self.log.write("store-failed", "entries", why=str(failure))
-                    return False
-            self.is_listed = True
-        match self.store.read(ENTRIES_TABLE, ""):
-            case Success(page):
-                peers = sorted(row.value.decode() for row in page.rows)
-            case Failure(failure):
-                self.log.write("store-failed", "entries", why=str(failure))
-                return False
+        peers = self.entries.read()
+        if peers is None:
+            return False
         others = [address for address in peers if address != self.address]
-        self.loop.call(
-            self.relay.links.set_addresses, choose_relays(self.settings.name, others)
-        )
+        self.loop.call(self.relay.set_others, others)
         if peers != self.peers:
             self.peers = peers
             for stream in self.directory.list_streams():
--- a/src/bergamotshore/node/links.py
+++ b/src/bergamotshore/node/links.py
@@ -11,6 +11,8 @@
 RETRY_MIN_SECONDS = 0.2
 RETRY_MAX_SECONDS = 5.0
 CONNECT_SECONDS = 2.0
+# An address that refused or ignored a connection counts as away for this long.
+AWAY_SECONDS = 5.0
 
 
 class EntryLinks:
@@ -22,9 +24,19 @@
     :param lamport: ``LamportClock``.
     :param handler: Told of the life of each stream, see ``Stream``.
     :param role: Role of this process.
+    :param on_away: Called when an address could not be connected to.
     """
 
-    def __init__(self, loop, settings, incarnation, lamport, handler, role="node"):
+    def __init__(
+        self,
+        loop,
+        settings,
+        incarnation,
+        lamport,
+        handler,
+        role="node",
+        on_away=lambda: None,
+    ):
         self.loop = loop
         self.settings = settings
         self.lamport = lamport
@@ -36,6 +48,8 @@
             incarnation=incarnation,
             zone=settings.zone,
         )
+        self._on_away = on_away
+        self._away_until_by_address = {}
         self._known = set()
         self._delay_by_address = {}
         self._stream_by_address = {}
@@ -49,6 +63,16 @@
         for address in new:
             self._connect(address)
 
+    def list_away(self):
+        """Return the addresses that could not be connected to a moment ago."""
+        now = self.loop.clock.now()
+        self._away_until_by_address = {
+            address: until
+            for address, until in self._away_until_by_address.items()
+            if until > now
+        }
+        return set(self._away_until_by_address)
+
     def list_streams(self):
         """Return the streams whose peer has said who it is."""
         return [s for s in self._stream_by_address.values() if s.peer and s.is_open]
@@ -83,6 +107,7 @@
         for address, known in self._stream_by_address.items():
             if known is stream:
                 self._delay_by_address.pop(address, None)
+                self._away_until_by_address.pop(address, None)
 
     def _retry(self, address):
         delay = self._delay_by_address.get(address, RETRY_MIN_SECONDS)
@@ -115,7 +140,9 @@
 
     def fail(self, address):
         """Plan the next try after a connection that failed."""
+        self._away_until_by_address[address] = self.loop.clock.now() + AWAY_SECONDS
         self._retry(address)
+        self._on_away()
 
 
 class ConnectAttempt:
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -68,7 +68,12 @@
             self.log,
         )
         self.links = EntryLinks(
-            self.loop, settings, uuid.uuid4().hex[:12], LamportClock(), self
+            self.loop,
+            settings,
+            uuid.uuid4().hex[:12],
+            LamportClock(),
+            self,
+            on_away=self._choose_entries,
         )
         self.peers = set(self.site.peers)
         self.leader = ""
@@ -121,7 +126,13 @@
 
     def _choose_entries(self):
         self.links.set_addresses(
-            choose_peers(self.settings.name, self.peers, self.site.peers, self.leader)
+            choose_peers(
+                self.settings.name,
+                self.peers,
+                self.site.peers,
+                self.leader,
+                self.links.list_away(),
+            )
         )
 
     def on_open(self, stream):
