Keep work away from workers that turned slow, and move what would end earlier

Cause: workers were judged by failures and standstill only; one that works several times slower for seconds kept getting tasks, and every job with a task there was late.

--- a/src/bergamotshore/core/work/board.py
+++ b/src/bergamotshore/core/work/board.py
@@ -13,6 +13,7 @@
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.progress import JobProgress
+from bergamotshore.core.work.speed import StepTimes
 from bergamotshore.core.work.workers import HeldRun, WorkerView
 
 STARTED = "started"
@@ -71,6 +72,7 @@
         self.new_facts = []
         self.interference = Interference()
         self.advice = AdviceDesk()
+        self.step_times = StepTimes()
         self._ends_by_node = {}
         self._since_by_step = {}
 
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -44,6 +44,7 @@
     :param now: Current time, in seconds.
     :param wall: Wall clock, in seconds.
     :param is_held: Tells whether a node gets no new work: ``(node, now) -> bool``.
+    :param slow_keys: Keys of runs that would end earlier on another worker.
     """
 
     board: object
@@ -51,6 +52,7 @@
     now: float
     wall: float
     is_held: object
+    slow_keys: frozenset = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,4 +328,16 @@
     if is_stuck(held, worker):
         view.board.note_stuck(worker, held, view.now)
         return "stuck"
+    if held.key in view.slow_keys and _has_room_elsewhere(view, held, worker):
+        return "slow"
     return ""
+
+
+def _has_room_elsewhere(view, held, worker):
+    """Tell whether a run could start at once on another worker."""
+    return any(
+        other.fits(held.step)
+        and (not held.step.label or held.step.label in other.labels)
+        for other in _group_workers(view).get(worker.service, ())
+        if other is not worker
+    )
--- a/src/bergamotshore/core/work/suspicion.py
+++ b/src/bergamotshore/core/work/suspicion.py
@@ -52,6 +52,16 @@
         elif fact.outcome in REFUSALS:
             record.held_until = max(record.held_until, fact.at + REFUSAL_HOLD_SECONDS)
 
+    def note_slow(self, node, now):
+        """Take note that a worker works much slower than others.
+
+        :returns: True when it gets no more work from now on.
+        """
+        record = self.record_by_node.setdefault(node, WorkerRecord())
+        was_held = now < record.held_until
+        self._hold(node, record, now)
+        return now < record.held_until and not was_held
+
     def _hold(self, node, record, now):
         if self._is_common(node) or now < record.held_until:
             return
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -37,6 +37,8 @@
 COUNT_SECONDS = 0.5
 # What was learned is written at most this often, in seconds.
 LEARNED_SECONDS = 4.0
+# Workers list their progress each 0.4 s; looking twice as often sees each list.
+SPEED_LOOK_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +160,8 @@
         self._counts = None
         self._learned_at = self.clock.now()
         self._learned = None
+        self._looked_at = 0.0
+        self._slow_keys = frozenset()
 
     def post(self, event):
         """Hand an event over, from any thread."""
@@ -341,10 +345,17 @@
     def _decide(self, now):
         for fact in self.board.take_facts():
             self.suspicion.note(fact)
+            self.board.step_times.note(fact)
             self._log_fact(fact)
+        self._look_at_speeds(now)
         orders_by_node = {}
         view = PlanView(
-            self.board, self.site, now, self.clock.wall(), self.suspicion.is_held
+            self.board,
+            self.site,
+            now,
+            self.clock.wall(),
+            self.suspicion.is_held,
+            self._slow_keys,
         )
         for stop in plan_stops(view):
             batch = orders_by_node.setdefault(stop.node, OrderBatch())
@@ -366,6 +377,24 @@
             if worker.stream is not None and (has_moved or batch is not None):
                 self._send(worker, batch or OrderBatch())
 
+    def _look_at_speeds(self, now):
+        """Keep new work away from workers that turned slow."""
+        if now - self._looked_at < SPEED_LOOK_SECONDS:
+            return
+        self._looked_at = now
+        slow = self.board.step_times.find_slow(self.board.worker_by_node.values())
+        for worker in slow:
+            if self.suspicion.note_slow(worker.node, now):
+                self.log.write(
+                    "worker-slow",
+                    worker.node,
+                    ratio=round(worker.ratio, 1),
+                    runs=len(worker.to_move),
+                )
+        self._slow_keys = frozenset(
+            held.key for worker in slow for held in worker.to_move
+        )
+
     def ask(self, question, now):
         """Ask the advice service, one question after another."""
         if self.advisor is None:
@@ -498,6 +527,7 @@
             return
         self._counted_at = now
         self.board.advice.forget(self.board.job_by_key)
+        self.board.step_times.forget(self.board.job_by_key)
         self.board.interference.forget(
             {
                 key
