--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -6,7 +6,7 @@
 """
 
 import queue
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from returns.result import Failure, Success
 
@@ -22,9 +22,11 @@
     decode_job_row,
 )
 from bergamotshore.entry.jobwriter import JobWriter
+from bergamotshore.entry.orders import OrderBatch, OrderSender
+from bergamotshore.entry.questions import Advised, QuestionDesk
+from bergamotshore.entry.reports import note_report
 from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs, take_fences
-from bergamotshore.generated.messages import RunOrders, RunReport, RunResults
-from bergamotshore.ports.runner import ListedEnd, ListedRun, WorkerLife
+from bergamotshore.generated.messages import RunReport, RunResults
 
 # Pause between two looks at the board when nothing happens, in seconds.
 TICK_SECONDS = 0.05
@@ -76,29 +78,6 @@
     outcome: object
 
 
-@dataclass(frozen=True, slots=True)
-class Advised:
-    """A question was answered by the advice service, or not."""
-
-    question: object
-    asked_at: float
-    outcome: object
-
-
-@dataclass(slots=True)
-class OrderBatch:
-    """Orders to one node that are sent together.
-
-    :param starts: List of ``HeldRun``.
-    :param stops: Pairs of task and run.
-    :param paces: Triples of task, run and percent.
-    """
-
-    starts: list = field(default_factory=list)
-    stops: list = field(default_factory=list)
-    paces: list = field(default_factory=list)
-
-
 class Dispatcher:
     """Schedule submitted work while this entry holds the lease.
 
@@ -141,8 +120,7 @@
         self.clock = clock
         self.registry = registry
         self.log = log
-        self.advisor = advisor
-        self.advice_calls = advice_calls
+        self.questions = QuestionDesk(advisor, advice_calls, self.post, clock, log)
         self.events = queue.SimpleQueue()
         self.epoch = 0
         self.feed_version = 0
@@ -154,6 +132,7 @@
         self.board = Board(lambda name: self.site.configuration.get_queue(name))
         self.suspicion = Suspicion()
         self.writer = JobWriter(self.board, self.epoch)
+        self.sender = OrderSender(self.board, self.site, self.epoch, self.log)
         self.in_flight = set()
         self._retry_at_by_part = {}
         self._counted_at = 0.0
@@ -267,7 +246,8 @@
             case Written():
                 self._take_written(event, now)
             case Advised():
-                self._take_advice(event)
+                if event.epoch == self.epoch:
+                    self.questions.take(self.board, event)
 
     def _take_row(self, row):
         if row.id.table != JOBS or row.is_deleted:
@@ -289,41 +269,13 @@
         self.board.add_job(spec)
 
     def _take_report(self, stream, report, now):
-        board = self.board
-        worker = board.get_worker(stream.peer.name, stream.peer.zone)
+        worker = self.board.get_worker(stream.peer.name, stream.peer.zone)
         if worker.stream is not stream:
             worker.stream = stream
             self.log.write("node-seen", worker.node, born=report.born)
-        running = [ListedRun(*row) for row in report.running]
-        ended = [ListedEnd(*row) for row in report.ended]
-        present = {(item.task, item.number) for item in (*running, *ended)}
-        present.update(report.doubtful)
-        life = WorkerLife(report.worker, report.born)
-        board.note_life(worker, life, present, now)
-        worker.service = report.service
-        worker.cpu, worker.memory = report.cpu, report.memory
-        worker.accelerators = report.accelerators
-        worker.labels = tuple(report.labels)
-        worker.is_answering = report.is_answering
-        worker.has_right = report.has_right
-        worker.is_draining = report.is_draining
-        worker.leaves_at = now + report.remaining if report.is_draining else 0.0
+        note_report(self.board, worker, report, now)
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
-            return
-        if not report.is_answering:
-            return
-        worker.reported_at = now
-        worker.unknown = set()
-        for listed in running:
-            board.note_running(worker, listed, now)
-        for key in report.doubtful:
-            if key not in worker.held_by_key:
-                worker.unknown.add(key)
-        for listed in ended:
-            board.note_end(worker, listed, now)
-        board.note_absent(worker, present, stream, now)
-        board.interference.note(worker, now)
 
     def _release_worker(self, worker, reason, now):
         if worker.held_by_key:
@@ -370,12 +322,12 @@
         if not self.is_leaving:
             _, questions = plan_starts(view)
             for question in questions:
-                self.ask(question, now)
+                self.questions.ask(self.board, question, self.epoch, now)
         for worker in self.board.worker_by_node.values():
             has_moved = self.board.advance_acknowledged(worker, self.writer.is_written)
             batch = orders_by_node.get(worker.node)
             if worker.stream is not None and (has_moved or batch is not None):
-                self._send(worker, batch or OrderBatch())
+                self.sender.send(worker, batch or OrderBatch())
 
     def _look_at_speeds(self, now):
         """Keep new work away from workers that turned slow."""
@@ -395,37 +347,6 @@
             held.key for worker in slow for held in worker.to_move
         )
 
-    def ask(self, question, now):
-        """Ask the advice service, one question after another."""
-        if self.advisor is None:
-            self.board.advice.note_failure(question, now)
-            return
-        self.advice_calls.submit(self._run_question, question, now, self.epoch)
-
-    def _run_question(self, question, asked_at, epoch):
-        workers = [life.worker for life in question.lives.values()]
-        outcome = self.advisor.ask(question.name, workers)
-        if epoch == self.epoch:
-            self.post(Advised(question, asked_at, outcome))
-
-    def _take_advice(self, advised):
-        desk = self.board.advice
-        match advised.outcome:
-            case Success((ticket_by_worker, valid)):
-                until = advised.asked_at + valid
-                desk.note_answer(advised.question, ticket_by_worker, until)
-                self.log.write(
-                    "advice",
-                    advised.question.name,
-                    asked=len(advised.question.lives),
-                    allowed=len(ticket_by_worker),
-                )
-            case Failure(failure):
-                desk.note_failure(advised.question, self.clock.now())
-                self.log.write(
-                    "advice-failed", advised.question.name, why=failure.detail
-                )
-
     def _log_fact(self, fact):
         self.registry.count(f'runs_ended_total{{outcome="{fact.outcome}"}}')
         self.log.write(
@@ -459,7 +380,8 @@
             case Success(version):
                 self._retry_at_by_part.pop(written.part, None)
                 self.writer.note_written(written.batch, version)
-                self._send_claims(written.batch, now)
+                is_leading = self.election.lease.is_valid(now)
+                self.sender.send_claims(self.writer.is_written, is_leading, now)
             case Failure(failure):
                 self._retry_at_by_part[written.part] = now + TAKEOVER_RETRY_SECONDS
                 self.log.write("write-failed", written.part, why=failure.code)
@@ -467,60 +389,6 @@
                     self.log.write("fenced", written.part, epoch=self.epoch)
                     self.election.lease.resign()
 
-    def _send_claims(self, batch, now):
-        """Send the orders whose claims were written, or free what can not go."""
-        orders_by_node = {}
-        for worker in self.board.worker_by_node.values():
-            for held in list(worker.held_by_key.values()):
-                if held.sent_at or not self.writer.is_written(
-                    held.ref.job, held.revision
-                ):
-                    continue
-                reason = self._find_hindrance(worker, held, now)
-                if reason:
-                    self.board.release(worker, held, reason, now)
-                    continue
-                held.sent_at, held.stream = now, worker.stream
-                orders_by_node.setdefault(worker.node, OrderBatch()).starts.append(held)
-        for node, orders in orders_by_node.items():
-            self._send(self.board.worker_by_node[node], orders)
-
-    def _find_hindrance(self, worker, held, now):
-        progress = self.board.job_by_key.get(held.ref.job)
-        if not self.election.lease.is_valid(now):
-            return "lease-over"
-        if worker.stream is None or worker.life.born != held.born:
-            return "node-away"
-        if worker.is_draining:
-            return "worker-draining"
-        if worker.zone in self.site.closed_zones:
-            return "zone-closed"
-        if progress is None or progress.is_cancelled or progress.outcome:
-            return "job-over"
-        return ""
-
-    def _send(self, worker, orders):
-        payload_by_job = {}
-        starts = []
-        for held in orders.starts:
-            progress = self.board.job_by_key[held.ref.job]
-            task = progress.get_task(held.ref)
-            starts.append((held.name, held.number, task.checkpoint, held.ticket))
-            payload_by_job[progress.spec.job_id] = progress.spec.payload
-            self.log.write("run-ordered", held.name, run=held.number, node=worker.node)
-        worker.stream.send(
-            RunOrders(
-                epoch=self.epoch,
-                echo=worker.stream.peer_clock,
-                born=worker.life.born,
-                starts=starts,
-                payload_by_job=payload_by_job,
-                stops=orders.stops,
-                paces=orders.paces,
-                acknowledged=worker.acknowledged,
-            )
-        )
-
     def _count(self, now):
         """Tell all entries how many jobs of each queue wait."""
         if now - self._counted_at < COUNT_SECONDS:
@@ -553,7 +421,3 @@
         if learned != self._learned:
             self._learned = learned
             self.executor.submit(self.writer.write_learned, self.store, learned)
-
-    def is_quiet(self):
-        """Tell whether nothing is being written."""
-        return not self.in_flight
--- /dev/null
+++ b/src/bergamotshore/entry/orders.py
@@ -0,0 +1,92 @@
+"""Orders to nodes: sent once the claim behind each start is written."""
+
+from dataclasses import dataclass, field
+
+from bergamotshore.generated.messages import RunOrders
+
+
+@dataclass(slots=True)
+class OrderBatch:
+    """Orders to one node that are sent together.
+
+    :param starts: List of ``HeldRun``.
+    :param stops: Pairs of task and run.
+    :param paces: Triples of task, run and percent.
+    """
+
+    starts: list = field(default_factory=list)
+    stops: list = field(default_factory=list)
+    paces: list = field(default_factory=list)
+
+
+class OrderSender:
+    """Send orders of one term.
+
+    :param board: ``Board``.
+    :param site: ``SiteState``.
+    :param epoch: Term.
+    :param log: ``EventLog``.
+    """
+
+    def __init__(self, board, site, epoch, log):
+        self._board = board
+        self._site = site
+        self._epoch = epoch
+        self._log = log
+
+    def send_claims(self, is_written, is_leading, now):
+        """Send the orders whose claims are written, or free what can not go.
+
+        :param is_written: Tells whether a job is written up to a revision.
+        :param is_leading: Whether this entry still holds the lease.
+        """
+        for worker in self._board.worker_by_node.values():
+            orders = OrderBatch()
+            for held in list(worker.held_by_key.values()):
+                if held.sent_at or not is_written(held.ref.job, held.revision):
+                    continue
+                reason = self._find_hindrance(worker, held, is_leading)
+                if reason:
+                    self._board.release(worker, held, reason, now)
+                    continue
+                held.sent_at, held.stream = now, worker.stream
+                orders.starts.append(held)
+            if orders.starts:
+                self.send(worker, orders)
+
+    def _find_hindrance(self, worker, held, is_leading):
+        progress = self._board.job_by_key.get(held.ref.job)
+        if not is_leading:
+            return "lease-over"
+        if worker.stream is None or worker.life.born != held.born:
+            return "node-away"
+        if worker.is_draining:
+            return "worker-draining"
+        if worker.zone in self._site.closed_zones:
+            return "zone-closed"
+        if progress is None or progress.is_cancelled or progress.outcome:
+            return "job-over"
+        return ""
+
+    def send(self, worker, orders):
+        """Send an ``OrderBatch`` to the node of a worker."""
+        payload_by_job = {}
+        starts = []
+        for held in orders.starts:
+            progress = self._board.job_by_key[held.ref.job]
+            task = progress.get_task(held.ref)
+            starts.append((held.name, held.number, task.checkpoint, held.ticket))
+            payload_by_job[progress.spec.job_id] = progress.spec.payload
+            self._log.write("run-ordered", held.name, run=held.number, node=worker.node)
+        worker.stream.send(
+            RunOrders(
+                epoch=self._epoch,
+                echo=worker.stream.peer_clock,
+                born=worker.life.born,
+                starts=starts,
+                payload_by_job=payload_by_job,
+                stops=orders.stops,
+                paces=orders.paces,
+                acknowledged=worker.acknowledged,
+            )
+        )
--- /dev/null
+++ b/src/bergamotshore/entry/reports.py
@@ -0,0 +1,43 @@
+"""What a node reports of its worker, taken into the board."""
+
+from bergamotshore.ports.runner import ListedEnd, ListedRun, WorkerLife
+
+
+def note_report(board, worker, report, now):
+    """Take in a ``RunReport``.
+
+    :param board: ``Board``.
+    :param worker: ``WorkerView`` that it is about; its stream is that of the report.
+    :param report: ``RunReport``.
+    :param now: Current time, in seconds.
+    """
+    running = [ListedRun(*row) for row in report.running]
+    ended = [ListedEnd(*row) for row in report.ended]
+    present = {(item.task, item.number) for item in (*running, *ended)}
+    present.update(report.doubtful)
+    board.note_life(worker, WorkerLife(report.worker, report.born), present, now)
+    _note_worker(worker, report, now)
+    if report.is_lapsed or not report.is_answering:
+        return
+    worker.reported_at = now
+    worker.unknown = set()
+    for listed in running:
+        board.note_running(worker, listed, now)
+    for key in report.doubtful:
+        if key not in worker.held_by_key:
+            worker.unknown.add(key)
+    for listed in ended:
+        board.note_end(worker, listed, now)
+    board.note_absent(worker, present, worker.stream, now)
+    board.interference.note(worker, now)
+
+
+def _note_worker(worker, report, now):
+    worker.service = report.service
+    worker.cpu, worker.memory = report.cpu, report.memory
+    worker.accelerators = report.accelerators
+    worker.labels = tuple(report.labels)
+    worker.is_answering = report.is_answering
+    worker.has_right = report.has_right
+    worker.is_draining = report.is_draining
+    worker.leaves_at = now + report.remaining if report.is_draining else 0.0
--- a/tests/site/test_advice.py
+++ b/tests/site/test_advice.py
@@ -36,9 +36,8 @@
     configuration = SiteConfiguration(2, (queue,), {})
     dispatcher = world.entry_by_name["entry-0"].dispatcher
     dispatcher.site.accept(configuration)
-    dispatcher.advisor = FakeAdvisor({"worker-1"})
-    dispatcher.advice_calls = InlineExecutor()
-    world.advisor = dispatcher.advisor
+    dispatcher.questions.advisor = world.advisor = FakeAdvisor({"worker-1"})
+    dispatcher.questions.calls = InlineExecutor()
     world.advance(1.0)
     return world
 
