--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -91,6 +91,7 @@
     :param clock: ``Clock``.
     :param registry: ``Registry``.
     :param log: ``EventLog``.
+    :param retention: ``Retention`` of closed jobs.
     :param advisor: ``AdviceClient``; None without an advice service.
     :param advice_calls: Runs its calls, one after another.
     """
@@ -107,6 +108,7 @@
         clock,
         registry,
         log,
+        retention,
         advisor=None,
         advice_calls=None,
     ):
@@ -120,6 +122,7 @@
         self.clock = clock
         self.registry = registry
         self.log = log
+        self.retention = retention
         self.questions = QuestionDesk(advisor, advice_calls, self.post, clock, log)
         self.events = queue.SimpleQueue()
         self.epoch = 0
@@ -131,7 +134,7 @@
     def _reset(self):
         self.board = Board(lambda name: self.site.configuration.get_queue(name))
         self.suspicion = Suspicion()
-        self.writer = JobWriter(self.board, self.epoch)
+        self.writer = JobWriter(self.board, self.epoch, self.clock)
         self.sender = OrderSender(self.board, self.site, self.epoch, self.log)
         self.in_flight = set()
         self._retry_at_by_part = {}
@@ -167,6 +170,7 @@
         self._write(now)
         self._count(now)
         self._keep_learned(now)
+        self.retention.ask(now)
 
     def _gather(self, wait):
         events = []
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -1,5 +1,6 @@
 """Rows of submitted jobs: where they are, and how entries write and read them."""
 
+from dataclasses import dataclass
 from zlib import crc32
 
 import msgspec
@@ -22,6 +23,18 @@
 FIRST_PAUSE_SECONDS = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class ClosedJob:
+    """The row of a job that is over.
+
+    :param state: Its last state.
+    :param closed_at: When it was closed, in seconds since the epoch.
+    """
+
+    state: str
+    closed_at: float = 0.0
+
+
 def get_part(job_id):
     """Return the partition that holds the rows of a job."""
     return PARTS[crc32(job_id.encode()) % len(PARTS)]
@@ -143,7 +156,7 @@
                 lambda row: "pending" if row is None else "running"
             )
         return self._get(get_row_id(CLOSED, key)).map(
-            lambda row: None if row is None else row.value.decode()
+            lambda row: None if row is None else decode_closed(row.value).state
         )
 
     def get_waiting(self):
@@ -155,6 +168,20 @@
     return {} if row is None else msgspec.msgpack.decode(row.value, type=dict[str, int])
 
 
+def encode_closed(closed):
+    """Return the bytes of a ``ClosedJob``."""
+    return f"{closed.state} {closed.closed_at:.0f}".encode()
+
+
+def decode_closed(content):
+    """Return the ``ClosedJob`` of bytes; without a time it counts as closed long ago.
+
+    :raises ValueError: for bytes that are no such row.
+    """
+    state, _, closed_at = content.decode().partition(" ")
+    return ClosedJob(state, float(closed_at or 0.0))
+
+
 def decode_job_row(row):
     """Return the ``JobSpec`` in a row, None when it can not be read."""
     try:
--- a/src/bergamotshore/entry/jobwriter.py
+++ b/src/bergamotshore/entry/jobwriter.py
@@ -12,6 +12,8 @@
     JOBS,
     LEARNED_ROW,
     RUNS,
+    ClosedJob,
+    encode_closed,
     get_cancel_id,
     get_fence_id,
     get_part,
@@ -51,9 +53,11 @@
 
     :param board: ``Board``.
     :param epoch: Term of this entry.
+    :param clock: ``Clock``.
     """
 
-    def __init__(self, board, epoch):
+    def __init__(self, board, epoch, clock):
+        self._clock = clock
         self._board = board
         self._epoch = epoch
         self._fence_version_by_part = {}
@@ -112,7 +116,8 @@
         row_id = get_row_id(RUNS, key)
         version = self._version_by_key.get(key, 0)
         batch.expects.append(Expect(row_id, version))
-        batch.puts.append(Put(get_row_id(CLOSED, key), progress.state.encode()))
+        closed = ClosedJob(progress.state, self._clock.wall())
+        batch.puts.append(Put(get_row_id(CLOSED, key), encode_closed(closed)))
         batch.deletes.append(get_row_id(JOBS, key))
         if version:
             batch.deletes.append(row_id)
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -24,6 +24,7 @@
 from bergamotshore.entry.entrylist import EntryList
 from bergamotshore.entry.jobrows import JOBS, JobRows
 from bergamotshore.entry.relay import RelayedClient, StoreRelay
+from bergamotshore.entry.retention import Retention
 from bergamotshore.entry.sitefollower import RETRY_SECONDS, SiteFollower
 from bergamotshore.entry.streams import StreamDirectory
 from bergamotshore.entry.submissions import ReadinessApp, SubmissionApp
@@ -165,6 +166,9 @@
             self.clock,
             self.registry,
             self.log,
+            Retention(
+                self.store, self.executor, self.clock, self.site.state_kept, self.log
+            ),
             AdviceClient(self.site.advice, ADVICE_SECONDS)
             if self.site.advice
             else None,
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -22,6 +22,7 @@
 from bergamotshore.entry.dispatcher import Dispatcher
 from bergamotshore.entry.election import Election
 from bergamotshore.entry.jobrows import JobRows
+from bergamotshore.entry.retention import Retention
 from bergamotshore.entry.site import SiteEntryRole
 from bergamotshore.entry.sitefollower import SiteFollower
 from bergamotshore.entry.streams import StreamDirectory
@@ -54,6 +55,7 @@
 
 SERVICE = "books"
 LONGEST_HOLD_SECONDS = 6.0
+STATE_KEPT_SECONDS = 120
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
 # The worker's clock runs this much slower than true time.
@@ -449,6 +451,9 @@
             self.clock,
             self.registry,
             self.log,
+            Retention(
+                self.store, InlineExecutor(), self.clock, STATE_KEPT_SECONDS, self.log
+            ),
         )
         self.dispatcher.events = DrainedQueue()
         self.pipes = []
