--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import threading
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
@@ -50,6 +51,7 @@
         self._detour_until = 0.0
         self._no_peer_until = 0.0
         self._is_direct = True
+        self._answered_at = -math.inf
         self._failures = 0
 
     @property
@@ -58,9 +60,16 @@
         return self._failures < FAILURES_FOR_OUTAGE
 
     def call(self, method, path, body=b"", headers=None, timeout=None):
-        """Call the store; see ``HttpClient.call``."""
+        """Call the store; see ``HttpClient.call``.
+
+        A failure of a call that began before the store last answered tells nothing new.
+        """
+        began = self._clock.now()
         outcome = self._call(method, path, body, headers, timeout or self._timeout)
-        self._failures = self._failures + 1 if is_turned_away(outcome) else 0
+        if not is_turned_away(outcome):
+            self._failures = 0
+        elif began >= self._answered_at:
+            self._failures += 1
         return outcome
 
     def _call(self, method, path, body, headers, timeout):
@@ -72,7 +81,8 @@
         if not is_turned_away(outcome):
             self._note_direct()
             return outcome
-        self._note_detour(outcome)
+        if began >= self._answered_at:
+            self._note_detour(outcome)
         left = timeout - (self._clock.now() - began)
         is_unknown = method != "GET" and _may_have_been_taken(outcome)
         if is_unknown or not may_relay or left <= 0:
@@ -87,6 +97,8 @@
         return outcome
 
     def _note_direct(self):
+        self._answered_at = self._clock.now()
+        self._detour_until = 0.0
         if not self._is_direct:
             self._is_direct = True
             self._log.write("store-regained", "store")
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -198,6 +198,20 @@
         return True
 
 
+class SlowFirstCall(FakeCalls):
+    """The first call is answered only after something else was done."""
+
+    def __init__(self, meanwhile, *outcomes):
+        super().__init__(*outcomes)
+        self.meanwhile = meanwhile
+
+    def call(self, method, path, body=b"", headers=None, timeout=None):
+        outcome = super().call(method, path, body, headers, timeout)
+        if self.calls == 1:
+            self.meanwhile()
+        return outcome
+
+
 OK = Success(HttpAnswer(200, "", b"{}"))
 TURNED_AWAY = Success(HttpAnswer(503, "", b""))
 RESET = Failure(HttpFailure("reset", was_sent=True))
@@ -239,6 +253,23 @@
     assert (direct.calls, peer.calls) == (2, 3)
 
 
+def test_an_old_call_that_gets_no_answer_hides_no_store_that_is_back(
+    clock, registry, log
+):
+    """A call sent during an outage fails after a later one was answered."""
+
+    def call_later():
+        clock.advance(1.0)
+        assert client.call("GET", "/later") == OK
+
+    direct, peer = SlowFirstCall(call_later, RESET, OK), FakeCalls(OK)
+    client = build_client(direct, peer, clock, registry, log)
+    assert client.call("POST", "/x") == RESET
+    assert client.is_reachable
+    client.call("GET", "/x")
+    assert (direct.calls, peer.calls) == (3, 0)
+
+
 def test_a_store_that_is_down_for_all_costs_no_detours(clock, registry, log):
     direct, peer = FakeCalls(TURNED_AWAY), FakeCalls(TURNED_AWAY)
     client = build_client(direct, peer, clock, registry, log)
