Explain a job, task, worker or node from the logs of all processes

The command 'explain' reads log lines from files or standard input and prints the lines of one subject, what the processes involved believed meanwhile, and causes: refusals with their reason, runs lost with their worker, stops.

--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -77,6 +77,12 @@
         super().__init__(f"{address}: {detail}")
 
 
+class LogsUnreadableError(BergamotshoreError):
+    """A file of log lines can not be read."""
+
+    code = "logs-unreadable"
+
+
 class OperatorCallError(BergamotshoreError):
     """An entry refused an operator's call.
 
--- a/src/bergamotshore/management/parser.py
+++ b/src/bergamotshore/management/parser.py
@@ -22,6 +22,7 @@
     "zone": "Take data centres out and bring them back.",
     "job": "Submit, list, show and cancel jobs.",
     "status": "Print the status of an entry and of the nodes connected to it.",
+    "explain": "Tell the story of a job, task, worker or node from log lines.",
     "timeline": "Print the events of all processes in causal order.",
 }
 EXIT_CODE_TEXT = (
--- /dev/null
+++ b/tests/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what logs and timelines tell."""
