Share the stand-ins of the platform; a soak of the real programs

Store, worker and ledger move from the tests to standins/site.py. soak/ starts entries and nodes as processes behind proxies that delay, silence, cut one way or reset, kills, pauses and stops them, and lets store and workers misbehave, while callers submit and cancel; it judges by what callers and workers saw.

--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,317 @@
+"""Play seeds: callers submit and cancel jobs while faults come in series and overlap.
+
+Run ``python -m soak.run --seeds 50``; a seed that fails prints its problems and the
+folder with the logs of all processes.
+"""
+
+import argparse
+import http.client
+import json
+import random
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+
+from soak.proxy import MODES
+from soak.site import HOST_NAME, PREFIX, SoakSite
+
+CALL_SECONDS = 4.0
+START_SECONDS = 8.0
+# Terms, leases of workers and retries are over this long after the last fault.
+SETTLE_SECONDS = 20.0
+# A cancelled job has nothing running after this, once nothing is disturbed.
+CANCEL_SECONDS = 4.0
+POLL_SECONDS = 0.2
+TASK_CPU = 4000
+GOOD_EXIT = 0
+
+
+@dataclass(slots=True)
+class Evidence:
+    """What callers saw.
+
+    :param accepted: Identifiers of jobs whose acceptance was answered.
+    :param refused: Identifiers of jobs all of whose attempts were refused.
+    :param cancelled: Identifiers of jobs whose cancelling was answered.
+    :param doubtful: Identifiers of jobs whose cancelling got no clear answer.
+    :param problems: Broken promises.
+    """
+
+    accepted: set = field(default_factory=set)
+    refused: set = field(default_factory=set)
+    cancelled: set = field(default_factory=set)
+    doubtful: set = field(default_factory=set)
+    problems: list = field(default_factory=list)
+
+
+class Caller(threading.Thread):
+    """Submit jobs at one entry over one connection, kept until it breaks.
+
+    :param site: ``SoakSite``.
+    :param entry: Name of the entry.
+    :param evidence: ``Evidence``.
+    :param seed: Seed of what it does.
+    """
+
+    def __init__(self, site, entry, evidence, seed):
+        super().__init__(daemon=True)
+        self.is_over = False
+        self._site = site
+        self._entry = entry
+        self._evidence = evidence
+        self._random = random.Random(f"{seed}-{entry}")
+        self._connection = None
+
+    def run(self):
+        """Submit and cancel until it is over."""
+        number = 0
+        while not self.is_over:
+            number += 1
+            is_lasting = self._random.random() < 0.15
+            kind = "lasting" if is_lasting else "job"
+            self._submit(f"{kind}-{self._entry}-{number}", is_lasting)
+            time.sleep(self._random.uniform(0.05, 0.6))
+
+    def _submit(self, job_id, is_lasting):
+        step = {"count": 2, "cpu": TASK_CPU, "mem_mb": 100, "est_ms": 800}
+        later = {**step, "count": 1, "after": [0]}
+        steps = [{**step, "long_running": True}] if is_lasting else [step, later]
+        with self._site.lock:
+            self._site.ledger.size_by_job[job_id] = TASK_CPU
+        status = self.call("POST", job_id, {"spec": job_id, "steps": steps})
+        if status == 200:
+            self._evidence.accepted.add(job_id)
+        elif status in (429, 503):
+            self._evidence.refused.add(job_id)
+        is_cancelled = status == 200 and self._random.random() < (
+            0.8 if is_lasting else 0.1
+        )
+        if is_cancelled:
+            time.sleep(self._random.uniform(0.0, 2.0))
+            self._cancel(job_id)
+
+    def _cancel(self, job_id):
+        status = self.call("DELETE", job_id)
+        if status == 200:
+            self._evidence.cancelled.add(job_id)
+        elif status not in (429, 503):
+            self._evidence.doubtful.add(job_id)
+
+    def call(self, method, job_id, body=None):
+        """Call the entry; returns the status, 0 without an answer."""
+        return call_entry(self, method, job_id, body)[0]
+
+    def send(self, method, path, body, headers):
+        """Send one request on the kept connection; returns status and body."""
+        if self._connection is None:
+            self._connection = http.client.HTTPConnection(
+                *self._site.callers_by_entry[self._entry], timeout=CALL_SECONDS
+            )
+        try:
+            self._connection.request(method, path, body, headers)
+            answer = self._connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            self._connection.close()
+            self._connection = None
+            return 0, b""
+
+
+def call_entry(caller, method, job_id, body=None):
+    """Call an entry about a job; returns status and decoded answer."""
+    headers = {
+        "Host": HOST_NAME,
+        "Content-Type": "application/json",
+        "X-Deadline-Ms": "3000",
+    }
+    content = json.dumps(body).encode() if body is not None else None
+    status, answer = caller.send(method, PREFIX + job_id, content, headers)
+    return status, json.loads(answer) if answer else {}
+
+
+class Soak:
+    """One seed.
+
+    :param site: ``SoakSite``.
+    :param seed: Seed of the faults.
+    """
+
+    def __init__(self, site, seed):
+        self.site = site
+        self.evidence = Evidence()
+        self.events = []
+        self._random = random.Random(f"faults-{seed}")
+        self._callers = [
+            Caller(site, name, self.evidence, seed) for name in site.entry_by_name
+        ]
+
+    def play(self, seconds):
+        """Play faults for some seconds, let them end, and judge.
+
+        :returns: List of broken promises.
+        """
+        self.site.start()
+        time.sleep(START_SECONDS)
+        for caller in self._callers:
+            caller.start()
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and not self.site.ledger.problems:
+            self._play_fault()
+            time.sleep(self._random.choice([0.1, 0.5, 1.0, 2.5]))
+        for caller in self._callers:
+            caller.is_over = True
+        for caller in self._callers:
+            caller.join(4 * CALL_SECONDS)
+        self.site.heal()
+        self._settle()
+        self._judge()
+        return self.evidence.problems
+
+    def _play_fault(self):
+        """Let one thing go wrong, or come right."""
+        chance, site = self._random, self.site
+        program = chance.choice(site.programs)
+        worker = chance.choice(list(site.worker_by_node.values()))
+        kind = chance.choice(
+            ["kill", "pause", "go-on", "stop", "start", "proxy", "proxy", "pass"]
+            + ["store-down", "store-faults", "compact", "worker-restart", "hang"]
+            + ["order-faults", "late-orders"]
+        )
+        self.events.append((kind, program.name, worker.runner.name))
+        match kind:
+            case "kill":
+                program.kill()
+            case "pause":
+                program.pause()
+            case "go-on":
+                for item in site.programs:
+                    item.go_on()
+            case "stop":
+                threading.Thread(target=self._stop, args=[program], daemon=True).start()
+            case "start":
+                for item in site.programs:
+                    if item.process.poll() is not None:
+                        item.start()
+            case "proxy":
+                chance.choice(site.proxies).set_mode(chance.choice(MODES))
+            case "pass":
+                for proxy in site.proxies:
+                    proxy.set_mode("pass")
+            case "hang":
+                worker.is_hanging = not worker.is_hanging
+            case _:
+                self._play_platform_fault(kind, worker.runner)
+
+    def _play_platform_fault(self, kind, runner):
+        chance, rows = self._random, self.site.rows
+        match kind:
+            case "store-down":
+                rows.is_down = not rows.is_down
+            case "store-faults":
+                with self.site.store.changed:
+                    faults = ["lost", "late", "down", "ok"]
+                    rows.faults = [chance.choice(faults) for _ in range(4)]
+                    rows.run_late()
+            case "compact":
+                with self.site.store.changed:
+                    rows.compact()
+            case "worker-restart":
+                with self.site.lock:
+                    runner.restart()
+            case "order-faults":
+                faults = ["lost", "late", "silent"]
+                runner.faults = [chance.choice(faults) for _ in range(2)]
+            case "late-orders":
+                with self.site.lock:
+                    runner.run_late()
+
+    def _stop(self, program):
+        status = program.stop()
+        if status is None:
+            self.evidence.problems.append(f"{program.name} did not stop in time")
+
+    def _settle(self):
+        """Wait until nothing but lasting tasks runs, at most for a while."""
+        until = time.monotonic() + SETTLE_SECONDS
+        open_jobs = self._list_expected()
+        while open_jobs and time.monotonic() < until:
+            time.sleep(POLL_SECONDS)
+            open_jobs = {job for job in open_jobs if self._ask(job) != "complete"}
+        time.sleep(CANCEL_SECONDS)
+
+    def _list_expected(self):
+        return {job for job in self._list_kept() if job.startswith("job")}
+
+    def _list_kept(self):
+        evidence = self.evidence
+        return evidence.accepted - evidence.cancelled - evidence.doubtful
+
+    def _ask(self, job_id):
+        caller = self._random.choice(self._callers)
+        return call_entry(caller, "GET", job_id)[1].get("state")
+
+    def _judge(self):
+        evidence, ledger = self.evidence, self.site.ledger
+        evidence.problems += ledger.problems
+        started = {task.split(".")[0] for task, _, _ in ledger.starts}
+        running = {task.split(".")[0] for _, task in ledger.live}
+        for job in sorted(self._list_expected()):
+            if (state := self._ask(job)) != "complete":
+                evidence.problems.append(f"{job} was accepted and is {state}")
+        for job in sorted(evidence.refused & started):
+            evidence.problems.append(f"{job} was refused and ran")
+        for job in sorted(evidence.cancelled & running):
+            evidence.problems.append(f"{job} was cancelled and runs")
+        lasting = {job for job in self._list_kept() if job.startswith("lasting")}
+        for job in sorted(lasting - running):
+            evidence.problems.append(f"{job} is to last and does not run")
+
+
+def play_seed(seed, seconds, entries, nodes):
+    """Play one seed in a folder of its own.
+
+    :returns: Triple of problems, evidence and folder.
+    """
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    site = SoakSite(folder, entries, nodes, seed)
+    try:
+        soak = Soak(site, seed)
+        problems = soak.play(seconds)
+    finally:
+        site.close()
+    return problems, soak, folder
+
+
+def main():
+    """Play seeds and tell which failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=0, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--seconds", type=float, default=25.0, help="time of faults")
+    parser.add_argument("--entries", type=int, default=3, help="number of entries")
+    parser.add_argument("--nodes", type=int, default=4, help="number of nodes")
+    options = parser.parse_args()
+    failed = []
+    for seed in range(options.first, options.first + options.seeds):
+        problems, soak, folder = play_seed(
+            seed, options.seconds, options.entries, options.nodes
+        )
+        evidence = soak.evidence
+        print(
+            f"seed {seed}: {len(evidence.accepted)} accepted,"
+            f" {len(evidence.refused)} refused, {len(evidence.cancelled)} cancelled,"
+            f" {len(soak.site.ledger.starts)} starts, {len(soak.events)} faults,"
+            f" {len(problems)} problems",
+            flush=True,
+        )
+        if problems:
+            failed.append(seed)
+            print(f"  logs: {folder}", *problems, sep="\n  ", flush=True)
+    print(f"failed seeds: {failed or 'none'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,236 @@
+"""The real programs as separate processes, each behind proxies that misbehave."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+import yaml
+
+from bergamotshore.ports.clock import SystemClock
+from bergamotshore.ports.rows import Put, RowId
+from soak.proxy import FaultProxy
+from soak.servers import StoreServer, WorkerServer
+from standins.site import LONGEST_HOLD_SECONDS, SERVICE, Ledger, RowsStandIn
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+ZONES = ("zone-a", "zone-b")
+HOST_NAME = "soak.example"
+PREFIX = "/q/"
+RETRIES = 40
+STOP_SECONDS = 20.0
+
+
+class Program:
+    """One process of the product, restarted with the same settings.
+
+    :param role: 'entry' or 'node'.
+    :param settings: Its settings.
+    :param folder: Folder for settings and logs.
+    """
+
+    def __init__(self, role, settings, folder):
+        self.role = role
+        self.name = settings["name"]
+        self.is_paused = False
+        self.process = None
+        self._path = folder / f"{self.name}.yaml"
+        self._log = folder / f"{self.name}.log"
+        self._path.write_text(yaml.safe_dump(settings))
+
+    def start(self):
+        """Start the process; its log goes on."""
+        command = [sys.executable, str(ROOT / "deploy" / "run.py"), self.role]
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [*command, str(self._path)], stdout=log, stderr=log, cwd=ROOT
+            )
+
+    def send(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def pause(self):
+        """Let the process stand still."""
+        self.is_paused = True
+        self.send(signal.SIGSTOP)
+
+    def go_on(self):
+        """Let a paused process run."""
+        self.is_paused = False
+        self.send(signal.SIGCONT)
+
+    def kill(self):
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        self.process.wait()
+
+    def stop(self):
+        """Ask the process to stop; returns its exit status, None when it does not."""
+        self.go_on()
+        self.send(signal.SIGTERM)
+        try:
+            return self.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+
+class SoakSite:
+    """Store, workers, proxies and processes of one site.
+
+    :param folder: Folder for settings and logs.
+    :param entries: Number of entries.
+    :param nodes: Number of nodes.
+    :param seed: Seed of everything random.
+    """
+
+    def __init__(self, folder, entries, nodes, seed):
+        self.clock = SystemClock()
+        self.lock = threading.RLock()
+        self.ledger = Ledger()
+        self.rows = RowsStandIn()
+        self.store = StoreServer(self.rows)
+        self._put_configuration()
+        self.proxies = []
+        self.worker_by_node = {}
+        self.entry_by_name = {}
+        self.node_by_name = {}
+        self.callers_by_entry = {}
+        streams = [find_port() for _ in range(entries)]
+        doors = [self._add_proxy(port, seed) for port in streams]
+        for index, port in enumerate(streams):
+            self._add_entry(Path(folder), index, port, doors, seed)
+        for index in range(nodes):
+            self._add_node(Path(folder), index, doors, seed)
+
+    def _put_configuration(self):
+        route = {
+            "name": "queue",
+            "host": HOST_NAME,
+            "prefix": PREFIX,
+            "service": SERVICE,
+            "retries": RETRIES,
+        }
+        services = [{"name": SERVICE, "admission_check": False}]
+        config = {"version": 1, "routes": [route], "services": services}
+        content = json.dumps(config)
+        self.rows.transact([], [Put(RowId("op", "", "config"), content.encode())], [])
+
+    def _add_proxy(self, port, seed):
+        proxy = FaultProxy((HOST, port), seed)
+        self.proxies.append(proxy)
+        return proxy
+
+    def _add_entry(self, folder, index, port, doors, seed):
+        name = f"entry-{index}"
+        callers, ready, metrics, operators = (find_port() for _ in range(4))
+        store = self._add_proxy(self.store.port, seed)
+        settings = {
+            "name": name,
+            "zone": ZONES[index % len(ZONES)],
+            "platform": _build_platform(store.address),
+            "entry": {
+                "callers": f"{HOST}:{callers}",
+                "nodes": f"{HOST}:{port}",
+                "nodes_advertised": doors[index].address,
+                "operators": f"{HOST}:{operators}",
+            },
+            "site": {
+                "ready": f"{HOST}:{ready}",
+                "metrics": f"{HOST}:{metrics}",
+                **_build_site(doors),
+            },
+        }
+        self.callers_by_entry[name] = (HOST, callers)
+        self.entry_by_name[name] = Program("entry", settings, folder)
+
+    def _add_node(self, folder, index, doors, seed):
+        name = f"node-{index}"
+        zone = ZONES[index % len(ZONES)]
+        heartbeats, metrics = find_port(), find_port()
+        worker = WorkerServer(
+            self.clock,
+            f"worker-{index}",
+            zone,
+            self.ledger,
+            self.lock,
+            f"{HOST}:{heartbeats}",
+            f"{seed}-{index}",
+        )
+        self.worker_by_node[name] = worker
+        door = self._add_proxy(worker.port, seed)
+        settings = {
+            "name": name,
+            "zone": zone,
+            "platform": _build_platform(f"{HOST}:{self.store.port}"),
+            "node": {"worker": door.address},
+            "site": {
+                "heartbeats": f"{HOST}:{heartbeats}",
+                "metrics": f"{HOST}:{metrics}",
+                **_build_site(doors),
+            },
+        }
+        self.node_by_name[name] = Program("node", settings, folder)
+
+    @property
+    def programs(self):
+        """Return all processes of the product."""
+        return [*self.entry_by_name.values(), *self.node_by_name.values()]
+
+    def start(self):
+        """Start every process."""
+        for program in self.programs:
+            program.start()
+
+    def heal(self):
+        """End every fault, and start what does not run."""
+        for proxy in self.proxies:
+            proxy.set_mode("pass")
+        with self.store.changed:
+            self.rows.is_down = False
+            self.rows.faults = []
+            self.rows.run_late()
+        for worker in self.worker_by_node.values():
+            worker.is_hanging = False
+            with self.lock:
+                worker.runner.faults = []
+                worker.runner.run_late()
+        for program in self.programs:
+            program.go_on()
+            if program.process.poll() is not None:
+                program.start()
+
+    def close(self):
+        """End everything that this site started."""
+        for program in self.programs:
+            if program.process is not None and program.process.poll() is None:
+                program.go_on()
+                program.kill()
+        for worker in self.worker_by_node.values():
+            worker.close()
+        for proxy in self.proxies:
+            proxy.close()
+
+
+def _build_platform(address):
+    return {"table": address, "objects": address, "timeout": 1.5}
+
+
+def _build_site(doors):
+    return {
+        "longest_hold_ms": int(LONGEST_HOLD_SECONDS * 1000),
+        "peers": [door.address for door in doors],
+    }
+
+
+def find_port():
+    """Return a free port of loopback."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,314 @@
+"""Stand-ins of the users' platform: the store of rows and a worker, with a ledger.
+
+They hold the rules of the platform's pages and know no network; tests call them in one
+thread, the soak serves them over HTTP.
+"""
+
+import itertools
+
+from returns.result import Failure, Success
+
+from bergamotshore.exceptions import (
+    PlatformUnavailable,
+    PlatformUncertain,
+    WorkerFailure,
+)
+from bergamotshore.ports.rows import HistoryLost, RowPage, RowsConflict, StoredRow
+from bergamotshore.ports.runner import (
+    ListedEnd,
+    ListedRun,
+    RunAccepted,
+    RunRejected,
+    WorkerLife,
+    WorkerListing,
+    WorkerReport,
+)
+
+SERVICE = "books"
+LONGEST_HOLD_SECONDS = 6.0
+# The worker's clock runs this much slower than true time.
+WORKER_DRIFT = 0.02
+
+
+class RowsStandIn:
+    """Rows in memory; ``faults`` lists what the next transactions suffer.
+
+    Faults are 'ok', 'down' (nothing done), 'lost' (done, answer lost) and 'late' (done
+    when ``run_late`` is called, if its conditions hold then).
+    """
+
+    def __init__(self):
+        self.row_by_id = {}
+        self.version = 0
+        self.changes = []
+        self.oldest = 0
+        self.faults = []
+        self.late = []
+        self.is_down = False
+        self.calls = 0
+
+    def transact(self, expects, puts, deletes, timeout=None):
+        """Apply all changes or none, as the next fault has it."""
+        self.calls += 1
+        if self.is_down:
+            return Failure(PlatformUnavailable("down"))
+        match self.faults.pop(0) if self.faults else "ok":
+            case "down":
+                return Failure(PlatformUnavailable("down"))
+            case "late":
+                self.late.append((expects, puts, deletes))
+                return Failure(PlatformUncertain("late"))
+            case "lost":
+                self._apply(expects, puts, deletes)
+                return Failure(PlatformUncertain("lost"))
+        return self._apply(expects, puts, deletes)
+
+    def run_late(self):
+        """Carry out the calls that were left unanswered."""
+        late, self.late = self.late, []
+        for call in late:
+            self._apply(*call)
+
+    def _apply(self, expects, puts, deletes):
+        named = [self.row_by_id.get(item.id) for item in expects]
+        for expect, row in zip(expects, named, strict=True):
+            if expect.version != (row.version if row is not None else 0):
+                return Failure(RowsConflict([row for row in named if row]))
+        self.version += 1
+        for put in puts:
+            self.row_by_id[put.id] = StoredRow(put.id, self.version, put.value)
+            self.changes.append(self.row_by_id[put.id])
+        for row_id in deletes:
+            if self.row_by_id.pop(row_id, None) is not None:
+                self.changes.append(StoredRow(row_id, self.version, b"", True))
+        return Success(self.version)
+
+    def read(self, table, part, first="", last="", limit=0, timeout=None):
+        """Read a range of rows."""
+        if self.is_down:
+            return Failure(PlatformUnavailable("down"))
+        rows = [
+            row
+            for row_id, row in sorted(self.row_by_id.items(), key=lambda i: i[0].key)
+            if (row_id.table, row_id.part) == (table, part)
+            and row_id.key >= first
+            and (not last or row_id.key < last)
+        ]
+        cut = rows[:limit] if limit else rows
+        return Success(RowPage(cut, self.version, len(cut) < len(rows)))
+
+    def follow(self, table, after, wait):
+        """Return the changes after a version; never waits."""
+        if self.is_down:
+            return Failure(PlatformUnavailable("down"))
+        if after < self.oldest:
+            return Failure(HistoryLost())
+        rows = [r for r in self.changes if r.id.table == table and r.version > after]
+        return Success(RowPage(rows, self.version))
+
+    def compact(self):
+        """Forget the history."""
+        self.changes.clear()
+        self.oldest = self.version
+
+
+class RunnerStandIn:
+    """One worker; ``faults`` lists what the next orders to start suffer.
+
+    Faults are 'ok', 'lost' (done, answer lost), 'late' (done when ``run_late`` is
+    called) and 'silent' (not done, no answer).
+    """
+
+    def __init__(self, clock, name, ledger, cpu=16000, memory=64000):
+        self.clock = clock
+        self.name = name
+        self.ledger = ledger
+        self.cpu, self.memory = cpu, memory
+        self.faults = []
+        self.late = []
+        self.is_cut = False
+        self.is_gone = False
+        self.is_draining = False
+        self.births = itertools.count(1_000_000 + 1000 * hash(name) % 977)
+        self.restart()
+
+    def restart(self):
+        """Begin another life, which knows nothing."""
+        self.ledger.forget_worker(self)
+        self.born = next(self.births)
+        self.started_at = self.clock.now()
+        self.fence = 0
+        self.run_by_task = {}
+        self.refused_up_to = {}
+        self.ends = []
+        self.sequence = 0
+        self.lease_end_ms = 0
+        self.voided = set()
+
+    @property
+    def clock_ms(self):
+        """Return the worker's clock."""
+        return int((self.clock.now() - self.started_at) * 1000 * (1 - WORKER_DRIFT))
+
+    def lapse(self):
+        """End all runs whose lease is over.
+
+        Ends that were not acknowledged before are void: their tasks may run again.
+        """
+        if self.clock_ms >= self.lease_end_ms:
+            self.voided.update(end.sequence for end in self.ends)
+            for task in list(self.run_by_task):
+                self.finish(task, "lapsed")
+
+    def finish(self, task, outcome):
+        """End a run."""
+        number = self.run_by_task.pop(task)
+        self.sequence += 1
+        self.ends.append(ListedEnd(self.sequence, task, number, outcome, ""))
+        self.refused_up_to[task] = max(number, self.refused_up_to.get(task, 0))
+        self.ledger.note_end(self, task, number, outcome)
+
+    def _reach(self):
+        self.lapse()
+        if self.is_gone:
+            return Failure(WorkerFailure("refused", is_certain=True))
+        if self.is_cut:
+            return Failure(WorkerFailure("silent", is_certain=False))
+        return Success(None)
+
+    def start(self, order, lease_end_ms, fence, worker):
+        """Start a run, as the next fault has it."""
+        match self._reach():
+            case Failure() as failure:
+                return failure
+        match self.faults.pop(0) if self.faults else "ok":
+            case "silent":
+                return Failure(WorkerFailure("silent", is_certain=False))
+            case "late":
+                self.late.append((order, lease_end_ms, fence, self.born))
+                return Failure(WorkerFailure("late", is_certain=False))
+            case "lost":
+                self._start(order, lease_end_ms, fence)
+                return Failure(WorkerFailure("lost", is_certain=False))
+        return self._start(order, lease_end_ms, fence)
+
+    def _extend(self, lease_end_ms):
+        longest = self.clock_ms + int(LONGEST_HOLD_SECONDS * 1000)
+        self.lease_end_ms = max(self.lease_end_ms, min(longest, lease_end_ms))
+
+    def run_late(self):
+        """Carry out the calls that were left unanswered."""
+        late, self.late = self.late, []
+        for order, lease_end_ms, fence, born in late:
+            if born == self.born:
+                self._start(order, lease_end_ms, fence)
+
+    def _start(self, order, lease_end_ms, fence):
+        self.lapse()
+        if fence < self.fence:
+            return Failure(RunRejected("fence", self.clock_ms))
+        self.fence = fence
+        self._extend(lease_end_ms)
+        if self.run_by_task.get(order.task) == order.number:
+            return Success(RunAccepted(self.clock_ms))
+        if order.number <= self.refused_up_to.get(order.task, 0):
+            return Failure(RunRejected("old", self.clock_ms))
+        if lease_end_ms <= self.clock_ms:
+            return Failure(RunRejected("late", self.clock_ms))
+        self.run_by_task[order.task] = order.number
+        self.ledger.note_start(self, order.task, order.number)
+        return Success(RunAccepted(self.clock_ms))
+
+    def stop(self, task, number, fence):
+        """Stop a run."""
+        match self._reach():
+            case Failure() as failure:
+                return failure
+        self.refused_up_to[task] = max(number, self.refused_up_to.get(task, 0))
+        if self.run_by_task.get(task) == number:
+            self.finish(task, "stopped")
+        return Success(RunAccepted(self.clock_ms))
+
+    def pace(self, task, number, percent, fence):
+        """Take an order on pace, which changes nothing here."""
+        return Success(RunAccepted(self.clock_ms))
+
+    def hold(self, lease_end_ms, fence, acknowledged, wait_ms):
+        """Extend the lease and list what runs; never waits."""
+        match self._reach():
+            case Failure() as failure:
+                return failure
+        if fence < self.fence:
+            return Failure(RunRejected("fence", self.clock_ms))
+        self.fence = fence
+        if lease_end_ms is not None:
+            self._extend(lease_end_ms)
+        for end in self.ends:
+            if end.sequence <= acknowledged and end.sequence not in self.voided:
+                self.ledger.note_acknowledged(end)
+        self.ends = [end for end in self.ends if end.sequence > acknowledged]
+        running = [ListedRun(t, n, "", 100, 1.0) for t, n in self.run_by_task.items()]
+        return Success(
+            WorkerListing(self.clock_ms, self.born, running, list(self.ends))
+        )
+
+    def build_report(self, zone):
+        """Return what the worker says of itself."""
+        return WorkerReport(
+            life=WorkerLife(self.name, self.born),
+            service=SERVICE,
+            zone=zone,
+            version="v1",
+            is_draining=self.is_draining,
+            remaining=0.0,
+            warmup=0.0,
+            cpu=self.cpu,
+            memory=self.memory,
+            accelerators=0,
+            labels=("a", "r1-1"),
+        )
+
+
+class Ledger:
+    """What really ran, and which promise was broken."""
+
+    def __init__(self):
+        self.size_by_job = {}
+        self.live = {}
+        self.done = set()
+        self.acknowledged_done = set()
+        self.starts = []
+        self.problems = []
+
+    def note_start(self, runner, task, number):
+        """Take note of a start, and judge it."""
+        self.starts.append((task, number, runner.name))
+        others = [key for key in self.live if key[1] == task]
+        if others:
+            self.problems.append(f"{task} runs twice: {others} and {runner.name}")
+        if task in self.acknowledged_done:
+            self.problems.append(f"{task} started after its end was acknowledged")
+        self.live[(runner.name, task)] = number
+        used = sum(
+            self.size_by_job[task.split(".")[0]]
+            for name, task in self.live
+            if name == runner.name
+        )
+        if used > runner.cpu:
+            self.problems.append(f"{runner.name} holds {used} of {runner.cpu}")
+
+    def note_end(self, runner, task, number, outcome):
+        """Take note of an end."""
+        self.live.pop((runner.name, task), None)
+        if outcome == "done":
+            self.done.add(task)
+
+    def note_acknowledged(self, end):
+        """Take note that an end was acknowledged."""
+        if end.outcome == "done":
+            self.acknowledged_done.add(end.task)
+
+    def forget_worker(self, runner):
+        """Take note that all runs of a worker are over."""
+        for key in [key for key in self.live if key[0] == runner.name]:
+            del self.live[key]
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -15,12 +15,12 @@
 )
 from bergamotshore.entry.election import Election
 from bergamotshore.utils.eventlog import EventLog
-from tests.site.world import FakeRowStore
+from standins.site import RowsStandIn
 
 
 @pytest.fixture
 def store():
-    return FakeRowStore()
+    return RowsStandIn()
 
 
 @pytest.fixture
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -14,14 +14,14 @@
 from bergamotshore.entry.submissions import ReadinessApp, SubmissionApp
 from bergamotshore.ports.rows import Put, RowId
 from bergamotshore.utils.eventlog import EventLog
-from tests.site.world import FakeRowStore
+from standins.site import RowsStandIn
 
 JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "mem_mb": 64}]}
 
 
 @pytest.fixture
 def store():
-    return FakeRowStore()
+    return RowsStandIn()
 
 
 @pytest.fixture
--- a/tests/site/test_peers.py
+++ b/tests/site/test_peers.py
@@ -13,7 +13,7 @@
 from bergamotshore.node.links import AWAY_SECONDS, EntryLinks
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.utils.eventlog import EventLog
-from tests.site.world import FakeRowStore
+from standins.site import RowsStandIn
 
 FORMER = {f"10.0.0.{number}:1" for number in range(SMALL_SITE_ENTRIES)}
 PRESENT = {"10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"}
@@ -70,7 +70,7 @@
 
 @pytest.fixture
 def store():
-    return FakeRowStore()
+    return RowsStandIn()
 
 
 def build_list(store, clock, name):
