--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,8 @@
 import threading
 import time
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
 
 from soak.proxy import MODES
 from soak.site import HOST_NAME, PREFIX, SoakSite
@@ -179,7 +181,8 @@
             + ["store-down", "store-faults", "compact", "worker-restart", "hang"]
             + ["order-faults", "late-orders"]
         )
-        self.events.append((kind, program.name, worker.runner.name))
+        at = datetime.now(UTC).isoformat(timespec="milliseconds")
+        self.events.append(f"{at} {kind} {program.name} {worker.runner.name}")
         match kind:
             case "kill":
                 program.kill()
@@ -276,11 +279,12 @@
     """
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     site = SoakSite(folder, entries, nodes, seed)
+    soak = Soak(site, seed)
     try:
-        soak = Soak(site, seed)
         problems = soak.play(seconds)
     finally:
         site.close()
+        Path(folder, "faults.txt").write_text("\n".join(soak.events) + "\n")
     return problems, soak, folder
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -23,6 +23,7 @@
 PREFIX = "/q/"
 RETRIES = 40
 STOP_SECONDS = 20.0
+STOP_TRIES = 2
 
 
 class Program:
@@ -74,11 +75,17 @@
         """Ask the process to stop; returns its exit status, None when it does not."""
         self.go_on()
         self.send(signal.SIGTERM)
-        try:
-            return self.process.wait(STOP_SECONDS)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            return None
+        process = self.process
+        for _ in range(STOP_TRIES):
+            try:
+                return process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                if not self.is_paused:
+                    break
+                # Another fault paused it meanwhile.
+                self.go_on()
+        process.kill()
+        return None
 
 
 class SoakSite:
--- a/src/bergamotshore/utils/services.py
+++ b/src/bergamotshore/utils/services.py
@@ -7,6 +7,9 @@
 from loguru import logger
 
 SWITCH_SECONDS = 0.0005
+# Handlers of signals run in the main thread, and a signal that the kernel gives to
+# another thread does not wake it: after a pause that happens. In seconds.
+SIGNAL_SECONDS = 0.2
 
 
 def run_services(name, services, stopping, stop, reload=None):
@@ -29,7 +32,8 @@
         for future in futures:
             future.add_done_callback(lambda _: stopping.set())
         logger.info("{} started", name)
-        stopping.wait()
+        while not stopping.wait(SIGNAL_SECONDS):
+            pass
         stop()
         wait(futures)
     errors = [future.exception() for future in futures if future.exception()]
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of small helpers."""
