Take partitions over at the same time; one rule for the partition of a job

Fences and rows of partitions are now taken and read at the same time, since one after another would outlast the lease while the store is slow.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -191,8 +191,8 @@
             return
         began = self.clock.now()
         try:
-            fences = take_fences(self.store, epoch)
-            found = read_open_jobs(self.store)
+            fences = take_fences(self.store, epoch, self.executor.map)
+            found = read_open_jobs(self.store, self.executor.map)
         except TakeoverFailed as failure:
             self.log.write("takeover-failed", epoch, why=str(failure))
             self.registry.count("takeovers_failed_total")
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -35,9 +35,12 @@
     closed_at: float = 0.0
 
 
-def get_part(job_id):
-    """Return the partition that holds the rows of a job."""
-    return PARTS[crc32(job_id.encode()) % len(PARTS)]
+def get_part(key):
+    """Return the partition that holds the rows of a job.
+
+    :param key: Key of the job.
+    """
+    return PARTS[crc32(key.encode()) % len(PARTS)]
 
 
 def get_row_id(table, key):
@@ -45,7 +48,7 @@
 
     :param key: Key of the job.
     """
-    return RowId(table, get_part(key.rsplit("/", 1)[1]), key)
+    return RowId(table, get_part(key), key)
 
 
 def get_cancel_id(key):
--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -57,13 +57,15 @@
     learned: list | None = None
 
 
-def take_fences(store, epoch):
+def take_fences(store, epoch, run):
     """Put the fence of a term on every partition.
 
+    :param run: Applies a function to each of several values, at the same time.
     :returns: Version of the fence row by partition.
     :raises TakeoverFailed: when the store fails or a later term has its fence there.
     """
-    return {part: _take_fence(store, part, epoch) for part in PARTS}
+    versions = run(lambda part: _take_fence(store, part, epoch), PARTS)
+    return dict(zip(PARTS, versions, strict=True))
 
 
 def _take_fence(store, part, epoch):
@@ -94,27 +96,40 @@
     raise TakeoverFailed(detail)
 
 
-def read_open_jobs(store):
+def read_open_jobs(store, run):
     """Return ``OpenJobs`` of all partitions.
 
+    :param run: Applies a function to each of several values, at the same time.
     :raises TakeoverFailed: when the store fails.
     """
     found = OpenJobs()
-    for part in PARTS:
-        for row in _read_table(store, JOBS, part, found):
-            key = row.id.key
-            if key.endswith(CANCEL_SUFFIX):
-                found.cancelled.add(key.removesuffix(CANCEL_SUFFIX))
-                continue
-            spec = decode_job_row(row)
-            if spec is not None:
-                found.specs.append(spec)
-        for row in _read_table(store, RUNS, part, found):
-            found.progress_by_key[row.id.key] = (row.version, _build_restore(row))
+    pieces = list(run(lambda part: _read_part(store, part), PARTS))
+    for piece in pieces:
+        found.specs += piece.specs
+        found.cancelled |= piece.cancelled
+        found.progress_by_key |= piece.progress_by_key
+    # Changes since the first reading of any partition may have been missed.
+    found.version = min(piece.version for piece in pieces)
     found.learned = _read_learned(store)
     return found
 
 
+def _read_part(store, part):
+    """Return the ``OpenJobs`` of one partition."""
+    found = OpenJobs()
+    for row in _read_table(store, JOBS, part, found):
+        key = row.id.key
+        if key.endswith(CANCEL_SUFFIX):
+            found.cancelled.add(key.removesuffix(CANCEL_SUFFIX))
+            continue
+        spec = decode_job_row(row)
+        if spec is not None:
+            found.specs.append(spec)
+    for row in _read_table(store, RUNS, part, found):
+        found.progress_by_key[row.id.key] = (row.version, _build_restore(row))
+    return found
+
+
 def _read_learned(store):
     """Return what the predecessor learned; a term can begin without it."""
     row = LEARNED_ROW
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -117,6 +117,9 @@
         function(*arguments)
         return Future()
 
+    def map(self, function, values):
+        return [function(value) for value in values]
+
 
 class DirectLoop:
     """A loop that calls at once."""
