--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,7 @@
 # A cancelled job has nothing running after this, once nothing is disturbed.
 CANCEL_SECONDS = 4.0
 POLL_SECONDS = 0.2
+ASK_TRIES = 2
 TASK_CPU = 4000
 GOOD_EXIT = 0
 
@@ -144,6 +145,7 @@
         self.site = site
         self.evidence = Evidence()
         self.events = []
+        self._stops = []
         self._random = random.Random(f"faults-{seed}")
         self._callers = [
             Caller(site, name, self.evidence, seed) for name in site.entry_by_name
@@ -166,6 +168,10 @@
             caller.is_over = True
         for caller in self._callers:
             caller.join(4 * CALL_SECONDS)
+        # A process that is still stopping would not be started again.
+        self.site.heal()
+        for stop in self._stops:
+            stop.join()
         self.site.heal()
         self._settle()
         self._judge()
@@ -192,7 +198,9 @@
                 for item in site.programs:
                     item.go_on()
             case "stop":
-                threading.Thread(target=self._stop, args=[program], daemon=True).start()
+                stop = threading.Thread(target=self._stop, args=[program], daemon=True)
+                self._stops.append(stop)
+                stop.start()
             case "start":
                 for item in site.programs:
                     if item.process.poll() is not None:
@@ -252,8 +260,13 @@
         return evidence.accepted - evidence.cancelled - evidence.doubtful
 
     def _ask(self, job_id):
+        """Return the state of a job; a kept connection may be found broken once."""
         caller = self._random.choice(self._callers)
-        return call_entry(caller, "GET", job_id)[1].get("state")
+        for _ in range(ASK_TRIES):
+            status, answer = call_entry(caller, "GET", job_id)
+            if status:
+                return answer.get("state", status)
+        return None
 
     def _judge(self):
         evidence, ledger = self.evidence, self.site.ledger
