--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -109,9 +109,11 @@
         """Check the orders of a message and return those to carry out.
 
         :param orders: ``RunOrders``.
-        :returns: Callables for an executor; what is refused is answered at once.
+        :returns: Pair of lists of calls, each a function and its arguments: stops and
+            paces, and starts. Starts that are refused are answered at once.
         """
         now = self.clock.now()
+        starts = []
         calls = [(self._call_stop, task, number) for task, number in orders.stops] + [
             (self._call_pace, *row) for row in orders.paces
         ]
@@ -126,8 +128,8 @@
             order = RunOrder(task, number, payload, checkpoint, ticket)
             with self._lock:
                 self._doubt_by_key[(task, number)] = Doubt(self._fence)
-            calls.append((self._call_start, order))
-        return calls
+            starts.append((self._call_start, order, orders))
+        return calls, starts
 
     def _find_refusal(self, orders, now):
         if now - orders.echo > ORDER_FRESH_SECONDS:
@@ -156,9 +158,13 @@
         )
         return clock_ms + int((lease_end - read_at) * 1000 * (1.0 - DRIFT_SHARE))
 
-    def _call_start(self, order):
+    def _call_start(self, order, orders):
         key = (order.task, order.number)
         now = self.clock.now()
+        # Calls that get no answer may have held this one up.
+        if reason := self._find_refusal(orders, now):
+            self._settle(key, reason)
+            return
         with self._lock:
             fence = self._fence
             self._doubt_by_key[key] = Doubt(fence)
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -29,7 +29,10 @@
 from bergamotshore.utils.eventlog import EventLog
 from bergamotshore.utils.services import run_services
 
-ORDER_THREADS = 4
+# A start without an answer takes 1.5 s of a thread; a worker holds up to some 30 tasks.
+START_THREADS = 8
+# Stops and paces do not wait behind starts.
+STOP_THREADS = 3
 HEARTBEAT_THREADS = 2
 # Heartbeats of workers are small; larger ones are refused by the platform too.
 LARGEST_HEARTBEAT_BYTES = 4 * 1024 * 1024
@@ -57,7 +60,8 @@
         self.is_draining = False
         self.loop = Loop(self.clock)
         self.right = NodeRight(get_right_seconds(self.site.longest_hold_ms / 1000))
-        self.orders = ThreadPoolExecutor(ORDER_THREADS, "orders")
+        self.starts = ThreadPoolExecutor(START_THREADS, "starts")
+        self.stops = ThreadPoolExecutor(STOP_THREADS, "stops")
         self.keeper = RunKeeper(
             PlatformRunner(settings.node.worker, settings.platform.timeout),
             self.right,
@@ -97,7 +101,8 @@
         is_whole = run_services(
             self.settings.name, services, self.stopping, self._stop, self.watcher.ask
         )
-        self.orders.shutdown(wait=False, cancel_futures=True)
+        for executor in (self.starts, self.stops):
+            executor.shutdown(wait=False, cancel_futures=True)
         return is_whole
 
     def _apply(self, settings):
@@ -109,7 +114,8 @@
     def _stop(self):
         """Leave the runs to the worker: their lease outlives a restart."""
         self.is_draining = True
-        self.orders.shutdown(wait=True)
+        for executor in (self.starts, self.stops):
+            executor.shutdown(wait=True, cancel_futures=True)
         threading.Event().wait(STOP_SECONDS / 10)
         self.loop.call(self.links.stop)
         self.heartbeat_server.stop()
@@ -184,8 +190,11 @@
                 self._send_result((task, number, "other-term"))
             return
         self.right.note_echo(orders.epoch, 0.0)
-        for call, *arguments in self.keeper.take_orders(orders):
-            self.orders.submit(self._carry_out, call, arguments)
+        calls, starts = self.keeper.take_orders(orders)
+        for call, *arguments in calls:
+            self.stops.submit(self._carry_out, call, arguments)
+        for call, *arguments in starts:
+            self.starts.submit(self._carry_out, call, arguments)
 
     def _carry_out(self, call, arguments):
         try:
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -11,6 +11,7 @@
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import SiteConfiguration
 from bergamotshore.exceptions import PlatformUncertain
+from tests.fakes import ManualExecutor
 from tests.site.world import LONGEST_HOLD_SECONDS, World
 
 RIGHT = get_right_seconds(LONGEST_HOLD_SECONDS)
@@ -524,3 +525,31 @@
     world.advance(3.0)
     assert [number for _, number, _ in world.ledger.starts] == [1, 1]
     assert not any("no-right" in line for line in world.lines)
+
+
+def test_an_order_that_waited_behind_others_is_not_carried_out_late(world):
+    """Calls that get no answer hold up those behind them."""
+    for node in world.node_by_name.values():
+        node.starts = ManualExecutor()
+    world.submit("job1")
+    world.advance(0.2)
+    waiting = [node for node in world.node_by_name.values() if node.starts.waiting]
+    assert waiting
+    assert world.rows.cancel("queue", "job1", world.clock.now() + 1) == Success(True)
+    world.advance(2.0)
+    for node in waiting:
+        node.starts.run_all()
+    world.advance(0.5)
+    assert world.ledger.starts == []
+    assert world.get_state("job1") == "cancelled"
+
+
+def test_a_stop_does_not_wait_behind_starts(world):
+    world.submit("watch", LASTING)
+    world.advance(0.5)
+    for node in world.node_by_name.values():
+        node.starts = ManualExecutor()
+    world.submit("job1")
+    world.rows.cancel("queue", "watch", world.clock.now() + 1)
+    world.advance(0.5)
+    assert world.running == []
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -224,7 +224,7 @@
         self.loop = DirectLoop()
         self.links = NoLinks()
         self.right = NodeRight(get_right_seconds(LONGEST_HOLD_SECONDS))
-        self.orders = InlineExecutor()
+        self.starts = self.stops = InlineExecutor()
         self.is_draining = False
         self.leader = ""
         self.leader_stream = None
