Refuse at once a submission that a slow store can not take in time

What writes needed in the last 2 s is now compared with the time left; nothing is sent then and the caller hears 503 with a time to come back. The check fails before the mend.

--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -1,13 +1,15 @@
 """Rows of submitted jobs: where they are, and how entries write and read them."""
 
+from collections import deque
 from dataclasses import dataclass
+from statistics import median
 from zlib import crc32
 
 import msgspec
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.model import decode_spec, encode_spec, get_job_key
-from bergamotshore.exceptions import PlatformUncertain
+from bergamotshore.exceptions import PlatformUnavailable, PlatformUncertain
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 JOBS, RUNS, CLOSED, FENCE = "jobs", "runs", "closed", "fence"
@@ -20,6 +22,8 @@
 # Time for one write; a slow store takes up to 1.2 s. In seconds.
 WRITE_SECONDS = 1.6
 LONGEST_PAUSE_SECONDS = 0.4
+# What writes needed counts for this long; spells of a slow store last seconds.
+RECENT_SECONDS = 2.0
 FIRST_PAUSE_SECONDS = 0.05
 
 
@@ -62,6 +66,24 @@
     return RowId(FENCE, part, "epoch")
 
 
+class WriteTimes:
+    """How long writes of any thread need at present."""
+
+    def __init__(self):
+        self._recent = deque(maxlen=16)
+
+    def note(self, seconds, now):
+        """Take note of a write that was answered, or given up after that time."""
+        self._recent.append((now, seconds))
+
+    def get_expected(self, now):
+        """Return what a write needs, in seconds; 0 when none was made lately."""
+        recent = [
+            seconds for at, seconds in list(self._recent) if now - at < RECENT_SECONDS
+        ]
+        return median(recent) if recent else 0.0
+
+
 class JobRows:
     """Accept, cancel and look up jobs in the store.
 
@@ -74,6 +96,7 @@
         self._store = store
         self._clock = clock
         self._pause = pause
+        self._times = WriteTimes()
 
     def accept(self, spec, until):
         """Write a job once.
@@ -118,13 +141,22 @@
             return outcome
 
     def _write(self, expects, puts, until):
-        """Send one transaction until it is answered; its conditions allow that."""
+        """Send one transaction until it is answered; its conditions allow that.
+
+        Without the time that writes need at present nothing is sent, so that the caller
+        can be told for certain that nothing was done.
+        """
+        expected = self._times.get_expected(self._clock.now())
+        if self._clock.now() + expected > until:
+            return Failure(PlatformUnavailable(f"a write needs {expected:.1f} s"))
         is_uncertain = False
         pause = FIRST_PAUSE_SECONDS
         while True:
             remaining = max(0.1, until - self._clock.now())
             timeout = min(WRITE_SECONDS, remaining)
+            sent_at = self._clock.now()
             outcome = self._store.transact(expects, puts, [], timeout)
+            self._times.note(self._clock.now() - sent_at, self._clock.now())
             match outcome:
                 case Success(_) | Failure(RowsConflict()):
                     return outcome
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -7,11 +7,13 @@
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
+from bergamotshore.core.work.model import JobSpec, Step
 from bergamotshore.core.work.site import Queue, SiteConfiguration, SiteState
-from bergamotshore.entry.jobrows import JobRows
+from bergamotshore.entry.jobrows import RECENT_SECONDS, JobRows
 from bergamotshore.entry.relay import RelayedClient
 from bergamotshore.entry.sitefollower import SiteFollower
 from bergamotshore.entry.submissions import ReadinessApp, SubmissionApp
+from bergamotshore.exceptions import PlatformUnavailable
 from bergamotshore.ports.rows import Put, RowId
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
@@ -298,3 +300,45 @@
     clock.advance(2.0)
     client.call("GET", "/x")
     assert client.is_reachable
+
+
+class SlowStore(RowsStandIn):
+    """Every transaction takes a while, and a call gives up after its time."""
+
+    def __init__(self, clock, seconds):
+        super().__init__()
+        self.clock = clock
+        self.seconds = seconds
+
+    def transact(self, expects, puts, deletes, timeout=None):
+        if timeout is not None and timeout < self.seconds:
+            self.clock.advance(timeout)
+            self.faults = ["late"]
+        else:
+            self.clock.advance(self.seconds)
+        return super().transact(expects, puts, deletes, timeout)
+
+
+def test_a_submission_that_a_slow_store_can_not_take_in_time_is_refused_at_once(clock):
+    """The caller hears for certain that nothing was done, and may come back."""
+    store = SlowStore(clock, 0.6)
+    rows = JobRows(store, clock, clock.advance)
+    spec = JobSpec("queue", "job1", "books", "payload", (Step(tasks=1),))
+    assert rows.accept(spec, clock.now() + 2.4) == Success(True)
+    late = JobSpec("queue", "job2", "books", "payload", (Step(tasks=1),))
+    calls, began = store.calls, clock.now()
+    outcome = rows.accept(late, clock.now() + 0.4)
+    assert isinstance(outcome.failure(), PlatformUnavailable)
+    assert (store.calls, clock.now()) == (calls, began)
+    assert rows.accept(late, clock.now() + 2.4) == Success(True)
+
+
+def test_a_store_that_is_fast_again_is_soon_taken_for_it(clock):
+    store = SlowStore(clock, 1.0)
+    rows = JobRows(store, clock, clock.advance)
+    spec = JobSpec("queue", "job1", "books", "payload", (Step(tasks=1),))
+    rows.accept(spec, clock.now() + 2.4)
+    store.seconds = 0.01
+    clock.advance(RECENT_SECONDS)
+    late = JobSpec("queue", "job2", "books", "payload", (Step(tasks=1),))
+    assert rows.accept(late, clock.now() + 0.4) == Success(True)
