--- a/soak/run.py
+++ b/soak/run.py
@@ -172,6 +172,11 @@
         self.site.heal()
         for stop in self._stops:
             stop.join()
+        self.evidence.problems += [
+            f"{program.name} ended by itself with status {program.process.poll()}"
+            for program in self.site.programs
+            if (program.process.poll() or 0) > 0
+        ]
         self.site.heal()
         self._settle()
         self._judge()
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,6 +1,8 @@
 """The real programs as separate processes, each behind proxies that misbehave."""
 
+import itertools
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -22,6 +24,13 @@
 HOST_NAME = "soak.example"
 PREFIX = "/q/"
 RETRIES = 40
+PORT_RANGE = range(12_000, 20_000)
+# Soaks that run at the same time begin at other ports.
+PORTS = itertools.islice(
+    itertools.cycle(PORT_RANGE),
+    os.getpid() * 197 % len(PORT_RANGE),
+    None,
+)
 STOP_SECONDS = 20.0
 STOP_TRIES = 2
 
@@ -237,7 +246,16 @@
 
 
 def find_port():
-    """Return a free port of loopback."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a free port of loopback.
+
+    Ports that connections take for themselves are left out: one could be taken again
+    before the process that it is meant for has started.
+    """
+    for port in PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port")
