--- a/soak/run.py
+++ b/soak/run.py
@@ -27,7 +27,11 @@
 CANCEL_SECONDS = 4.0
 POLL_SECONDS = 0.2
 ASK_TRIES = 2
-TASK_CPU = 4000
+# Workers have 16000: most tasks leave room for all that is submitted, so that what is
+# accepted can be done in the time above; some are large, to press on the size.
+SMALL_TASK_CPU = 1000
+LARGE_TASK_CPU = 6000
+LARGE_EACH = 8
 GOOD_EXIT = 0
 
 
@@ -74,15 +78,17 @@
             number += 1
             is_lasting = self._random.random() < 0.15
             kind = "lasting" if is_lasting else "job"
-            self._submit(f"{kind}-{self._entry}-{number}", is_lasting)
+            is_large = number % LARGE_EACH == 0 and not is_lasting
+            cpu = LARGE_TASK_CPU if is_large else SMALL_TASK_CPU
+            self._submit(f"{kind}-{self._entry}-{number}", is_lasting, cpu)
             time.sleep(self._random.uniform(0.05, 0.6))
 
-    def _submit(self, job_id, is_lasting):
-        step = {"count": 2, "cpu": TASK_CPU, "mem_mb": 100, "est_ms": 800}
+    def _submit(self, job_id, is_lasting, cpu):
+        step = {"count": 2, "cpu": cpu, "mem_mb": 100, "est_ms": 800}
         later = {**step, "count": 1, "after": [0]}
         steps = [{**step, "long_running": True}] if is_lasting else [step, later]
         with self._site.lock:
-            self._site.ledger.size_by_job[job_id] = TASK_CPU
+            self._site.ledger.size_by_job[job_id] = cpu
         status = self.call("POST", job_id, {"spec": job_id, "steps": steps})
         if status == 200:
             self._evidence.accepted.add(job_id)
