Judge the speed of tasks by the progress that was seen

Cause, found by reading: the duration of a task was taken from its start as this scheduler knew it, so runs that had resumed, or had begun under an earlier scheduler, seemed fast and made their siblings look slow; and a task that ended in the moment of its first list gave a duration of 0 and a division by it, which would have ended the scheduling entry. Progress since the first list counts now. The check of the division fails before the mend; that of a new term passes either way with these figures.

--- a/src/bergamotshore/core/work/board.py
+++ b/src/bergamotshore/core/work/board.py
@@ -227,6 +227,8 @@
             held.is_started = True
             held.started_at = now
             held.moved_at = now
+        if held.listed_at == 0.0:
+            held.listed_at, held.listed_percent = now, listed.percent
         if listed.percent != held.percent:
             held.percent = listed.percent
             held.moved_at = now
--- a/src/bergamotshore/core/work/speed.py
+++ b/src/bergamotshore/core/work/speed.py
@@ -21,22 +21,24 @@
 # and some room for errors. In seconds.
 LEAST_GAIN_SECONDS = 0.5
 FULL_PERCENT = 100
+# Less of a task than this tells too little of its duration.
+LEAST_SHARE = 0.2
+# Tasks that seem shorter count as this long, in seconds; lists come each 0.4 s.
+SHORTEST_TASK_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class JudgedRun:
-    """A run and how long it seems to need in all.
+    """A run and how long such a task seems to need in all.
 
     :param node: Node of its worker.
     :param held: ``HeldRun``.
-    :param elapsed: How long it runs, in seconds.
     :param duration: How long it seems to need, in seconds.
     :param usual: How long its siblings need on other workers, in seconds.
     """
 
     node: str
     held: object
-    elapsed: float
     duration: float
     usual: float
 
@@ -48,7 +50,8 @@
     @property
     def is_worth_moving(self):
         """Tell whether it would end earlier if it began anew elsewhere."""
-        return self.duration - self.elapsed > self.usual + LEAST_GAIN_SECONDS
+        left = self.duration * (1.0 - self.held.percent / FULL_PERCENT)
+        return left > self.usual + LEAST_GAIN_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,9 +77,12 @@
     def note(self, fact):
         """Take in a ``RunFact``."""
         held = fact.held
-        if fact.outcome == "done" and is_judged(held):
+        if fact.outcome != "done" or not is_judged(held):
+            return
+        share = (FULL_PERCENT - held.listed_percent) / FULL_PERCENT
+        if share >= LEAST_SHARE:
             times = self._times_by_step.setdefault(get_step_key(held), [])
-            times.append((fact.node, fact.at - held.started_at))
+            times.append((fact.node, (fact.at - held.listed_at) / share))
 
     def forget(self, live_jobs):
         """Drop what belongs to jobs that are closed."""
@@ -90,14 +96,15 @@
         """
         looks_by_step = {key: list(t) for key, t in self._times_by_step.items()}
         running = [look for worker in workers for look in _look_at(worker)]
-        for node, held, _, duration in running:
+        for node, held, duration in running:
             looks_by_step.setdefault(get_step_key(held), []).append((node, duration))
         judged_by_node = {}
-        for node, held, elapsed, duration in running:
+        for node, held, duration in running:
             siblings = looks_by_step[get_step_key(held)]
             others = [seconds for name, seconds in siblings if name != node]
             if len(others) >= FEWEST_SIBLINGS:
-                run = JudgedRun(node, held, elapsed, duration, median(others))
+                usual = max(SHORTEST_TASK_SECONDS, median(others))
+                run = JudgedRun(node, held, duration, usual)
                 judged_by_node.setdefault(node, []).append(run)
         judged = [_judge(node, runs) for node, runs in judged_by_node.items()]
         return [slow for slow in judged if slow is not None]
@@ -107,7 +114,7 @@
     """Tell whether the duration of a run says something of its worker."""
     step = held.step
     is_finite = not (step.is_lasting or step.is_filling or step.is_gang)
-    return is_finite and held.started_at > 0.0
+    return is_finite and held.listed_at > 0.0
 
 
 def get_step_key(held):
@@ -116,13 +123,17 @@
 
 
 def _look_at(worker):
-    """Yield node, run, elapsed time and duration of the runs that show progress."""
+    """Yield node, run and duration of the runs that were seen for long enough.
+
+    Only progress since the first list counts: a run may have resumed, or have begun
+    under an earlier scheduler.
+    """
     for held in worker.held_by_key.values():
-        elapsed = worker.reported_at - held.started_at
+        elapsed = worker.reported_at - held.listed_at
         if is_judged(held) and elapsed >= SHORTEST_LOOK_SECONDS:
             # The percentage is rounded down.
-            share = (held.percent + 0.5) / FULL_PERCENT
-            yield worker.node, held, elapsed, max(elapsed, elapsed / share)
+            share = (held.percent - held.listed_percent + 0.5) / FULL_PERCENT
+            yield worker.node, held, elapsed / share
 
 
 def _judge(node, runs):
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -24,6 +24,9 @@
     :param is_started: Whether the node has confirmed the start.
     :param started_at: When it was first seen to run, in seconds.
     :param percent: Progress as listed.
+    :param listed_at: When it was first listed, in seconds; 0 before that.
+    :param listed_percent: Progress at that time; more than 0 for a run that resumed or
+        that an earlier scheduler started.
     :param moved_at: When the progress last changed, in seconds.
     :param usage: Tail latency in ms or processors in use, as listed.
     :param pace: Share of its speed that it was last allowed, in percent.
@@ -44,6 +47,8 @@
     is_started: bool = False
     started_at: float = 0.0
     percent: int = 0
+    listed_at: float = 0.0
+    listed_percent: int = 0
     moved_at: float = 0.0
     usage: float = 0.0
     pace: int = 100
--- a/tests/site/test_speed.py
+++ b/tests/site/test_speed.py
@@ -143,3 +143,32 @@
     for _ in range(4):
         burst.step()
     assert burst.moved == []
+
+
+def test_runs_that_were_under_way_before_a_term_are_judged_by_what_was_seen():
+    """A new scheduler sees runs half done; new siblings of them are not slow."""
+    burst = Burst({})
+    burst.add("job", tasks=12)
+    burst.step()
+    for index, worker in enumerate(burst.board.worker_by_node.values()):
+        for held in worker.held_by_key.values():
+            if index < NODES - 1:
+                burst.begun_by_key[held.key] -= 0.6 * SECONDS
+    for _ in range(4):
+        burst.step()
+    assert burst.moved == []
+
+
+def test_tasks_that_end_as_soon_as_they_are_seen_divide_by_nothing():
+    burst = Burst({"node-1": SLOWER})
+    burst.add("job", tasks=12)
+    burst.step()
+    for worker in burst.board.worker_by_node.values():
+        for held in list(worker.held_by_key.values()):
+            if worker.node != "node-1":
+                listed = ListedRun(held.name, held.number, "", 0, 0.0)
+                burst.board.note_running(worker, listed, burst.now)
+                burst._end(worker, held, "done")
+    for _ in range(4):
+        burst.step()
+    assert set(burst.moved) <= {"node-1"}
