--- a/soak/run.py
+++ b/soak/run.py
@@ -196,7 +196,7 @@
         kind = chance.choice(
             ["kill", "pause", "go-on", "stop", "start", "proxy", "proxy", "pass"]
             + ["store-down", "store-faults", "compact", "worker-restart", "hang"]
-            + ["order-faults", "late-orders"]
+            + ["order-faults", "late-orders", "kill-entries"]
         )
         at = datetime.now(UTC).isoformat(timespec="milliseconds")
         self.events.append(f"{at} {kind} {program.name} {worker.runner.name}")
@@ -221,6 +221,9 @@
             case "pass":
                 for proxy in site.proxies:
                     proxy.set_mode("pass")
+            case "kill-entries":
+                for item in site.entry_by_name.values():
+                    item.kill()
             case "hang":
                 worker.is_hanging = not worker.is_hanging
             case _:
@@ -244,10 +247,12 @@
                     runner.restart()
             case "order-faults":
                 faults = ["lost", "late", "silent"]
-                runner.faults = [chance.choice(faults) for _ in range(2)]
+                for worker in self.site.worker_by_node.values():
+                    worker.runner.faults = [chance.choice(faults) for _ in range(3)]
             case "late-orders":
                 with self.site.lock:
-                    runner.run_late()
+                    for worker in self.site.worker_by_node.values():
+                        worker.runner.run_late()
 
     def _stop(self, program):
         status = program.stop()
