--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,11 @@
 START_SECONDS = 8.0
 # Terms, leases of workers and retries are over this long after the last fault.
 SETTLE_SECONDS = 20.0
+# Store, workers and proxies live in the process of the soak; when that stood still for
+# longer than this, leases may have run out, and what is settling begins anew.
+STALL_SECONDS = 1.0
+STALL_LOOK_SECONDS = 0.1
+MOST_SETTLES = 3
 # A cancelled job has nothing running after this, once nothing is disturbed.
 CANCEL_SECONDS = 4.0
 POLL_SECONDS = 0.2
@@ -152,6 +157,7 @@
         self.evidence = Evidence()
         self.events = []
         self._stops = []
+        self.stalls = []
         self._random = random.Random(f"faults-{seed}")
         self._callers = [
             Caller(site, name, self.evidence, seed) for name in site.entry_by_name
@@ -162,6 +168,7 @@
 
         :returns: List of broken promises.
         """
+        threading.Thread(target=self._watch_stalls, daemon=True).start()
         self.site.start()
         time.sleep(START_SECONDS)
         for caller in self._callers:
@@ -184,10 +191,24 @@
             if (program.process.poll() or 0) > 0
         ]
         self.site.heal()
-        self._settle()
+        for _ in range(MOST_SETTLES):
+            seen = len(self.stalls)
+            self._settle()
+            if len(self.stalls) == seen:
+                break
         self._judge()
         return self.evidence.problems
 
+    def _watch_stalls(self):
+        """Take note of times in which this process stood still."""
+        while True:
+            began = time.monotonic()
+            time.sleep(STALL_LOOK_SECONDS)
+            if (gap := time.monotonic() - began) > STALL_SECONDS:
+                at = datetime.now(UTC).isoformat(timespec="milliseconds")
+                self.stalls.append(gap)
+                self.events.append(f"{at} the soak stood still for {gap:.1f} s")
+
     def _play_fault(self):
         """Let one thing go wrong, or come right."""
         chance, site = self._random, self.site
@@ -336,7 +357,7 @@
             f"seed {seed}: {len(evidence.accepted)} accepted,"
             f" {len(evidence.refused)} refused, {len(evidence.cancelled)} cancelled,"
             f" {len(soak.site.ledger.starts)} starts, {len(soak.events)} faults,"
-            f" {len(problems)} problems",
+            f" {len(soak.stalls)} stalls, {len(problems)} problems",
             flush=True,
         )
         if problems:
