--- a/soak/servers.py
+++ b/soak/servers.py
@@ -18,13 +18,18 @@
 from standins.site import RunnerStandIn
 
 HOST = "127.0.0.1"
+# Each entry keeps two feeds waiting and calls from up to 36 threads.
 STORE_THREADS = 48
 WORKER_THREADS = 8
+# Leases and tasks end within this time of their end, in seconds.
 TICK_SECONDS = 0.02
+# Workers send a heartbeat about this often, and wait this long for its answer.
 HEARTBEAT_SECONDS = 0.5
 CALL_SECONDS = 1.0
+# Tasks of quick jobs; long ones would leave too few starts in a run.
 SHORTEST_TASK_SECONDS = 0.2
 LONGEST_TASK_SECONDS = 1.5
+# Share of tasks that fail by their own fault.
 FAILED_SHARE = 0.02
 
 
--- a/src/bergamotshore/entry/retention.py
+++ b/src/bergamotshore/entry/retention.py
@@ -10,6 +10,7 @@
 # Rows stay this much longer than promised: clocks of entries differ by seconds, and a
 # caller's repeated submission may arrive seconds after its answer.
 MARGIN_SECONDS = 60.0
+# The store answers with at most 500 rows.
 PAGE_ROWS = 500
 # The store takes 100 entries a call; a removal is an expectation and a key.
 LARGEST_BATCH_ROWS = 45
