Second copies of late tasks whose step allows them

Cause: steps with is_speculative ran once. A task on a worker that is silent waited for its lease (8 s at 6 s leases) before it ran elsewhere, one on a slow worker was stopped and lost its work. Change: a run that is over 1 s old and whose node or worker is silent, whose order has no answer, that is slow against its siblings or stands still gets one copy on another worker, in room that nothing waits for. The first end counts, the other run is stopped; an order whose task is done meanwhile is not sent. Slow runs of such steps are no longer stopped.

--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from bergamotshore.core.work.copies import list_late
 from bergamotshore.core.work.pacing import get_expected_pace
 from bergamotshore.core.work.stuck import is_stuck
 
@@ -129,20 +130,11 @@
     waiting = list_waiting(view)
     view.board.note_waiting(waiting, view.now)
     for item in waiting:
-        service = view.board.get_service(item.progress.spec)
-        workers = [
-            worker
-            for worker in workers_by_service.get(service, ())
-            if not item.step.label or item.step.label in worker.labels
-        ]
+        workers = _list_labelled(view, item, workers_by_service)
         if _needs_advice(view, item):
             question = _plan_question(view, item, workers)
             questions += [question] if question is not None else []
-            workers = [
-                worker
-                for worker in workers
-                if view.board.advice.get_ticket(item.key, worker.life, view.now)
-            ]
+            workers = _list_permitted(view, item, workers)
         if not workers:
             continue
         if item.step.is_gang:
@@ -155,6 +147,51 @@
     return claimed, questions
 
 
+def plan_copies(view):
+    """Claim a worker for a copy of each late run that may have one.
+
+    To be called after ``plan_starts``: copies take only what nothing else waits for.
+
+    :returns: List of triples of ``LateRun``, worker and ``HeldRun`` claimed.
+    """
+    late = list_late(view)
+    workers_by_service = _group_workers(view) if late else {}
+    claimed = []
+    for run in late:
+        ref = run.held.ref
+        item = WaitingStep(run.progress, ref.occurrence, ref.step, [ref], ())
+        workers = _list_labelled(view, item, workers_by_service)
+        if _needs_advice(view, item):
+            workers = _list_permitted(view, item, workers)
+        others = [worker for worker in workers if worker is not run.worker]
+        counts = _count_by_node(item)
+        worker = choose_worker(item.step, others, counts, view.board.interference)
+        if worker is not None:
+            held = view.board.claim(ref, worker, view.now)
+            held.ticket = view.board.advice.get_ticket(item.key, worker.life, view.now)
+            claimed.append((run, worker, held))
+    return claimed
+
+
+def _list_labelled(view, item, workers_by_service):
+    """Return the workers of a step's service that have the label it needs."""
+    service = view.board.get_service(item.progress.spec)
+    return [
+        worker
+        for worker in workers_by_service.get(service, ())
+        if not item.step.label or item.step.label in worker.labels
+    ]
+
+
+def _list_permitted(view, item, workers):
+    """Return the workers for which the advice service has given a ticket."""
+    return [
+        worker
+        for worker in workers
+        if view.board.advice.get_ticket(item.key, worker.life, view.now)
+    ]
+
+
 def _needs_advice(view, item):
     queue = view.board.get_queue(item.progress.spec.queue)
     return queue is not None and queue.advice is not None
@@ -328,7 +365,8 @@
     if is_stuck(held, worker):
         view.board.note_stuck(worker, held, view.now)
         return "stuck"
-    if held.key in view.slow_keys and _has_room_elsewhere(view, held, worker):
+    is_slow = held.key in view.slow_keys and not held.step.is_speculative
+    if is_slow and _has_room_elsewhere(view, held, worker):
         return "slow"
     return ""
 
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -13,7 +13,12 @@
 from bergamotshore.core.work.board import Board
 from bergamotshore.core.work.leases import get_lapse_seconds
 from bergamotshore.core.work.pacing import plan_paces
-from bergamotshore.core.work.planner import PlanView, plan_starts, plan_stops
+from bergamotshore.core.work.planner import (
+    PlanView,
+    plan_copies,
+    plan_starts,
+    plan_stops,
+)
 from bergamotshore.core.work.suspicion import Suspicion
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
@@ -327,6 +332,17 @@
             _, questions = plan_starts(view)
             for question in questions:
                 self.questions.ask(self.board, question, self.epoch, now)
+            for late, worker, held in plan_copies(view):
+                self.registry.count(f'run_copies_total{{sign="{late.sign}"}}')
+                self.log.write(
+                    "run-copied",
+                    held.name,
+                    run=held.number,
+                    node=worker.node,
+                    first=late.held.number,
+                    first_node=late.worker.node,
+                    why=late.sign,
+                )
         for worker in self.board.worker_by_node.values():
             has_moved = self.board.advance_acknowledged(worker, self.writer.is_written)
             batch = orders_by_node.get(worker.node)
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -66,6 +66,8 @@
             return "zone-closed"
         if progress is None or progress.is_cancelled or progress.outcome:
             return "job-over"
+        if progress.get_task(held.ref).is_done:
+            return "done-elsewhere"
         return ""
 
     def send(self, worker, orders):
--- a/standins/site.py
+++ b/standins/site.py
@@ -278,6 +278,7 @@
 
     def __init__(self):
         self.size_by_job = {}
+        self.copied_jobs = set()
         self.live = {}
         self.done = set()
         self.acknowledged_done = set()
@@ -288,7 +289,7 @@
         """Take note of a start, and judge it."""
         self.starts.append((task, number, runner.name))
         others = [key for key in self.live if key[1] == task]
-        if others:
+        if len(others) >= self._get_most_runs(task):
             self.problems.append(f"{task} runs twice: {others} and {runner.name}")
         if task in self.acknowledged_done:
             self.problems.append(f"{task} started after its end was acknowledged")
@@ -301,6 +302,10 @@
         if used > runner.cpu:
             self.problems.append(f"{runner.name} holds {used} of {runner.cpu}")
 
+    def _get_most_runs(self, task):
+        """Return how many runs of a task may be live at once."""
+        return 2 if task.split(".")[0] in self.copied_jobs else 1
+
     def note_end(self, runner, task, number, outcome):
         """Take note of an end."""
         self.live.pop((runner.name, task), None)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -390,6 +390,8 @@
             "queue", job_id, SERVICE, "payload", steps, queue_.retries, **fields
         )
         self.ledger.size_by_job[job_id] = max(step.cpu for step in steps)
+        if any(step.is_speculative for step in steps):
+            self.ledger.copied_jobs.add(job_id)
         return self.rows.accept(spec, self.clock.now() + 2.0)
 
     def finish_all(self, outcome="done"):
