Ports of sites that run at the same time come from locked blocks

Each run took ports one by one from a start that its process number gave, so runs at the same time met, and nodes of one site connected to the entry of another under the same names. Change: a run takes ports in blocks of 50 under a lock on the block's file, which ends with the process.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -1,11 +1,9 @@
 """Starting, stopping and asking the processes of a site."""
 
 import http.client
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +12,8 @@
 
 import yaml
 
+from standins.ports import PortPool
+
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 START_SECONDS = 20.0
@@ -21,10 +21,7 @@
 POLL_SECONDS = 0.05
 CALL_SECONDS = 5.0
 SESSION_TTL_SECONDS = 6.0
-PORT_RANGE = range(20_000, 32_000)
-PORTS = itertools.islice(
-    itertools.cycle(PORT_RANGE), os.getpid() * 97 % len(PORT_RANGE), None
-)
+PORTS = PortPool(range(20_000, 32_000))
 SITE_TOKEN = "token-of-the-site"
 TEAM_TOKEN = "token-of-the-team"
 
@@ -149,7 +146,7 @@
 
         :param with_wire: Put a wire that can be cut between it and the nodes.
         """
-        ports = reserve_ports(3)
+        ports = PORTS.take(3)
         entry = {
             "callers": f"{HOST}:{ports[0]}",
             "operators": f"{HOST}:{ports[1]}",
@@ -164,7 +161,7 @@
         entry.update(self.entry_settings)
         if with_wire:
             wire = f"wire-{name}"
-            port = reserve_ports(1)[0]
+            port = PORTS.take(1)[0]
             entry["nodes_advertised"] = f"{HOST}:{port}"
             arguments = ("--listen", str(port), "--target", entry["nodes"])
             self._start_stand_in("wire", wire, *arguments)
@@ -199,7 +196,7 @@
     def _start_stand_in(self, module, name="", *arguments):
         name = name or module
         known = self.member_by_name.get(name)
-        port = known.port if known else reserve_ports(1)[0]
+        port = known.port if known else PORTS.take(1)[0]
         command = [sys.executable, "-m", f"standins.{module}", "--port", str(port)]
         self._start(name, [*command, *arguments], port)
 
@@ -334,29 +331,6 @@
         return 0.0
 
 
-def reserve_ports(count):
-    """Return ports that are free and that were not given out before.
-
-    They lie below the range from which the kernel takes ports for connections, so that
-    no connection made meanwhile can hold one.
-    """
-    ports = []
-    while len(ports) < count:
-        port = next(PORTS)
-        if is_free(port):
-            ports.append(port)
-    return ports
-
-
-def is_free(port):
-    """Tell whether a port can be listened on."""
-    try:
-        socket.create_server((HOST, port)).close()
-    except OSError:
-        return False
-    return True
-
-
 def ask(address, path, call=None):
     """Call a server and return its decoded JSON answer."""
     connection = http.client.HTTPConnection(address, timeout=CALL_SECONDS)
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,10 +1,7 @@
 """The real programs as separate processes, each behind proxies that misbehave."""
 
-import itertools
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -16,6 +13,7 @@
 from bergamotshore.ports.rows import Put, RowId
 from soak.proxy import FaultProxy
 from soak.servers import StoreServer, WorkerServer
+from standins.ports import PortPool
 from standins.site import LONGEST_HOLD_SECONDS, SERVICE, Ledger, RowsStandIn
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -24,13 +22,7 @@
 HOST_NAME = "soak.example"
 PREFIX = "/q/"
 RETRIES = 40
-PORT_RANGE = range(12_000, 20_000)
-# Soaks that run at the same time begin at other ports.
-PORTS = itertools.islice(
-    itertools.cycle(PORT_RANGE),
-    os.getpid() * 197 % len(PORT_RANGE),
-    None,
-)
+PORTS = PortPool(range(12_000, 20_000))
 STOP_SECONDS = 20.0
 STOP_TRIES = 2
 
@@ -118,7 +110,7 @@
         self.entry_by_name = {}
         self.node_by_name = {}
         self.callers_by_entry = {}
-        streams = [find_port() for _ in range(entries)]
+        streams = [PORTS.take(1)[0] for _ in range(entries)]
         doors = [self._add_proxy(port, seed) for port in streams]
         for index, port in enumerate(streams):
             self._add_entry(Path(folder), index, port, doors, seed)
@@ -145,7 +137,7 @@
 
     def _add_entry(self, folder, index, port, doors, seed):
         name = f"entry-{index}"
-        callers, ready, metrics, operators = (find_port() for _ in range(4))
+        callers, ready, metrics, operators = (PORTS.take(1)[0] for _ in range(4))
         store = self._add_proxy(self.store.port, seed)
         settings = {
             "name": name,
@@ -169,7 +161,7 @@
     def _add_node(self, folder, index, doors, seed):
         name = f"node-{index}"
         zone = ZONES[index % len(ZONES)]
-        heartbeats, metrics = find_port(), find_port()
+        heartbeats, metrics = PORTS.take(1)[0], PORTS.take(1)[0]
         worker = WorkerServer(
             self.clock,
             f"worker-{index}",
@@ -243,19 +235,3 @@
         "longest_hold_ms": int(LONGEST_HOLD_SECONDS * 1000),
         "peers": [door.address for door in doors],
     }
-
-
-def find_port():
-    """Return a free port of loopback.
-
-    Ports that connections take for themselves are left out: one could be taken again
-    before the process that it is meant for has started.
-    """
-    for port in PORTS:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-    raise OSError("no free port")
