Planner in parts; gangs on one rack; room for steps of high priority

Change: planner.py is split (waiting, placing, gangs, stops, planner), and decisions.make_plan is all that the dispatcher calls. Workers tell their rack. A gang that is slower on several racks goes to one that has the room, else anywhere. A step that waited 0.5 s without any worker that fits has the runs of lower priority stopped that lose least, on one worker, which is then kept for it for 1.5 s. Found on the way, each with a test that failed first: a gang without room claimed and released its members at each look (a row written each time); a run in which several members failed counted as several failures. Tests: test_preemption (a wide quick task in a flood of batch), test_gangs.

--- a/src/bergamotshore/core/work/board.py
+++ b/src/bergamotshore/core/work/board.py
@@ -75,12 +75,42 @@
         self.step_times = StepTimes()
         self._ends_by_node = {}
         self._since_by_step = {}
+        self._reservation_by_node = {}
+
+    def reserve(self, node, reservation):
+        """Keep a worker for one step for a while.
+
+        :param reservation: ``Reservation``.
+        """
+        self._reservation_by_node[node] = reservation
+
+    def has_reservation(self, key, now):
+        """Tell whether some worker is kept for a step."""
+        return any(
+            item.key == key and now < item.until
+            for item in self._reservation_by_node.values()
+        )
+
+    def is_open_to(self, node, item, now):
+        """Tell whether a worker is not kept for another step.
+
+        :param item: ``WaitingStep``.
+        """
+        kept = self._reservation_by_node.get(node)
+        if kept is None or now >= kept.until or kept.key == item.key:
+            return True
+        return self.get_priority(item.progress.spec) < kept.priority
 
     def note_waiting(self, waiting, now):
         """Take note of the steps that wait now; keeps since when each does."""
         self._since_by_step = {
             item.key: self._since_by_step.get(item.key, now) for item in waiting
         }
+        self._reservation_by_node = {
+            node: kept
+            for node, kept in self._reservation_by_node.items()
+            if now < kept.until and kept.key in self._since_by_step
+        }
 
     def waiting_since(self, item):
         """Return since when a ``WaitingStep`` waits, in seconds."""
--- /dev/null
+++ b/src/bergamotshore/core/work/decisions.py
@@ -0,0 +1,41 @@
+"""All that is decided at one moment, from one view."""
+
+from dataclasses import dataclass, field
+
+from bergamotshore.core.work.pacing import plan_paces
+from bergamotshore.core.work.planner import plan_copies, plan_starts
+from bergamotshore.core.work.preemption import plan_preemptions
+from bergamotshore.core.work.stops import plan_stops
+
+
+@dataclass(slots=True)
+class Plan:
+    """What is to be done now; claims of starts and copies are on the board.
+
+    :param stops: List of ``StopRun``.
+    :param paces: List of paces.
+    :param questions: List of ``Question`` for the advice service.
+    :param copies: Triples of ``LateRun``, worker and the ``HeldRun`` of its copy.
+    """
+
+    stops: list = field(default_factory=list)
+    paces: list = field(default_factory=list)
+    questions: list = field(default_factory=list)
+    copies: list = field(default_factory=list)
+
+
+def make_plan(view, may_start, may_preempt):
+    """Return the ``Plan`` for a view.
+
+    :param view: ``PlanView``.
+    :param may_start: Whether this entry still gives new work out.
+    :param may_preempt: Whether to look for runs that make room for others.
+    """
+    plan = Plan(stops=plan_stops(view), paces=plan_paces(view))
+    if not may_start:
+        return plan
+    _, plan.questions = plan_starts(view)
+    if may_preempt:
+        plan.stops += plan_preemptions(view)
+    plan.copies = plan_copies(view)
+    return plan
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -32,6 +32,8 @@
     :param last_run: Highest number of a run so far.
     :param checkpoint: Newest checkpoint; empty when there is none.
     :param runs: List of ``Run`` that may be running.
+    :param failed_run: Number of the latest run of its gang that counted as failed; 0
+        for tasks that are in none.
     """
 
     is_done: bool = False
@@ -39,6 +41,7 @@
     last_run: int = 0
     checkpoint: str = ""
     runs: list = field(default_factory=list)
+    failed_run: int = 0
 
 
 class JobProgress:
@@ -204,14 +207,21 @@
             return True
         self.note_checkpoint(ref, number, checkpoint)
         if outcome == "failed":
-            self._note_failure(ref, step, task, retries)
+            if step.is_gang:
+                self._note_gang_failure(ref, number)
+            else:
+                task.failures += 1
+            self._close_failed(step, task, retries)
         return True
 
-    def _note_failure(self, ref, step, task, retries):
-        """Count a failed run; those of a gang count for all of its members."""
-        members = self.tasks_by_occurrence[ref.occurrence][ref.step]
-        for member in members if step.is_gang else [task]:
-            member.failures += 1
+    def _note_gang_failure(self, ref, number):
+        """Count a failed run of a gang once, however many of its members failed."""
+        for member in self.tasks_by_occurrence[ref.occurrence][ref.step]:
+            if member.failed_run < number:
+                member.failed_run = number
+                member.failures += 1
+
+    def _close_failed(self, step, task, retries):
         if task.failures >= retries and not step.is_lasting and not task.is_done:
             self.outcome = "failed"
 
@@ -289,7 +299,8 @@
     if not task.last_run:
         return []
     runs = [[run.number, run.node, run.worker, run.born] for run in task.runs]
-    return [int(task.is_done), task.failures, task.last_run, task.checkpoint, runs]
+    content = [int(task.is_done), task.failures, task.last_run, task.checkpoint, runs]
+    return [*content, task.failed_run] if task.failed_run else content
 
 
 def _decode_task(content):
@@ -297,5 +308,12 @@
         return Task()
     if len(content) == 1:
         return Task(is_done=True)
-    is_done, failures, last_run, checkpoint, runs = content
-    return Task(bool(is_done), failures, last_run, checkpoint, [Run(*r) for r in runs])
+    is_done, failures, last_run, checkpoint, runs, *failed_run = content
+    return Task(
+        bool(is_done),
+        failures,
+        last_run,
+        checkpoint,
+        [Run(*r) for r in runs],
+        *failed_run,
+    )
--- /dev/null
+++ b/src/bergamotshore/core/work/stops.py
@@ -0,0 +1,77 @@
+"""Which runs nobody wants."""
+
+from dataclasses import dataclass
+
+from bergamotshore.core.work.stuck import is_stuck
+from bergamotshore.core.work.waiting import group_workers
+
+# A stop that is not followed by an end is sent again after this time, in seconds;
+# workers take 0.2 s to stop a task.
+STOP_AGAIN_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Tell a worker to stop a run.
+
+    :param node: Node of the worker.
+    :param name: Name of the task.
+    :param number: Number of the run.
+    :param reason: Why.
+    """
+
+    node: str
+    name: str
+    number: int
+    reason: str
+
+
+def plan_stops(view):
+    """Return the ``StopRun`` of runs that nobody wants.
+
+    These are runs of cancelled and closed jobs, further copies of tasks that are done,
+    and runs that no job claims.
+    """
+    stops = []
+    for worker in view.board.worker_by_node.values():
+        if worker.stream is None:
+            continue
+        for name, number in worker.unknown:
+            stops.append(StopRun(worker.node, name, number, "unknown"))
+        for held in worker.held_by_key.values():
+            reason = _find_stop_reason(view, held, worker)
+            is_sent = view.now - held.stop_sent_at < STOP_AGAIN_SECONDS
+            if reason and not is_sent and held.sent_at:
+                held.stop_sent_at = view.now
+                stops.append(StopRun(worker.node, held.name, held.number, reason))
+    return stops
+
+
+def _find_stop_reason(view, held, worker):
+    progress = view.board.job_by_key.get(held.ref.job)
+    if progress is None:
+        return "closed"
+    if progress.is_cancelled:
+        return "cancelled"
+    if progress.outcome == "failed":
+        return "failed"
+    task = progress.get_task(held.ref)
+    if task is None or task.is_done:
+        return "done-elsewhere"
+    if is_stuck(held, worker):
+        view.board.note_stuck(worker, held, view.now)
+        return "stuck"
+    is_slow = held.key in view.slow_keys and not held.step.is_speculative
+    if is_slow and has_room_elsewhere(view, held, worker):
+        return "slow"
+    return ""
+
+
+def has_room_elsewhere(view, held, worker):
+    """Tell whether a run could start at once on another worker."""
+    return any(
+        other.fits(held.step)
+        and (not held.step.label or held.step.label in other.labels)
+        for other in group_workers(view).get(worker.service, ())
+        if other is not worker
+    )
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -75,6 +75,8 @@
     :param memory: Memory, in MB.
     :param accelerators: Accelerators.
     :param labels: Labels.
+    :param rack: Rack that it stands in; empty when unknown.
+    :param machine: VM that it runs on; empty when unknown.
     :param is_draining: Whether it is about to leave.
     :param leaves_at: When it may leave, in seconds; 0 when it does not.
     :param is_heard: Whether its node was heard a moment ago.
@@ -100,6 +102,8 @@
     memory: int = 0
     accelerators: int = 0
     labels: tuple = ()
+    rack: str = ""
+    machine: str = ""
     is_draining: bool = False
     leaves_at: float = 0.0
     is_heard: bool = False
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -11,15 +11,10 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.board import Board
+from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.leases import get_lapse_seconds
-from bergamotshore.core.work.pacing import plan_paces
-from bergamotshore.core.work.planner import (
-    PlanView,
-    plan_copies,
-    plan_starts,
-    plan_stops,
-)
 from bergamotshore.core.work.suspicion import Suspicion
+from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
     JOBS,
@@ -44,8 +39,9 @@
 COUNT_SECONDS = 0.5
 # What was learned is written at most this often, in seconds.
 LEARNED_SECONDS = 4.0
-# Workers list their progress each 0.4 s; looking twice as often sees each list.
-SPEED_LOOK_SECONDS = 0.2
+# Workers list their progress each 0.4 s; looking twice as often for slow workers and
+# for steps that lack room sees each list. In seconds.
+LOOK_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,8 +304,10 @@
             self.suspicion.note(fact)
             self.board.step_times.note(fact)
             self._log_fact(fact)
-        self._look_at_speeds(now)
-        orders_by_node = {}
+        is_look = now - self._looked_at >= LOOK_SECONDS
+        if is_look:
+            self._looked_at = now
+            self._look_at_speeds(now)
         view = PlanView(
             self.board,
             self.site,
@@ -318,31 +316,17 @@
             self.suspicion.is_held,
             self._slow_keys,
         )
-        for stop in plan_stops(view):
+        orders_by_node = {}
+        plan = make_plan(view, not self.is_leaving, is_look)
+        self._log_plan(plan)
+        for question in plan.questions:
+            self.questions.ask(self.board, question, self.epoch, now)
+        for stop in plan.stops:
             batch = orders_by_node.setdefault(stop.node, OrderBatch())
             batch.stops.append((stop.name, stop.number))
-            self.log.write("run-stopped", stop.name, run=stop.number, why=stop.reason)
-        for pace in plan_paces(view):
+        for pace in plan.paces:
             batch = orders_by_node.setdefault(pace.node, OrderBatch())
             batch.paces.append((pace.name, pace.number, pace.percent))
-            self.log.write(
-                "run-paced", pace.name, run=pace.number, percent=pace.percent
-            )
-        if not self.is_leaving:
-            _, questions = plan_starts(view)
-            for question in questions:
-                self.questions.ask(self.board, question, self.epoch, now)
-            for late, worker, held in plan_copies(view):
-                self.registry.count(f'run_copies_total{{sign="{late.sign}"}}')
-                self.log.write(
-                    "run-copied",
-                    held.name,
-                    run=held.number,
-                    node=worker.node,
-                    first=late.held.number,
-                    first_node=late.worker.node,
-                    why=late.sign,
-                )
         for worker in self.board.worker_by_node.values():
             has_moved = self.board.advance_acknowledged(worker, self.writer.is_written)
             batch = orders_by_node.get(worker.node)
@@ -351,9 +335,6 @@
 
     def _look_at_speeds(self, now):
         """Keep new work away from workers that turned slow."""
-        if now - self._looked_at < SPEED_LOOK_SECONDS:
-            return
-        self._looked_at = now
         slow = self.board.step_times.find_slow(self.board.worker_by_node.values())
         for worker in slow:
             if self.suspicion.note_slow(worker.node, now):
@@ -367,6 +348,26 @@
             held.key for worker in slow for held in worker.to_move
         )
 
+    def _log_plan(self, plan):
+        for stop in plan.stops:
+            self.registry.count(f'run_stops_total{{reason="{stop.reason}"}}')
+            self.log.write("run-stopped", stop.name, run=stop.number, why=stop.reason)
+        for pace in plan.paces:
+            self.log.write(
+                "run-paced", pace.name, run=pace.number, percent=pace.percent
+            )
+        for late, worker, held in plan.copies:
+            self.registry.count(f'run_copies_total{{sign="{late.sign}"}}')
+            self.log.write(
+                "run-copied",
+                held.name,
+                run=held.number,
+                node=worker.node,
+                first=late.held.number,
+                first_node=late.worker.node,
+                why=late.sign,
+            )
+
     def _log_fact(self, fact):
         self.registry.count(f'runs_ended_total{{outcome="{fact.outcome}"}}')
         self.log.write(
--- a/src/bergamotshore/entry/reports.py
+++ b/src/bergamotshore/entry/reports.py
@@ -37,6 +37,8 @@
     worker.cpu, worker.memory = report.cpu, report.memory
     worker.accelerators = report.accelerators
     worker.labels = tuple(report.labels)
+    worker.rack = report.rack
+    worker.machine = report.machine
     worker.is_answering = report.is_answering
     worker.has_right = report.has_right
     worker.is_draining = report.is_draining
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -330,6 +330,7 @@
             memory=said.memory if said is not None else 0,
             accelerators=said.accelerators if said is not None else 0,
             labels=list(said.labels) if said is not None else [],
+            rack=said.rack if said is not None else "",
             machine=said.machine if said is not None else "",
             is_draining=said is not None and said.is_draining,
             remaining=said.remaining if said is not None else 0.0,
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -53,7 +53,10 @@
 
 
 class WireReport(msgspec.Struct, frozen=True):
-    """A worker's report about itself; ``warmup_left_ms`` counts down to 0."""
+    """A worker's report about itself; ``warmup_left_ms`` counts down to 0.
+
+    ``labels`` are the worker's kind and its rack, in this order.
+    """
 
     service: str
     zone: str
@@ -186,6 +189,7 @@
             memory=report.capacity.mem_mb,
             accelerators=report.capacity.gpu,
             labels=tuple(report.labels),
+            rack=report.labels[1] if len(report.labels) > 1 else "",
             machine=report.machine,
             sequence=report.seq,
         )
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -123,6 +123,7 @@
     :param memory: Memory, in MB.
     :param accelerators: Accelerators.
     :param labels: Labels, its kind and its rack among them.
+    :param rack: Rack that it stands in; empty when it did not say.
     :param machine: VM that it runs on; empty when it did not say.
     :param sequence: Position among its reports.
     """
@@ -138,6 +139,7 @@
     memory: int
     accelerators: int
     labels: tuple = field(default=())
+    rack: str = ""
     machine: str = ""
     sequence: int = 0
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -128,6 +128,7 @@
         self.name = name
         self.ledger = ledger
         self.cpu, self.memory = cpu, memory
+        self.rack = "r1-1"
         self.faults = []
         self.late = []
         self.is_cut = False
@@ -269,7 +270,8 @@
             cpu=self.cpu,
             memory=self.memory,
             accelerators=0,
-            labels=("a", "r1-1"),
+            labels=("a", self.rack),
+            rack=self.rack,
         )
 
 
--- a/tests/site/burst.py
+++ b/tests/site/burst.py
@@ -3,14 +3,11 @@
 from bergamotshore.core.work.board import Board
 from bergamotshore.core.work.leases import get_lapse_seconds, get_right_seconds
 from bergamotshore.core.work.model import JobSpec, Step
-from bergamotshore.core.work.planner import (
-    PlanView,
-    plan_copies,
-    plan_starts,
-    plan_stops,
-)
+from bergamotshore.core.work.planner import plan_copies, plan_starts
 from bergamotshore.core.work.site import SiteState
+from bergamotshore.core.work.stops import plan_stops
 from bergamotshore.core.work.suspicion import Suspicion
+from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.ports.runner import ListedEnd, ListedRun, WorkerLife
 from tests.site.world import LONGEST_HOLD_SECONDS, SERVICE, build_configuration
 
--- a/tests/site/test_interference.py
+++ b/tests/site/test_interference.py
@@ -12,14 +12,10 @@
     plan_paces,
     share_budgets,
 )
-from bergamotshore.core.work.planner import (
-    LONGEST_FILLING_WAIT,
-    PlanView,
-    choose_worker,
-    list_waiting,
-    plan_starts,
-)
+from bergamotshore.core.work.placing import choose_worker
+from bergamotshore.core.work.planner import LONGEST_FILLING_WAIT, plan_starts
 from bergamotshore.core.work.site import SiteState
+from bergamotshore.core.work.waiting import PlanView, list_waiting
 from bergamotshore.core.work.workers import HeldRun, WorkerView
 from bergamotshore.ports.runner import WorkerLife
 from tests.site.world import SERVICE, World, build_configuration
