Waves of upkeep: VMs are emptied, go down and are told of

Cause: op/wave/N was decoded and nothing acted on it. Change: core/work/upkeep decides which VM of a wave is cleared, claimed and ordered; evictions empties it (tasks with checkpoints move at once, others finish while the wave's time allows, lasting tasks leave one by one while enough others of their step are at work); entry/upkeep reads the list, writes claims under the fence of the term before an order, and tells active and complete. Orders carry the term as token; a new term gives none in its first 3 s, so that holders don't take turns within a lease. An order in doubt counts as down and is given again. platform/machines holds the calls. Withdrawn waves are forgotten by the follower. Weighed: keeping progress only in memory and asking the service again after a takeover (its orders do nothing the second time): a successor could not tell which VMs are down from an order that has no answer yet, and would exceed max_count. Hence the row. Moves and standby pools are left.

--- a/src/bergamotshore/core/work/decisions.py
+++ b/src/bergamotshore/core/work/decisions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from bergamotshore.core.work.evictions import plan_evictions
 from bergamotshore.core.work.pacing import plan_paces
 from bergamotshore.core.work.planner import plan_copies, plan_starts
 from bergamotshore.core.work.preemption import plan_preemptions
@@ -34,6 +35,7 @@
     plan = Plan(stops=plan_stops(view), paces=plan_paces(view))
     if not may_start:
         return plan
+    plan.stops += plan_evictions(view, view.clearing)
     _, plan.questions = plan_starts(view)
     if may_preempt:
         plan.stops += plan_preemptions(view)
--- a/src/bergamotshore/core/work/preemption.py
+++ b/src/bergamotshore/core/work/preemption.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from bergamotshore.core.work.stops import StopRun
+from bergamotshore.core.work.stops import StopRun, is_stopping
 from bergamotshore.core.work.waiting import (
     count_by_node,
     group_workers,
@@ -116,11 +116,13 @@
     if not worker.could_hold(step):
         return None
     priority = view.board.get_priority(item.progress.spec)
-    leaving = [held for held in worker.held_by_key.values() if held.stop_sent_at]
+    leaving = [
+        held for held in worker.held_by_key.values() if is_stopping(held, view.now)
+    ]
     candidates = [
         held
         for held in worker.held_by_key.values()
-        if held.priority > priority and _may_stop(held)
+        if held.priority > priority and _may_stop(held, view.now)
     ]
     candidates.sort(key=lambda held: (-held.priority, get_loss(held, view.now)))
     victims = []
@@ -131,13 +133,13 @@
     return victims
 
 
-def _may_stop(held):
+def _may_stop(held, now):
     """Tell whether a run may be stopped for another one.
 
     Lasting tasks serve their own users, and a stopped member breaks its whole gang.
     """
     is_bound = held.step.is_lasting or held.step.is_gang
-    return held.is_started and not held.stop_sent_at and not is_bound
+    return held.is_started and not is_stopping(held, now) and not is_bound
 
 
 def get_loss(held, now):
--- a/src/bergamotshore/core/work/stops.py
+++ b/src/bergamotshore/core/work/stops.py
@@ -40,13 +40,18 @@
             stops.append(StopRun(worker.node, name, number, "unknown"))
         for held in worker.held_by_key.values():
             reason = _find_stop_reason(view, held, worker)
-            is_sent = view.now - held.stop_sent_at < STOP_AGAIN_SECONDS
+            is_sent = is_stopping(held, view.now)
             if reason and not is_sent and held.sent_at:
                 held.stop_sent_at = view.now
                 stops.append(StopRun(worker.node, held.name, held.number, reason))
     return stops
 
 
+def is_stopping(held, now):
+    """Tell whether a run was told to stop a moment ago; later it is told again."""
+    return now - held.stop_sent_at < STOP_AGAIN_SECONDS
+
+
 def _find_stop_reason(view, held, worker):
     progress = view.board.job_by_key.get(held.ref.job)
     if progress is None:
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -1,6 +1,6 @@
 """What waits for a worker, in the order in which it is placed."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,6 +12,7 @@
     :param now: Current time, in seconds.
     :param wall: Wall clock, in seconds.
     :param is_held: Tells whether a node gets no new work: ``(node, now) -> bool``.
+    :param clearing: Whether time is short, by node that is emptied for its upkeep.
     :param slow_keys: Keys of runs that would end earlier on another worker.
     """
 
@@ -20,6 +21,7 @@
     now: float
     wall: float
     is_held: object
+    clearing: dict = field(default_factory=dict)
     slow_keys: frozenset = frozenset()
 
 
@@ -90,7 +92,8 @@
     groups = {}
     for worker in view.board.worker_by_node.values():
         is_open = worker.zone not in view.site.closed_zones
-        if worker.is_usable and is_open and not view.is_held(worker.node, view.now):
+        is_held = worker.node in view.clearing or view.is_held(worker.node, view.now)
+        if worker.is_usable and is_open and not is_held:
             groups.setdefault(worker.service, []).append(worker)
     return groups
 
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -26,6 +26,7 @@
 from bergamotshore.entry.questions import Advised, QuestionDesk
 from bergamotshore.entry.reports import note_report
 from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs, take_fences
+from bergamotshore.entry.upkeep import WAVES_PART, UpkeepDesk, UpkeepEvent
 from bergamotshore.generated.messages import RunReport, RunResults
 
 # Pause between two looks at the board when nothing happens, in seconds.
@@ -95,6 +96,8 @@
     :param retention: ``Retention`` of closed jobs.
     :param advisor: ``AdviceClient``; None without an advice service.
     :param advice_calls: Runs its calls, one after another.
+    :param machines: ``MachineService``; None without one.
+    :param machine_calls: Runs its calls, one after another.
     """
 
     def __init__(
@@ -112,7 +115,11 @@
         retention,
         advisor=None,
         advice_calls=None,
+        machines=None,
+        machine_calls=None,
     ):
+        self.machines = machines
+        self.machine_calls = machine_calls
         self.store = store
         self.election = election
         self.site = site
@@ -137,6 +144,7 @@
         self.suspicion = Suspicion()
         self.writer = JobWriter(self.board, self.epoch, self.clock)
         self.sender = OrderSender(self.board, self.site, self.epoch, self.log)
+        self.upkeep = self._build_upkeep(0)
         self.in_flight = set()
         self._retry_at_by_part = {}
         self._counted_at = 0.0
@@ -146,6 +154,19 @@
         self._looked_at = 0.0
         self._slow_keys = frozenset()
 
+    def _build_upkeep(self, fence_version):
+        return UpkeepDesk(
+            self.store,
+            self.machines,
+            self.machine_calls,
+            self.post,
+            self.clock,
+            self.log,
+            self.election.name,
+            self.epoch,
+            fence_version,
+        )
+
     def post(self, event):
         """Hand an event over, from any thread."""
         self.events.put(event)
@@ -206,6 +227,7 @@
         self._reset()
         for part, version in fences.items():
             self.writer.set_fence(part, version)
+        self.upkeep = self._build_upkeep(fences[WAVES_PART])
         self._restore(found)
         self.feed_version = found.version
         self.log.write(
@@ -250,6 +272,9 @@
                     self._take_row(row)
             case Written():
                 self._take_written(event, now)
+            case UpkeepEvent():
+                if event.epoch == self.epoch:
+                    self.upkeep.take(event, now)
             case Advised():
                 if event.epoch == self.epoch:
                     self.questions.take(self.board, event)
@@ -308,12 +333,14 @@
         if is_look:
             self._looked_at = now
             self._look_at_speeds(now)
+            self.upkeep.step(self.board, self.site.wave_by_number, now)
         view = PlanView(
             self.board,
             self.site,
             now,
             self.clock.wall(),
             self.suspicion.is_held,
+            self.upkeep.list_clearing(self.board, now),
             self._slow_keys,
         )
         orders_by_node = {}
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -70,7 +70,7 @@
         self.row = None
         self.echoed_until = 0.0
         self._store = store
-        self._name = name
+        self.name = name
         self._incarnation = incarnation
         self._address = address
         self._clock = clock
@@ -122,7 +122,7 @@
         """Tell whether no process can hold the lease, whatever its age."""
         if self.row is None or not self.row.name:
             return True
-        is_own = self.row.name == self._name
+        is_own = self.row.name == self.name
         return is_own and self.row.incarnation != self._incarnation
 
     def _read(self):
@@ -147,7 +147,7 @@
     def _write(self, epoch, version, reason):
         sent_at = self._clock.now()
         is_alone = sent_at >= self.echoed_until
-        row = LeaderRow(self._name, self._incarnation, self._address, epoch, is_alone)
+        row = LeaderRow(self.name, self._incarnation, self._address, epoch, is_alone)
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(row))],
@@ -177,7 +177,7 @@
                 return True
             case Success(_):
                 if self.lease.epoch:
-                    self._log.write("term-lost", self._name, epoch=self.lease.epoch)
+                    self._log.write("term-lost", self.name, epoch=self.lease.epoch)
                 self.lease.resign()
                 return True
             case Failure(failure):
@@ -186,7 +186,7 @@
 
     def _take_term(self, row, version, sent_at, reason):
         if self.lease.epoch != row.epoch:
-            self._log.write("term-taken", self._name, epoch=row.epoch, reason=reason)
+            self._log.write("term-taken", self.name, epoch=row.epoch, reason=reason)
         self._version = version
         self.row = row
         self.lease.extend(row.epoch, sent_at)
@@ -204,4 +204,4 @@
             [Put(LEADER_ROW, msgspec.msgpack.encode(vacant))],
             [],
         )
-        self._log.write("term-resigned", self._name, epoch=epoch, outcome=str(outcome))
+        self._log.write("term-resigned", self.name, epoch=epoch, outcome=str(outcome))
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -42,6 +42,7 @@
 from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.platform.advice import AdviceClient
+from bergamotshore.platform.machines import PlatformMachines
 from bergamotshore.platform.store import PlatformRowStore
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.ports.rows import HistoryLost
@@ -59,6 +60,8 @@
 RELAY_THREADS = 16
 # The advice service answers one call of a machine at a time; 30 workers take a while.
 ADVICE_SECONDS = 5.0
+# Calls about VMs may be slow; an order without an answer is given again. In seconds.
+MACHINES_SECONDS = 1.5
 PEERS_SECONDS = 5.0
 FEED_SECONDS = 2.0
 # The balancer looks once a second and takes an entry out after two misses.
@@ -95,6 +98,7 @@
         self.loop = Loop(self.clock)
         self.executor = ThreadPoolExecutor(WRITER_THREADS, "writer")
         self.advice_calls = ThreadPoolExecutor(1, "advice")
+        self.machine_calls = ThreadPoolExecutor(1, "machines")
         self.relay_calls = ThreadPoolExecutor(RELAY_THREADS, "relay")
         self.relay, self.client = self._build_client()
         self.store = PlatformRowStore(self.client)
@@ -174,6 +178,10 @@
             if self.site.advice
             else None,
             self.advice_calls,
+            PlatformMachines(HttpClient(self.site.machines, MACHINES_SECONDS))
+            if self.site.machines
+            else None,
+            self.machine_calls,
         )
 
     def _build_small_server(self, app, address):
@@ -228,6 +236,7 @@
         )
         self.executor.shutdown(wait=False, cancel_futures=True)
         self.advice_calls.shutdown(wait=False, cancel_futures=True)
+        self.machine_calls.shutdown(wait=False, cancel_futures=True)
         self.relay_calls.shutdown(wait=False, cancel_futures=True)
         return is_whole
 
--- a/src/bergamotshore/entry/sitefollower.py
+++ b/src/bergamotshore/entry/sitefollower.py
@@ -67,11 +67,18 @@
         self._version = page.version
 
     def _forget_absent(self, page):
-        """Open the data centres whose row is gone from a whole reading."""
+        """Take back what is gone from a whole reading."""
         keys = {row.id.key for row in page.rows}
         for zone in list(self.state.closed_zones):
             if operator.EVACUATE_PREFIX + zone not in keys:
                 self._open_zone(zone)
+        for number in list(self.state.wave_by_number):
+            if f"{operator.WAVE_PREFIX}{number}" not in keys:
+                self._forget_wave(number)
+
+    def _forget_wave(self, number):
+        if self.state.wave_by_number.pop(number, None) is not None:
+            self._log.write("wave-withdrawn", number)
 
     def _take_row(self, row):
         key = row.id.key
@@ -103,6 +110,8 @@
 
     def _take_wave(self, row):
         if row.is_deleted:
+            number = row.id.key.removeprefix(operator.WAVE_PREFIX)
+            self._forget_wave(int(number) if number.isdigit() else None)
             return
         match operator.decode_wave(row.id.key, row.value):
             case Success(wave):
--- a/src/bergamotshore/platform/operator.py
+++ b/src/bergamotshore/platform/operator.py
@@ -11,6 +11,7 @@
     Wave,
 )
 from bergamotshore.exceptions import OperatorRowInvalid
+from bergamotshore.ports.rows import RowId
 
 TABLE = "op"
 STATUS_TABLE = "status"
@@ -113,3 +114,14 @@
     return Success(
         Wave(wave.wave, tuple(wave.machines), wave.duration_s, wave.max_count)
     )
+
+
+def get_wave_status_id(number):
+    """Return the place of the row that tells the operator how far a wave is."""
+    return RowId(STATUS_TABLE, "", f"{WAVE_PREFIX}{number}")
+
+
+def encode_wave_status(is_complete):
+    """Return the content of that row."""
+    state = "complete" if is_complete else "active"
+    return msgspec.json.encode({"state": state})
--- a/standins/site.py
+++ b/standins/site.py
@@ -126,6 +126,7 @@
     def __init__(self, clock, name, ledger, cpu=16000, memory=64000):
         self.clock = clock
         self.name = name
+        self.machine = f"vm of {name}"
         self.ledger = ledger
         self.cpu, self.memory = cpu, memory
         self.rack = "r1-1"
@@ -270,6 +271,7 @@
             cpu=self.cpu,
             memory=self.memory,
             accelerators=0,
+            machine=self.machine,
             labels=("a", self.rack),
             rack=self.rack,
         )
@@ -281,6 +283,7 @@
     def __init__(self):
         self.size_by_job = {}
         self.copied_jobs = set()
+        self.bound_jobs = set()
         self.live = {}
         self.done = set()
         self.acknowledged_done = set()
@@ -304,6 +307,10 @@
         if used > runner.cpu:
             self.problems.append(f"{runner.name} holds {used} of {runner.cpu}")
 
+    def is_bound(self, task):
+        """Tell whether a task may only be away while others of its step are not."""
+        return task.split(".")[0] in self.bound_jobs
+
     def _get_most_runs(self, task):
         """Return how many runs of a task may be live at once."""
         return 2 if task.split(".")[0] in self.copied_jobs else 1
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -8,7 +8,7 @@
 
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
 from bergamotshore.core.work.model import JobSpec, Step
-from bergamotshore.core.work.site import Queue, SiteConfiguration, SiteState
+from bergamotshore.core.work.site import Queue, SiteConfiguration, SiteState, Wave
 from bergamotshore.entry.jobrows import RECENT_SECONDS, JobRows
 from bergamotshore.entry.relay import RelayedClient
 from bergamotshore.entry.sitefollower import SiteFollower
@@ -89,6 +89,22 @@
     assert follower.state.closed_zones == {"zone-b"}
 
 
+def test_waves_come_and_are_withdrawn_also_over_a_lost_history(store, follower):
+    wave = {"machines": ["m-1"], "duration_s": 20, "max_count": 2}
+    for number in (1, 2, 3):
+        put_operator_row(store, f"wave/{number}", {"wave": number, **wave})
+    follower.step()
+    assert follower.state.wave_by_number[2] == Wave(2, ("m-1",), 20.0, 2)
+    store.transact([], [], [RowId("op", "", "wave/1")])
+    follower.step()
+    assert set(follower.state.wave_by_number) == {2, 3}
+    store.transact([], [], [RowId("op", "", "wave/2")])
+    store.compact()
+    follower.step()
+    follower.step()
+    assert set(follower.state.wave_by_number) == {3}
+
+
 def test_an_outage_leaves_the_configuration_in_force(store, follower):
     put_operator_row(store, "config", build_config(5))
     follower.step()
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -37,6 +37,7 @@
     Expect,
 )
 from bergamotshore.utils.eventlog import EventLog
+from standins.machines import MachinesStandIn
 from standins.site import (
     LONGEST_HOLD_SECONDS,
     SERVICE,
@@ -179,6 +180,8 @@
             Retention(
                 self.store, InlineExecutor(), self.clock, STATE_KEPT_SECONDS, self.log
             ),
+            machines=world.machines,
+            machine_calls=InlineExecutor(),
         )
         self.dispatcher.events = DrainedQueue()
         self.pipes = []
@@ -265,6 +268,7 @@
             f"node-{index}": RunnerStandIn(clock, f"worker-{index}", self.ledger)
             for index in range(nodes)
         }
+        self.machines = MachinesStandIn(clock, self.runner_by_node, self.ledger)
         self.cut_pairs = set()
         self.without_store = set()
         self.paused = set()
@@ -392,6 +396,8 @@
         self.ledger.size_by_job[job_id] = max(step.cpu for step in steps)
         if any(step.is_speculative for step in steps):
             self.ledger.copied_jobs.add(job_id)
+        if any(step.may_miss >= 0 for step in steps):
+            self.ledger.bound_jobs.add(job_id)
         return self.rows.accept(spec, self.clock.now() + 2.0)
 
     def finish_all(self, outcome="done"):
