Counts of waiting jobs: a lost write is made good

Cause: the outcome of a write of counts was dropped; a write that timed out was only repeated when the counts changed. Nor did a write name the version it replaces, so one carried out late brought an old count back. Change: LatestRow writes one value at a time under the version it replaces, and again until the newest is there; used for what was learned as well. Test: tests/site/test_counts fails without it (lost write: count stays 0; late write: old count comes back).

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -8,6 +8,7 @@
 import queue
 from dataclasses import dataclass
 
+import msgspec
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.board import Board
@@ -17,11 +18,14 @@
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
+    COUNTS_ROW,
     JOBS,
+    LEARNED_ROW,
     PARTS,
     decode_job_row,
 )
 from bergamotshore.entry.jobwriter import JobWriter
+from bergamotshore.entry.latestrow import LatestRow
 from bergamotshore.entry.orders import OrderBatch, OrderSender
 from bergamotshore.entry.questions import Advised, QuestionDesk
 from bergamotshore.entry.reports import note_report
@@ -148,12 +152,15 @@
         self.in_flight = set()
         self._retry_at_by_part = {}
         self._counted_at = 0.0
-        self._counts = None
         self._learned_at = self.clock.now()
-        self._learned = None
+        self._counts_row = self._build_row(COUNTS_ROW)
+        self._learned_row = self._build_row(LEARNED_ROW)
         self._looked_at = 0.0
         self._slow_keys = frozenset()
 
+    def _build_row(self, row_id):
+        return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
+
     def _build_upkeep(self, fence_version):
         return UpkeepDesk(
             self.store,
@@ -192,6 +199,8 @@
         self._write(now)
         self._count(now)
         self._keep_learned(now)
+        self._counts_row.step()
+        self._learned_row.step()
         self.retention.ask(now)
 
     def _gather(self, wait):
@@ -456,9 +465,7 @@
             if not progress.spec.repeats and progress.state == "pending":
                 name = progress.spec.queue
                 counts[name] = counts.get(name, 0) + 1
-        if counts != self._counts:
-            self._counts = counts
-            self.executor.submit(self.writer.write_counts, self.store, counts)
+        self._counts_row.put(msgspec.msgpack.encode(counts))
 
     def _keep_learned(self, now):
         """Write what was learned, so that a successor need not begin anew."""
@@ -466,6 +473,4 @@
             return
         self._learned_at = now
         learned = self.board.interference.export()
-        if learned != self._learned:
-            self._learned = learned
-            self.executor.submit(self.writer.write_learned, self.store, learned)
+        self._learned_row.put(msgspec.msgpack.encode(learned))
--- a/src/bergamotshore/entry/jobwriter.py
+++ b/src/bergamotshore/entry/jobwriter.py
@@ -3,14 +3,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-import msgspec
-
 from bergamotshore.core.work.progress import encode_progress
 from bergamotshore.entry.jobrows import (
     CLOSED,
-    COUNTS_ROW,
     JOBS,
-    LEARNED_ROW,
     RUNS,
     ClosedJob,
     encode_closed,
@@ -163,13 +159,3 @@
             if get_row_id(RUNS, key) not in found_by_id:
                 self._version_by_key.pop(key, None)
         return is_fenced
-
-    @staticmethod
-    def write_counts(store, counts):
-        """Write the number of waiting jobs by queue."""
-        store.transact([], [Put(COUNTS_ROW, msgspec.msgpack.encode(counts))], [])
-
-    @staticmethod
-    def write_learned(store, learned):
-        """Write what was learned of interference."""
-        store.transact([], [Put(LEARNED_ROW, msgspec.msgpack.encode(learned))], [])
--- /dev/null
+++ b/tests/site/test_counts.py
@@ -0,0 +1,81 @@
+"""How many jobs wait, as every entry tells it."""
+
+import pytest
+from returns.result import Failure
+
+from bergamotshore.core.work.model import Step
+from bergamotshore.entry.jobrows import COUNTS_ROW
+from bergamotshore.exceptions import PlatformUncertain
+
+# The number told may be this old, in seconds.
+COUNT_AGE_SECONDS = 2.0
+LARGE = (Step(tasks=1, cpu=99000, memory=100),)
+
+
+class CountsLost:
+    """The store of an entry, which loses the next writes of counts.
+
+    :param is_done: Whether these are carried out all the same.
+    """
+
+    def __init__(self, store, lost, is_done):
+        self._store = store
+        self.lost = lost
+        self.is_done = is_done
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def transact(self, expects, puts, deletes, timeout=None):
+        if self.lost and any(put.id == COUNTS_ROW for put in puts):
+            self.lost -= 1
+            if self.is_done:
+                self._store.transact(expects, puts, deletes)
+            return Failure(PlatformUncertain("timed out"))
+        return self._store.transact(expects, puts, deletes)
+
+
+def get_waiting(world):
+    return world.rows.get_waiting().unwrap().get("queue", 0)
+
+
+@pytest.mark.parametrize("is_done", [False, True])
+def test_a_lost_write_of_the_count_is_made_good(world, is_done):
+    world.advance(1.0)
+    dispatcher = world.leader.dispatcher
+    dispatcher._counts_row._store = CountsLost(dispatcher.store, 2, is_done)
+    for number in range(5):
+        world.submit(f"job{number}", LARGE)
+    world.advance(COUNT_AGE_SECONDS)
+    assert get_waiting(world) == 5
+
+
+def test_a_late_write_does_not_bring_an_old_count_back(world):
+    world.advance(1.0)
+    world.submit("job1", LARGE)
+    dispatcher = world.leader.dispatcher
+    world.store.faults = ["late"]
+    dispatcher._count(world.clock.now() + 1.0)
+    dispatcher._counts_row.step()
+    for number in range(2, 6):
+        world.submit(f"job{number}", LARGE)
+    world.advance(COUNT_AGE_SECONDS)
+    world.store.run_late()
+    assert get_waiting(world) == 5
+
+
+def test_a_successor_tells_its_own_count(world):
+    world.submit("job1", LARGE)
+    world.advance(COUNT_AGE_SECONDS)
+    world.kill_entry(world.leader.name)
+    world.submit("job2", LARGE)
+    world.advance(10.0)
+    assert get_waiting(world) == 2
+
+
+def test_a_count_that_does_not_change_is_not_written_again(world):
+    world.submit("job1", LARGE)
+    world.advance(COUNT_AGE_SECONDS)
+    version = world.store.row_by_id[COUNTS_ROW].version
+    world.advance(5.0)
+    assert world.store.row_by_id[COUNTS_ROW].version == version
