--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -349,8 +349,8 @@
             now,
             self.clock.wall(),
             self.suspicion.is_held,
-            self.upkeep.list_clearing(self.board, now),
-            self._slow_keys,
+            clearing=self.upkeep.list_clearing(self.board, now),
+            slow_keys=self._slow_keys,
         )
         orders_by_node = {}
         plan = make_plan(view, not self.is_leaving, is_look)
--- a/tests/site/burst.py
+++ b/tests/site/burst.py
@@ -79,7 +79,12 @@
             self.suspicion.note_slow(item.node, self.now)
         keys = frozenset(held.key for item in slow for held in item.to_move)
         view = PlanView(
-            self.board, self.site, self.now, self.now, self.suspicion.is_held, keys
+            self.board,
+            self.site,
+            self.now,
+            self.now,
+            self.suspicion.is_held,
+            slow_keys=keys,
         )
         for stop in plan_stops(view):
             self.moved.append(stop.node)
