Runs that outlive the right of their node are stopped by it

Cause: the known gap of docs/topics/platform: a worker that restarts under its name may take a lease end of its former clock, so that its lease is up to 6 s longer than the scheduling entry counts on; cut off in that moment, a task runs twice. Change: a node that once had a right stops what is listed 0.25 s after its end. A node that restarted and has no right yet stops nothing.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -22,6 +22,9 @@
 REFUSALS_FOR_DOWN = 2
 # The worker's clock may be slow by this share.
 DRIFT_SHARE = 0.02
+# Leases end within 2% of the right of a node, 0.12 s at the longest right; what runs
+# later is stopped in time for the scheduler, which waits 0.5 s more. In seconds.
+OVERDUE_SECONDS = 0.25
 # Raising the fence by this much passes any earlier node process: the time of day that
 # fences start from may have jumped back by seconds. In microseconds.
 FENCE_JUMP = 10_000_000
@@ -272,8 +275,22 @@
             self.ended = listing.ended
         for task, number, outcome in outcomes:
             self._answer(task, number, outcome)
+        self._stop_overdue(listing, now)
         self.on_change()
 
+    def _stop_overdue(self, listing, now):
+        """Stop what outlives the right of this node.
+
+        A worker that restarts under its name takes lease ends of its former clock, so
+        that its leases may be longer than the scheduler counts on.
+        """
+        ends_at = self.right.ends_at
+        if ends_at == 0.0 or now < ends_at + OVERDUE_SECONDS:
+            return
+        for run in listing.running:
+            self.log.write("lease-overdue", run.task, run=run.number)
+            self._call_stop(run.task, run.number)
+
     def _take_new_life(self, listing, fence):
         """Take note of another life of the worker.
 
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -553,3 +553,32 @@
     world.rows.cancel("queue", "watch", world.clock.now() + 1)
     world.advance(0.5)
     assert world.running == []
+
+
+@pytest.mark.parametrize("surplus", [0.5, 6.0])
+def test_a_lease_that_is_too_long_ends_with_the_right_of_its_node(world, surplus):
+    """A worker that restarted under its name took a lease end of its former clock."""
+    world.submit("job1", LASTING)
+    world.advance(1.0)
+    node = next(n for n, r in world.runner_by_node.items() if r.run_by_task)
+    for entry in world.entry_by_name:
+        world.cut(entry, node)
+    world.advance(0.5)
+    world.runner_by_node[node].lease_end_ms += int(surplus * 1000)
+    world.advance(2 * RIGHT)
+    assert world.ledger.problems == []
+    assert len(world.running) == 2
+
+
+def test_a_node_that_restarts_without_a_right_stops_nothing(world):
+    world.submit("job1", LASTING)
+    world.advance(1.0)
+    node = next(n for n, r in world.runner_by_node.items() if r.run_by_task)
+    starts = len(world.ledger.starts)
+    world.start_node(node)
+    for entry in world.entry_by_name:
+        world.cut(entry, node)
+    world.advance(2.0)
+    world.heal()
+    world.advance(1.0)
+    assert len(world.ledger.starts) == starts
