Metrics and log lines are declared in the schema

Cause: names with labels were put together by hand at 30 places; the answer had no HELP and TYPE and no escaped labels, and no page listed the log lines. Change: schema/metrics.yaml and schema/events.yaml give a catalogue each in generated/ and a page in docs/reference. The registry takes labels as arguments and refuses what is not declared. Summaries have _sum and _count. Found by the check: a counter without its label at a node.

--- a/src/bergamotshore/entry/callers.py
+++ b/src/bergamotshore/entry/callers.py
@@ -61,7 +61,7 @@
                 self._count(outcome)
                 return self._answer(start_response, outcome)
             case Failure(refusal):
-                self.registry.count(f'requests_invalid_total{{code="{refusal.code}"}}')
+                self.registry.count("requests_invalid_total", code=refusal.code)
                 return refusal.answer(start_response)
 
     def _answer_ready(self, start_response):
@@ -72,7 +72,7 @@
     def _count(self, outcome):
         name = type(outcome).__name__.lower()
         reason = getattr(outcome, "reason", "")
-        self.registry.count(f'requests_total{{outcome="{name}",reason="{reason}"}}')
+        self.registry.count("requests_total", outcome=name, reason=reason)
 
     def _read_request(self, environ, arrived_at):
         """Return ``Result`` of ``CallerRequest`` or of ``InvalidRequest``."""
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -386,14 +386,14 @@
 
     def _log_plan(self, plan):
         for stop in plan.stops:
-            self.registry.count(f'run_stops_total{{reason="{stop.reason}"}}')
+            self.registry.count("run_stops_total", reason=stop.reason)
             self.log.write("run-stopped", stop.name, run=stop.number, why=stop.reason)
         for pace in plan.paces:
             self.log.write(
                 "run-paced", pace.name, run=pace.number, percent=pace.percent
             )
         for late, worker, held in plan.copies:
-            self.registry.count(f'run_copies_total{{sign="{late.sign}"}}')
+            self.registry.count("run_copies_total", sign=late.sign)
             self.log.write(
                 "run-copied",
                 held.name,
@@ -405,7 +405,7 @@
             )
 
     def _log_fact(self, fact):
-        self.registry.count(f'runs_ended_total{{outcome="{fact.outcome}"}}')
+        self.registry.count("runs_ended_total", outcome=fact.outcome)
         self.log.write(
             "run-ended",
             fact.held.name,
--- a/src/bergamotshore/entry/ends.py
+++ b/src/bergamotshore/entry/ends.py
@@ -109,7 +109,7 @@
         ended = report.ended
         attempt = ended.attempt
         name = f"task/{attempt.job}/{attempt.index}#{attempt.attempt}"
-        self.registry.count(f'tasks_ended_total{{outcome="{ended.outcome}"}}')
+        self.registry.count("tasks_ended_total", outcome=ended.outcome)
         self.recorder.record("task-end-recorded", name, ended.outcome)
         if ended.outcome not in ("completed", "failed"):
             return
--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -230,7 +230,7 @@
         """Drop a node whose stream was lost."""
         if stream.peer is None or not self.directory.close(stream):
             return
-        self.registry.count(f'streams_closed_total{{reason="{stream.close_reason}"}}')
+        self.registry.count("streams_closed_total", reason=stream.close_reason)
         self.recorder.record(
             "node-lost", f"node/{stream.peer.name}", stream.close_reason
         )
@@ -284,9 +284,7 @@
                         self._is_dirty.clear()
                         self._push_all()
                 case Failure(failure):
-                    self.registry.count(
-                        f'table_failures_total{{code="{failure.code}"}}'
-                    )
+                    self.registry.count("table_failures_total", code=failure.code)
             self._is_dirty.wait(self.entry.poll)
 
     def _push_all(self):
--- a/src/bergamotshore/entry/router.py
+++ b/src/bergamotshore/entry/router.py
@@ -117,7 +117,7 @@
         finally:
             with self._lock:
                 self._in_flight -= 1
-            self.registry.measure("request", self.clock.now() - started_at)
+            self.registry.measure("request_seconds", self.clock.now() - started_at)
 
     def _serve_counted(self, request):
         request_id = self._create_request_id()
--- a/src/bergamotshore/entry/scheduler.py
+++ b/src/bergamotshore/entry/scheduler.py
@@ -157,7 +157,7 @@
         match outcome:
             case Failure(failure):
                 self.sessions.note_outage()
-                self.registry.count(f'table_failures_total{{code="{failure.code}"}}')
+                self.registry.count("table_failures_total", code=failure.code)
                 return
         self._note_attempts()
         self._release_dead_sessions()
@@ -418,7 +418,7 @@
             case Failure(failure):
                 for room in rooms:
                     room.free = before[room.node]
-                self.registry.count(f'claims_failed_total{{code="{failure.code}"}}')
+                self.registry.count("claims_failed_total", code=failure.code)
                 if not isinstance(failure, Conflict):
                     self.sessions.note_outage()
                 self.poke()
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -394,7 +394,7 @@
                 self.log.write("history-lost", JOBS, version=version)
                 return 0
             case Failure(failure):
-                self.registry.count(f'store_failures_total{{code="{failure.code}"}}')
+                self.registry.count("store_failures_total", code=failure.code)
                 self.log.write("store-failed", "job-feed", why=str(failure))
                 self.finished.wait(RETRY_SECONDS)
                 return version
--- a/src/bergamotshore/entry/sitefollower.py
+++ b/src/bergamotshore/entry/sitefollower.py
@@ -54,7 +54,7 @@
                 self._version = None
                 return True
             case Failure(failure):
-                self._registry.count(f'store_failures_total{{code="{failure.code}"}}')
+                self._registry.count("store_failures_total", code=failure.code)
                 self._log.write("store-failed", "operator-rows", why=str(failure))
                 self._version = None
                 return False
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -85,8 +85,8 @@
             with self._lock:
                 self._busy -= 1
         method = environ["REQUEST_METHOD"]
-        self._registry.count(f'calls_total{{method="{method}",status="{status}"}}')
-        self._registry.measure(f"call_{method.lower()}", self._clock.now() - began)
+        self._registry.count("calls_total", method=method, status=status)
+        self._registry.measure("call_seconds", self._clock.now() - began, method=method)
         return reply(start_response, status, JSON, body, headers)
 
     def _handle(self, environ, began):
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -15,6 +15,12 @@
     code = "error"
 
 
+class MetricUndeclaredError(BergamotshoreError):
+    """A metric is counted that ``schema/metrics.yaml`` does not declare so."""
+
+    code = "metric-undeclared"
+
+
 class StreamError(BergamotshoreError):
     """Base of errors on a stream between processes."""
 
--- a/src/bergamotshore/metrics/app.py
+++ b/src/bergamotshore/metrics/app.py
@@ -1,5 +1,7 @@
 """Metrics of a process over HTTP."""
 
+from bergamotshore.metrics.registry import CONTENT_TYPE
+
 
 class MetricsApp:
     """Answer every call with all metrics in the text exposition format.
@@ -14,7 +16,7 @@
         """Answer one call."""
         body = self._registry.render().encode()
         headers = [
-            ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+            ("Content-Type", CONTENT_TYPE),
             ("Content-Length", str(len(body))),
         ]
         start_response("200 OK", headers)
--- a/src/bergamotshore/node/requests.py
+++ b/src/bergamotshore/node/requests.py
@@ -181,7 +181,7 @@
         is_success = isinstance(outcome, Success)
         self._finished_at = self.clock.now()
         self.ledger.finish(request_id, seconds if is_success else None)
-        self.registry.measure("endpoint", seconds)
+        self.registry.measure("endpoint_seconds", seconds)
         ended = _build_end(request_id, outcome)
         if not held.is_answered:
             self._note_end(ended)
@@ -199,7 +199,7 @@
     def _note_end(self, ended):
         self.table.end(ended, self.clock.now())
         self.registry.count(
-            f'requests_total{{outcome="{ended.outcome}",reason="{ended.reason}"}}'
+            "requests_total", outcome=ended.outcome, reason=ended.reason
         )
         self.recorder.record(
             "request-answered",
--- a/src/bergamotshore/node/role.py
+++ b/src/bergamotshore/node/role.py
@@ -206,8 +206,8 @@
             match self.table.scan(ENTRY_PREFIX):
                 case Success(rows):
                     self.loop.call(self._take_entries, rows)
-                case Failure(_):
-                    self.registry.count("table_failures_total")
+                case Failure(failure):
+                    self.registry.count("table_failures_total", code=failure.code)
             self.stopping.wait(self.node.entry_poll)
 
     def _take_entries(self, stored_rows):
@@ -283,7 +283,7 @@
 
     def on_close(self, stream):
         """Connect again."""
-        self.registry.count(f'streams_closed_total{{reason="{stream.close_reason}"}}')
+        self.registry.count("streams_closed_total", reason=stream.close_reason)
         if stream.peer is not None:
             self.recorder.record(
                 "entry-lost", f"entry/{stream.peer.name}", stream.close_reason
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -144,7 +144,7 @@
         return ""
 
     def _answer(self, task, number, outcome):
-        self.registry.count(f'run_orders_total{{outcome="{outcome}"}}')
+        self.registry.count("run_orders_total", outcome=outcome)
         if outcome != "started":
             self.log.write("start-refused", task, run=number, reason=outcome)
         self.on_result(task, number, outcome)
@@ -201,17 +201,16 @@
         self._answer(*key, outcome)
 
     def _call_stop(self, task, number):
-        self._note_call("stop", task, self.runner.stop(task, number, self._fence))
+        match self.runner.stop(task, number, self._fence):
+            case Failure(failure):
+                self.registry.count("worker_call_failures_total", call="stop")
+                self.log.write("stop-failed", task, why=str(failure))
 
     def _call_pace(self, task, number, percent):
-        outcome = self.runner.pace(task, number, percent, self._fence)
-        self._note_call("pace", task, outcome)
-
-    def _note_call(self, kind, task, outcome):
-        match outcome:
+        match self.runner.pace(task, number, percent, self._fence):
             case Failure(failure):
-                self.registry.count(f'worker_call_failures_total{{call="{kind}"}}')
-                self.log.write(f"{kind}-failed", task, why=str(failure))
+                self.registry.count("worker_call_failures_total", call="pace")
+                self.log.write("pace-failed", task, why=str(failure))
 
     def hold(self):
         """Extend the lease and take in what the worker lists.
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -8,7 +8,9 @@
 import pytest
 
 import bergamotshore
+from bergamotshore.generated.events import FIELDS_BY_KIND
 from bergamotshore.generated.messages import TimelineEvent
+from bergamotshore.generated.metrics import METRIC_BY_NAME
 from bergamotshore.management import exitcodes
 from bergamotshore.management.parser import (
     SUMMARY_BY_COMMAND,
@@ -118,6 +120,58 @@
         assert path.read_text() == text, f"run make generate: {path.name}"
 
 
+def list_calls(method, holders):
+    """Yield path and call of each call of a method on an attribute of some names."""
+    for path in sorted(PACKAGE.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(
+                node.func, ast.Attribute
+            ):
+                continue
+            holder = ast.unparse(node.func.value).rsplit(".", 1)[-1]
+            if node.func.attr == method and holder in holders:
+                yield path, node
+
+
+@pytest.mark.parametrize("method", ["count", "measure", "watch"])
+def test_every_metric_is_declared_with_its_labels(method):
+    calls = list(list_calls(method, {"registry", "_registry"}))
+    assert calls
+    for path, call in calls:
+        name = ast.literal_eval(call.args[0])
+        labels = {item.arg for item in call.keywords}
+        assert name in METRIC_BY_NAME, path
+        assert labels == set(METRIC_BY_NAME[name].labels), (path, name)
+
+
+def test_every_metric_that_is_declared_is_used():
+    used = {
+        ast.literal_eval(call.args[0])
+        for method in ("count", "measure", "watch")
+        for _, call in list_calls(method, {"registry", "_registry"})
+    }
+    assert used == set(METRIC_BY_NAME)
+
+
+def test_every_log_line_is_declared_with_its_fields():
+    used = {}
+    for path, call in list_calls("write", {"log", "_log"}):
+        if not isinstance(call.args[0], ast.Constant):
+            assert ast.unparse(call.args[0]) == "kind", path
+            continue
+        kind = call.args[0].value
+        assert kind in FIELDS_BY_KIND, (path, kind)
+        fields = {item.arg for item in call.keywords}
+        assert fields <= set(FIELDS_BY_KIND[kind]), (path, kind)
+        used.setdefault(kind, set()).update(fields)
+    failures = {
+        call.args[0].value: {"why", "detail"}
+        for _, call in list_calls("_fail", {"self"})
+    }
+    used.update(failures)
+    assert used == {kind: set(fields) for kind, fields in FIELDS_BY_KIND.items()}
+
+
 def test_every_command_is_there():
     commands = PACKAGE / "management" / "commands"
     names = {path.stem for path in commands.glob("*.py")} - {"__init__"}
