State machine over submitted work: jobs of all kinds, faults and waves

The machine adds chains, copies, gangs, lasting tasks with may_miss, wide tasks, per_worker, checkpoints, two priorities, cancels, drains, waves, lost history, entries turned away, and shrinks what it finds.

--- a/soak/run.py
+++ b/soak/run.py
@@ -16,8 +16,11 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+from bergamotshore.core.work.site import Queue
+from bergamotshore.platform.jobs import decode_submission
 from soak.proxy import MODES
-from soak.site import HOST_NAME, PREFIX, SoakSite
+from soak.site import HOST_NAME, PREFIX, RETRIES, SoakSite
+from standins.site import SERVICE
 
 CALL_SECONDS = 4.0
 START_SECONDS = 8.0
@@ -40,6 +43,9 @@
 GOOD_EXIT = 0
 
 
+QUEUE = Queue("soak", HOST_NAME, PREFIX, SERVICE, retries=RETRIES)
+
+
 @dataclass(slots=True)
 class Evidence:
     """What callers saw.
@@ -92,9 +98,11 @@
         step = {"count": 2, "cpu": cpu, "mem_mb": 100, "est_ms": 800}
         later = {**step, "count": 1, "after": [0]}
         steps = [{**step, "long_running": True}] if is_lasting else [step, later]
+        call = {"spec": job_id, "steps": steps}
+        spec = decode_submission(json.dumps(call), QUEUE, job_id, time.time()).unwrap()
         with self._site.lock:
-            self._site.ledger.size_by_job[job_id] = cpu
-        status = self.call("POST", job_id, {"spec": job_id, "steps": steps})
+            self._site.ledger.note_job(spec)
+        status = self.call("POST", job_id, call)
         if status == 200:
             self._evidence.accepted.add(job_id)
         elif status in (429, 503):
--- a/standins/site.py
+++ b/standins/site.py
@@ -281,39 +281,65 @@
     """What really ran, and which promise was broken."""
 
     def __init__(self):
-        self.size_by_job = {}
-        self.copied_jobs = set()
-        self.bound_jobs = set()
+        self.spec_by_job = {}
         self.live = {}
         self.done = set()
         self.acknowledged_done = set()
+        self.failed_runs_by_task = {}
         self.starts = []
         self.problems = []
 
+    def note_job(self, spec):
+        """Take note of a job that is handed in."""
+        self.spec_by_job[spec.job_id] = spec
+
+    def get_step(self, task):
+        """Return the ``Step`` of a task."""
+        job, _, step, _ = task.split(".")
+        return self.spec_by_job[job].steps[int(step)]
+
     def note_start(self, runner, task, number):
         """Take note of a start, and judge it."""
         self.starts.append((task, number, runner.name))
         others = [key for key in self.live if key[1] == task]
-        if len(others) >= self._get_most_runs(task):
+        if len(others) >= (2 if self.get_step(task).is_speculative else 1):
             self.problems.append(f"{task} runs twice: {others} and {runner.name}")
         if task in self.acknowledged_done:
             self.problems.append(f"{task} started after its end was acknowledged")
+        self._judge_order(task)
+        self._judge_budget(task)
         self.live[(runner.name, task)] = number
         used = sum(
-            self.size_by_job[task.split(".")[0]]
+            self.get_step(task).counted_cpu
             for name, task in self.live
             if name == runner.name
         )
         if used > runner.cpu:
             self.problems.append(f"{runner.name} holds {used} of {runner.cpu}")
 
+    def _judge_order(self, task):
+        job, occurrence, step, _ = task.split(".")
+        steps = self.spec_by_job[job].steps
+        for earlier in steps[int(step)].after:
+            names = [
+                f"{job}.{occurrence}.{earlier}.{index}"
+                for index in range(steps[earlier].tasks)
+            ]
+            ended = [name in self.done for name in names]
+            is_done = any(ended) if steps[earlier].is_gang else all(ended)
+            if not is_done:
+                self.problems.append(f"{task} started before step {earlier} was done")
+
+    def _judge_budget(self, task):
+        """Judge a start by the failed runs whose ends were acknowledged."""
+        failed = self.failed_runs_by_task.get(task, set())
+        retries = self.spec_by_job[task.split(".")[0]].retries
+        if len(failed) >= retries and not self.get_step(task).is_lasting:
+            self.problems.append(f"{task} started after it failed {len(failed)} times")
+
     def is_bound(self, task):
         """Tell whether a task may only be away while others of its step are not."""
-        return task.split(".")[0] in self.bound_jobs
-
-    def _get_most_runs(self, task):
-        """Return how many runs of a task may be live at once."""
-        return 2 if task.split(".")[0] in self.copied_jobs else 1
+        return self.get_step(task).may_miss >= 0
 
     def note_end(self, runner, task, number, outcome):
         """Take note of an end."""
@@ -325,6 +351,8 @@
         """Take note that an end was acknowledged."""
         if end.outcome == "done":
             self.acknowledged_done.add(end.task)
+        if end.outcome == "failed":
+            self.failed_runs_by_task.setdefault(end.task, set()).add(end.number)
 
     def forget_worker(self, runner):
         """Take note that all runs of a worker are over."""
--- /dev/null
+++ b/tests/site/test_machine.py
@@ -0,0 +1,232 @@
+"""All promises of submitted work under any series of faults, with shrinking.
+
+The machine drives the real entries and nodes of ``World``. The ledger judges each step:
+runs twice, starts after an acknowledged end, order of steps, failed runs, room, upkeep.
+At the end every fault is healed, and every job has to come to its state.
+"""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from returns.result import Success
+
+from bergamotshore.core.work.model import Step
+from bergamotshore.core.work.site import Wave
+from tests.fakes import FakeClock
+from tests.site.world import World
+
+ENTRIES = 3
+NODES = 4
+ENTRY = st.sampled_from([f"entry-{index}" for index in range(ENTRIES)])
+NODE = st.sampled_from([f"node-{index}" for index in range(NODES)])
+PROCESS = st.one_of(ENTRY, NODE)
+SECONDS = st.sampled_from([0.1, 0.4, 1.0, 3.0])
+TASK = Step(tasks=2, cpu=4000, memory=100, estimate=1.0)
+STEPS_BY_KIND = {
+    "plain": (TASK,),
+    "chain": (TASK, Step(tasks=1, cpu=2000, memory=100, after=(0,))),
+    "copied": (Step(tasks=3, cpu=2000, memory=100, is_speculative=True),),
+    "gang": (Step(tasks=3, cpu=2000, memory=100, is_gang=True, is_tight=True),),
+    "lasting": (Step(tasks=2, cpu=3000, memory=100, is_lasting=True),),
+    "bound": (Step(tasks=3, cpu=3000, memory=100, is_lasting=True, may_miss=1),),
+    "wide": (Step(tasks=1, cpu=14000, memory=100),),
+    "spread": (Step(tasks=3, cpu=1000, memory=100, per_worker=1),),
+    "saving": (Step(tasks=4, cpu=3000, memory=100, has_checkpoints=True),),
+}
+LASTING = {"lasting", "bound"}
+QUEUES = ["queue", "batch"]
+# After the faults: leases lapse, jobs of all steps run one after another.
+ROUNDS_TO_END = 60
+
+
+class WorkMachine(RuleBasedStateMachine):
+    """Jobs, faults and planned work in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(FakeClock(), entries=ENTRIES, nodes=NODES)
+        for index, runner in enumerate(self.world.runner_by_node.values()):
+            runner.rack = f"r{index % 2}"
+        self.kind_by_job = {}
+        self.cancelled = set()
+        self.doubtful = set()
+        self.count = 0
+        self.has_wave = False
+
+    @initialize()
+    def begin(self):
+        """Let the processes find each other."""
+        self.world.advance(1.0)
+
+    @rule(kind=st.sampled_from(sorted(STEPS_BY_KIND)), queue=st.sampled_from(QUEUES))
+    def submit(self, kind, queue):
+        self.count += 1
+        job_id = f"{kind}{self.count}"
+        if isinstance(self.world.submit(job_id, STEPS_BY_KIND[kind], queue), Success):
+            self.kind_by_job[job_id] = (kind, queue)
+
+    @precondition(lambda self: self.kind_by_job)
+    @rule(data=st.data())
+    def cancel(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.kind_by_job)))
+        queue = self.kind_by_job[job_id][1]
+        until = self.world.clock.now() + 2.0
+        outcome = self.world.rows.cancel(queue, job_id, until)
+        (self.cancelled if isinstance(outcome, Success) else self.doubtful).add(job_id)
+
+    @rule(seconds=SECONDS)
+    def wait(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(node=NODE, outcome=st.sampled_from(["done", "done", "failed", "stopped"]))
+    def end_runs(self, node, outcome):
+        """End the runs of one worker; members of a gang end together."""
+        runner = self.world.runner_by_node[node]
+        for task in list(runner.run_by_task):
+            step = self.world.ledger.get_step(task)
+            if step.is_lasting and outcome == "done":
+                continue
+            if not step.is_gang:
+                runner.finish(task, outcome)
+        self.world.advance(0.2)
+
+    @rule()
+    def end_gangs(self):
+        for runner in self.world.runner_by_node.values():
+            for task in list(runner.run_by_task):
+                if self.world.ledger.get_step(task).is_gang:
+                    runner.finish(task, "done")
+        self.world.advance(0.2)
+
+    @rule(entry=ENTRY)
+    def kill_entry(self, entry):
+        self.world.kill_entry(entry)
+
+    @rule(entry=ENTRY)
+    def start_entry(self, entry):
+        self.world.start_entry(entry)
+        self._ask_again()
+
+    @rule(node=NODE)
+    def restart_node(self, node):
+        self.world.start_node(node)
+
+    @rule(entry=ENTRY, node=NODE)
+    def cut(self, entry, node):
+        self.world.cut(entry, node)
+
+    @rule()
+    def heal(self):
+        self.world.heal()
+
+    @rule(name=PROCESS)
+    def pause_or_wake(self, name):
+        self.world.paused.symmetric_difference_update({name})
+
+    @rule(entry=ENTRY)
+    def turn_away_or_serve(self, entry):
+        self.world.without_store.symmetric_difference_update({entry})
+
+    @rule(node=NODE, fault=st.sampled_from(["lost", "late", "silent"]))
+    def lose_next_order(self, node, fault):
+        self.world.runner_by_node[node].faults = [fault]
+
+    @rule()
+    def carry_out_late_orders(self):
+        for runner in self.world.runner_by_node.values():
+            runner.run_late()
+
+    @rule(faults=st.lists(st.sampled_from(["lost", "late", "down"]), max_size=4))
+    def fail_store_calls(self, faults):
+        self.world.store.faults = faults
+        self.world.store.run_late()
+
+    @rule()
+    def store_goes_or_returns(self):
+        self.world.store.is_down = not self.world.store.is_down
+
+    @rule()
+    def store_forgets(self):
+        self.world.store.compact()
+
+    @rule(node=NODE)
+    def restart_worker(self, node):
+        runner = self.world.runner_by_node[node]
+        if not runner.is_gone:
+            runner.restart()
+
+    @rule(node=NODE)
+    def cut_worker_or_heal(self, node):
+        runner = self.world.runner_by_node[node]
+        runner.is_cut = not runner.is_cut
+
+    @rule(node=NODE)
+    def drain_or_stay(self, node):
+        runner = self.world.runner_by_node[node]
+        runner.is_draining = not runner.is_draining
+
+    @precondition(lambda self: not self.has_wave)
+    @rule(at_once=st.integers(1, 2))
+    def ask_for_wave(self, at_once):
+        self.has_wave = True
+        self.wave = Wave(1, tuple(self.world.machines.vm_by_name), 40.0, at_once)
+        self.world.machines.machines_by_wave[1] = set(self.wave.machines)
+        self.world.machines.at_once = at_once
+        self._ask_again()
+
+    @rule(faults=st.lists(st.sampled_from(["down", "lost"]), max_size=2))
+    def fail_upkeep_calls(self, faults):
+        self.world.machines.faults = faults
+
+    def _ask_again(self):
+        if self.has_wave:
+            for entry in self.world.entry_by_name.values():
+                entry.follower.state.wave_by_number[1] = self.wave
+
+    @invariant()
+    def promises_hold(self):
+        assert self.world.ledger.problems == []
+
+    def teardown(self):
+        """Heal everything; every job comes to its state."""
+        world = self.world
+        world.settle()
+        self._ask_again()
+        for runner in world.runner_by_node.values():
+            runner.is_draining = False
+        for _ in range(ROUNDS_TO_END):
+            self._end_all()
+            world.advance(0.5)
+        assert world.ledger.problems == []
+        for job_id, (kind, queue) in self.kind_by_job.items():
+            self._judge(job_id, kind, world.get_state(job_id, queue))
+
+    def _end_all(self):
+        for runner in self.world.runner_by_node.values():
+            for task in list(runner.run_by_task):
+                if not self.world.ledger.get_step(task).is_lasting:
+                    runner.finish(task, "done")
+
+    def _judge(self, job_id, kind, state):
+        allowed = {"running"} if kind in LASTING else {"done", "failed"}
+        if job_id in self.cancelled:
+            allowed = {"cancelled", "done", "failed"}
+        elif job_id in self.doubtful:
+            allowed = allowed | {"cancelled"}
+        assert state in allowed, (job_id, state)
+        running = [
+            task for task, _ in self.world.running if task.startswith(f"{job_id}.")
+        ]
+        assert bool(running) == (state == "running"), (job_id, state, running)
+
+
+TestWorkMachine = WorkMachine.TestCase
+TestWorkMachine.settings = settings(
+    max_examples=30, stateful_step_count=40, derandomize=True, deadline=None
+)
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -368,7 +368,7 @@
                 if chance.random() < 0.3:
                     runner.finish(task, chance.choice(["done", "done", "stopped"]))
         assert world.ledger.problems == []
-    settle(world)
+    world.settle()
     for _ in range(30):
         world.finish_all()
         world.advance(0.5)
@@ -392,7 +392,7 @@
             world.submit(f"job{round_}", LASTING if chance.random() < 0.3 else None)
         world.advance(chance.choice([0.1, 0.4, 1.0, 3.0]))
         assert world.ledger.problems == []
-    settle(world)
+    world.settle()
     world.finish_all()
     world.advance(8.0)
     assert world.ledger.problems == []
@@ -435,24 +435,6 @@
             runner.is_cut = not runner.is_cut
 
 
-def settle(world):
-    """End every fault."""
-    world.heal()
-    world.paused.clear()
-    world.without_store.clear()
-    world.store.is_down = False
-    world.store.faults = []
-    world.store.run_late()
-    for runner in world.runner_by_node.values():
-        runner.is_cut = False
-        runner.faults = []
-        runner.run_late()
-    for index in range(3):
-        if f"entry-{index}" not in world.entry_by_name:
-            world.start_entry(f"entry-{index}")
-    world.advance(12.0)
-
-
 def test_an_uncertain_cancel_is_told_as_such(world):
     world.submit("job1")
     world.store.faults = ["late"] * 50
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -49,6 +49,8 @@
 STATE_KEPT_SECONDS = 120
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
+# Comes after all other queues of a test.
+BATCH_PRIORITY = 9
 
 
 class StoreDoor:
@@ -274,8 +276,9 @@
         self.paused = set()
         self.entry_by_name = {}
         self.node_by_name = {}
-        for index in range(entries):
-            self.start_entry(f"entry-{index}")
+        self.entry_names = [f"entry-{index}" for index in range(entries)]
+        for name in self.entry_names:
+            self.start_entry(name)
         for name in self.runner_by_node:
             self.start_node(name)
         self.next_heartbeat = 0.0
@@ -386,18 +389,14 @@
             self.clock.advance(STEP_SECONDS)
             self.step()
 
-    def submit(self, job_id, steps=None, **fields):
+    def submit(self, job_id, steps=None, queue="queue", **fields):
         """Hand a job in."""
         steps = steps or (Step(tasks=2, cpu=4000, memory=100, estimate=1.0),)
-        queue_ = self.configuration.get_queue("queue")
+        queue_ = self.configuration.get_queue(queue)
         spec = JobSpec(
-            "queue", job_id, SERVICE, "payload", steps, queue_.retries, **fields
+            queue, job_id, SERVICE, "payload", steps, queue_.retries, **fields
         )
-        self.ledger.size_by_job[job_id] = max(step.cpu for step in steps)
-        if any(step.is_speculative for step in steps):
-            self.ledger.copied_jobs.add(job_id)
-        if any(step.may_miss >= 0 for step in steps):
-            self.ledger.bound_jobs.add(job_id)
+        self.ledger.note_job(spec)
         return self.rows.accept(spec, self.clock.now() + 2.0)
 
     def finish_all(self, outcome="done"):
@@ -406,9 +405,26 @@
             for task in list(runner.run_by_task):
                 runner.finish(task, outcome)
 
-    def get_state(self, job_id):
+    def get_state(self, job_id, queue="queue"):
         """Return the state as callers see it."""
-        return self.rows.get_state("queue", job_id).unwrap()
+        return self.rows.get_state(queue, job_id).unwrap()
+
+    def settle(self):
+        """End every fault, and wait until the processes agree again."""
+        self.heal()
+        self.paused.clear()
+        self.without_store.clear()
+        self.store.is_down = self.machines.is_down = False
+        self.store.faults, self.machines.faults = [], []
+        self.store.run_late()
+        for runner in self.runner_by_node.values():
+            runner.is_cut = False
+            runner.faults = []
+            runner.run_late()
+        for name in self.entry_names:
+            if name not in self.entry_by_name:
+                self.start_entry(name)
+        self.advance(12.0)
 
     @property
     def leader(self):
@@ -430,7 +446,9 @@
 def build_configuration(version=1, **fields):
     settings = {"priority": 0, "retries": 3, "stretch": 2.0, "slack": 1.0, **fields}
     queue_ = Queue("queue", "host.example", "/q/", SERVICE, **settings)
-    return SiteConfiguration(version, (queue_,), {SERVICE: ServicePool(SERVICE)})
+    settings["priority"] = BATCH_PRIORITY
+    batch = Queue("batch", "host.example", "/batch/", SERVICE, **settings)
+    return SiteConfiguration(version, (queue_, batch), {SERVICE: ServicePool(SERVICE)})
 
 
 def expect_absent(row_id):
