A node drops waiting starts of runs that it was told to stop

Cause: starts wait at a node behind calls without an answer (1.5 s each). The scheduling entry had told the node to stop the copy, but the call of the stop may be lost at the worker as well, and the start was sent after it. Ruled out: a start carried out late by the worker itself (those may come at any time); the claim written after the end (it is looked at again when sent). Test: fails without it, with the worker's stop lost.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -1,6 +1,7 @@
 """The runs on the worker beside a node: orders, the lease, what is in doubt."""
 
 import threading
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from returns.result import Failure, Success
@@ -25,6 +26,8 @@
 # Leases end within 2% of the right of a node, 0.12 s at the longest right; what runs
 # later is stopped in time for the scheduler, which waits 0.5 s more. In seconds.
 OVERDUE_SECONDS = 0.25
+# Starts wait for their turn 1.5 s at most; a node gets far fewer stops in that time.
+STOPS_KEPT = 2000
 # Raising the fence by this much passes any earlier node process: the time of day that
 # fences start from may have jumped back by seconds. In microseconds.
 FENCE_JUMP = 10_000_000
@@ -75,6 +78,7 @@
         self._fence = int(clock.wall() * 1_000_000)
         self._lock = threading.Lock()
         self._doubt_by_key = {}
+        self._stopped_run_by_task = OrderedDict()
         self._started_at_by_key = {}
         self._worker_clock = None
         self._lapses_at = 0.0
@@ -117,6 +121,7 @@
         """
         now = self.clock.now()
         starts = []
+        self._note_stops(orders.stops)
         calls = [(self._call_stop, task, number) for task, number in orders.stops] + [
             (self._call_pace, *row) for row in orders.paces
         ]
@@ -134,6 +139,14 @@
             starts.append((self._call_start, order, orders))
         return calls, starts
 
+    def _note_stops(self, stops):
+        """Keep which runs are to stop, for starts that still wait for their turn."""
+        for task, number in stops:
+            self._stopped_run_by_task[task] = number
+            self._stopped_run_by_task.move_to_end(task)
+        while len(self._stopped_run_by_task) > STOPS_KEPT:
+            self._stopped_run_by_task.popitem(last=False)
+
     def _find_refusal(self, orders, now):
         if now - orders.echo > ORDER_FRESH_SECONDS:
             return "stale-order"
@@ -168,6 +181,9 @@
         if reason := self._find_refusal(orders, now):
             self._settle(key, reason)
             return
+        if order.number <= self._stopped_run_by_task.get(order.task, 0):
+            self._settle(key, "stopped-before")
+            return
         with self._lock:
             fence = self._fence
             self._doubt_by_key[key] = Doubt(fence)
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -10,7 +10,7 @@
 )
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import SiteConfiguration
-from bergamotshore.exceptions import PlatformUncertain
+from bergamotshore.exceptions import PlatformUncertain, WorkerFailure
 from tests.fakes import ManualExecutor
 from tests.site.world import LONGEST_HOLD_SECONDS, World
 
@@ -526,6 +526,23 @@
     assert world.get_state("job1") == "cancelled"
 
 
+def test_a_start_that_waits_for_its_turn_is_taken_back_by_a_stop(world):
+    """The order is fresh when its turn comes, and the worker never got the stop."""
+    lost = Failure(WorkerFailure("silent", is_certain=False))
+    for node in world.node_by_name.values():
+        node.starts = ManualExecutor()
+        node.runner.stop = lambda task, number, fence: lost
+    world.submit("job1")
+    world.advance(0.2)
+    waiting = [node for node in world.node_by_name.values() if node.starts.waiting]
+    assert world.rows.cancel("queue", "job1", world.clock.now() + 1) == Success(True)
+    world.advance(0.5)
+    for node in waiting:
+        node.starts.run_all()
+    assert waiting
+    assert world.ledger.starts == []
+
+
 def test_a_stop_does_not_wait_behind_starts(world):
     world.submit("watch", LASTING)
     world.advance(0.5)
