--- a/src/bergamotshore/core/work/gangs.py
+++ b/src/bergamotshore/core/work/gangs.py
@@ -57,6 +57,7 @@
         worker = choose_worker(item.step, workers, counts, view.board.interference)
         if worker is None:
             break
+        # Stands for the run only while the other members are placed.
         held = HeldRun(ref, "", ref.index, item.step, worker.life.born)
         worker.hold(held)
         taken.append((worker, held))
--- a/src/bergamotshore/core/work/preemption.py
+++ b/src/bergamotshore/core/work/preemption.py
@@ -16,9 +16,8 @@
     list_waiting,
 )
 
-# Room becomes free by itself often enough that a step waits this long before others are
-# stopped for it, in seconds: half of the shortest slack of an objective known, 0.25 s,
-# is spent on two heartbeats anyway.
+# A step waits this long for room that becomes free by itself, in seconds: workers list
+# their ends each 0.4 s.
 PATIENCE_SECONDS = 0.5
 # Time that a worker is kept for a step: a stop takes 0.2 s, its end is listed within
 # 0.4 s, and the order follows the written claim. In seconds.
