--- a/standins/site.py
+++ b/standins/site.py
@@ -285,6 +285,7 @@
         self.live = {}
         self.done = set()
         self.acknowledged_done = set()
+        self.failed_ends_by_task = {}
         self.failed_runs_by_task = {}
         self.starts = []
         self.problems = []
@@ -337,6 +338,15 @@
         if len(failed) >= retries and not self.get_step(task).is_lasting:
             self.problems.append(f"{task} started after it failed {len(failed)} times")
 
+    def could_fail(self, job):
+        """Tell whether a task of a job has failed as often as it may."""
+        retries = self.spec_by_job[job].retries
+        return any(
+            len(runs) >= retries
+            for task, runs in self.failed_ends_by_task.items()
+            if task.split(".")[0] == job
+        )
+
     def is_bound(self, task):
         """Tell whether a task may only be away while others of its step are not."""
         return self.get_step(task).may_miss >= 0
@@ -346,6 +356,8 @@
         self.live.pop((runner.name, task), None)
         if outcome == "done":
             self.done.add(task)
+        if outcome == "failed":
+            self.failed_ends_by_task.setdefault(task, set()).add(number)
 
     def note_acknowledged(self, end):
         """Take note that an end was acknowledged."""
--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -294,6 +294,17 @@
             if kind in kinds:
                 self._judge(job_id, kind, self.world.get_state(job_id, queue))
 
+    def _is_whole(self, job_id):
+        """Tell whether all tasks of a job ended as done; one of a gang is enough."""
+        ledger = self.world.ledger
+        return all(
+            (any if step.is_gang else all)(
+                f"{job_id}.0.{number}.{index}" in ledger.done
+                for index in range(step.tasks)
+            )
+            for number, step in enumerate(ledger.spec_by_job[job_id].steps)
+        )
+
     def _end_all(self):
         for runner in self.world.runner_by_node.values():
             for task in list(runner.run_by_task):
@@ -307,6 +318,10 @@
         elif job_id in self.doubtful:
             allowed = allowed | {"cancelled"}
         assert state in allowed, (job_id, state)
+        if state == "failed":
+            assert self.world.ledger.could_fail(job_id), job_id
+        if state == "done":
+            assert self._is_whole(job_id), job_id
         running = [
             task for task, _ in self.world.running if task.startswith(f"{job_id}.")
         ]
