Answers to callers are logged with the configuration that decided and its age

Whether an entry answered by an old version could only be read from the users' record. Answers that rest on the configuration alone had no line at all, and no line told its age, so that a wait at a peer that is gone, a silent connection and a feed that missed a change could not be told apart. No decision changes.

Test: each answer tells which configuration decided and its age.

--- a/src/bergamotshore/core/work/site.py
+++ b/src/bergamotshore/core/work/site.py
@@ -1,5 +1,6 @@
 """What the operator has declared: queues, services, closed data centres, waves."""
 
+import math
 from dataclasses import dataclass, field
 
 
@@ -109,16 +110,23 @@
     :param configuration: ``SiteConfiguration``; version 0 before the first.
     :param closed_zones: Names of data centres that get no new work.
     :param wave_by_number: ``Wave`` by number.
+    :param confirmed_at: A time up to which nothing newer was declared, on the
+        entry's clock, in seconds.
     """
 
     configuration: SiteConfiguration = field(default_factory=SiteConfiguration)
     closed_zones: set = field(default_factory=set)
     wave_by_number: dict = field(default_factory=dict)
+    confirmed_at: float = -math.inf
 
     @property
     def is_loaded(self):
-        """Tell whether a configuration is known."""
-        return self.configuration.version > 0
+        """Tell whether a configuration is known, and how old it is."""
+        return self.configuration.version > 0 and math.isfinite(self.confirmed_at)
+
+    def get_age(self, now):
+        """Return how long ago this was known to be the newest, in seconds."""
+        return now - self.confirmed_at
 
     def accept(self, configuration):
         """Put a configuration in force unless a newer one already is.
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -206,8 +206,9 @@
 
     def is_ready(self):
         """Tell whether the balancer should send callers here."""
-        is_fresh = self.clock.now() - self.follower.fresh_at < UNREADY_SECONDS
-        return self.follower.state.is_loaded and is_fresh and not self.is_draining
+        state = self.follower.state
+        is_fresh = state.get_age(self.clock.now()) < UNREADY_SECONDS
+        return state.is_loaded and is_fresh and not self.is_draining
 
     def may_stand(self):
         """Tell whether this entry could schedule.
--- a/src/bergamotshore/entry/sitefollower.py
+++ b/src/bergamotshore/entry/sitefollower.py
@@ -27,7 +27,6 @@
 
     def __init__(self, store, clock, registry, log):
         self.state = SiteState()
-        self.fresh_at = 0.0
         self._store = store
         self._clock = clock
         self._registry = registry
@@ -47,7 +46,7 @@
         match outcome:
             case Success(page):
                 self._take(page)
-                self.fresh_at = asked_at
+                self.state.confirmed_at = asked_at
                 return True
             case Failure(HistoryLost()):
                 self._log.write("history-lost", operator.TABLE, version=self._version)
@@ -55,7 +54,12 @@
                 return True
             case Failure(failure):
                 self._registry.count("store_failures_total", code=failure.code)
-                self._log.write("store-failed", "operator-rows", why=str(failure))
+                self._log.write(
+                    "store-failed",
+                    "operator-rows",
+                    why=str(failure),
+                    seconds=self._clock.now() - asked_at,
+                )
                 self._version = None
                 return False
 
@@ -102,8 +106,14 @@
     def _take_configuration(self, row):
         match operator.decode_configuration(row.value):
             case Success(configuration):
+                replaced = self.state.configuration.version
                 if self.state.accept(configuration):
-                    self._log.write("config-in-force", configuration.version)
+                    self._log.write(
+                        "config-in-force",
+                        configuration.version,
+                        config=replaced,
+                        age=self.state.get_age(self._clock.now()),
+                    )
             case Failure(OperatorRowInvalid() as failure):
                 self._registry.count("operator_rows_invalid_total")
                 self._log.write("operator-row-invalid", failure.key, why=failure.detail)
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -22,6 +22,18 @@
 COUNTS_FRESH_SECONDS = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Basis:
+    """Which configuration decides about a call.
+
+    :param config: Version.
+    :param age: How long ago it was known to be the newest, in seconds.
+    """
+
+    config: int
+    age: float
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """One call of a caller.
@@ -31,6 +43,7 @@
     :param job_id: Identifier of the job; empty for the queue as a whole.
     :param body: Body.
     :param until: When to give up, on this entry's clock.
+    :param basis: ``Basis`` of the answer.
     """
 
     method: str
@@ -38,6 +51,7 @@
     job_id: str
     body: bytes
     until: float
+    basis: Basis
 
 
 class SubmissionApp:
@@ -95,16 +109,24 @@
             return _refuse(503)
         host = environ.get("HTTP_HOST", "").split(":")[0]
         path = environ["PATH_INFO"]
-        queue = self._site.configuration.find_queue(host, path)
+        # The age comes first: a configuration that is replaced meanwhile is younger.
+        age = self._site.get_age(began)
+        configuration = self._site.configuration
+        basis = Basis(configuration.version, age)
+        self._registry.measure("config_age_seconds", age)
+        queue = configuration.find_queue(host, path)
         if queue is None:
+            self._log_answer("queue-unknown", path, basis)
             return 404, b"{}", ()
         job_id = path[len(queue.prefix) :].strip("/")
         if not self._is_store_reachable():
             # Nothing is sent, so "not accepted" is certain and told at once.
-            self._log.write("call-refused", job_id or queue.name, why="store-away")
+            self._log_answer(
+                "call-refused", job_id or queue.name, basis, why="store-away"
+            )
             return _refuse(503)
         until = began + DEADLINE_SHARE * _get_deadline(environ)
-        call = Call(environ["REQUEST_METHOD"], queue, job_id, body, until)
+        call = Call(environ["REQUEST_METHOD"], queue, job_id, body, until, basis)
         match call:
             case Call(method="POST") if job_id:
                 return self._submit(call)
@@ -128,13 +150,12 @@
         outcome = self._rows.accept(spec, call.until)
         match outcome:
             case Success(is_new):
-                version = self._site.configuration.version
-                self._log.write(
+                self._log_answer(
                     "job-accepted",
                     call.job_id,
+                    call.basis,
                     queue=queue.name,
                     new=is_new,
-                    config=version,
                 )
                 return 200, b"{}", ()
         return self._fail("job-not-accepted", call, outcome.failure())
@@ -142,8 +163,10 @@
     def _show(self, call):
         match self._rows.get_state(call.queue.name, call.job_id):
             case Success(None):
+                self._log_answer("state-told", call.job_id, call.basis, state="none")
                 return 410, b"{}", ()
             case Success(state):
+                self._log_answer("state-told", call.job_id, call.basis, state=state)
                 return 200, encode_state(state), ()
             case Failure(failure):
                 return self._fail("state-unknown", call, failure)
@@ -151,7 +174,9 @@
     def _cancel(self, call):
         match self._rows.cancel(call.queue.name, call.job_id, call.until):
             case Success(True):
-                self._log.write("job-cancelled", call.job_id, queue=call.queue.name)
+                self._log_answer(
+                    "job-cancelled", call.job_id, call.basis, queue=call.queue.name
+                )
                 return 200, b"{}", ()
             case Success(False):
                 return 410, b"{}", ()
@@ -165,7 +190,13 @@
                     self._counts, self._counts_at = counts, self._clock.now()
                 case Failure(failure):
                     return self._fail("count-unknown", call, failure)
-        return 200, encode_waiting(self._counts.get(call.queue.name, 0)), ()
+        jobs = self._counts.get(call.queue.name, 0)
+        self._log_answer("count-told", call.queue.name, call.basis, jobs=jobs)
+        return 200, encode_waiting(jobs), ()
+
+    def _log_answer(self, kind, subject, basis, **inputs):
+        """Write what was decided about a call, and by which configuration."""
+        self._log.write(kind, subject, **inputs, config=basis.config, age=basis.age)
 
     def _fail(self, kind, call, failure):
         self._log.write(
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -127,10 +127,16 @@
 
 
 @pytest.fixture
-def app(store, clock, registry, log):
-    state = SiteState(SiteConfiguration(1, (Queue("q", "h", "/q/", "books"),), {}))
+def site(clock):
+    """Return what is in force: one queue, known to be the newest just now."""
+    configuration = SiteConfiguration(1, (Queue("q", "h", "/q/", "books"),), {})
+    return SiteState(configuration, confirmed_at=clock.now())
+
+
+@pytest.fixture
+def app(store, site, clock, registry, log):
     rows = JobRows(store, clock, clock.advance)
-    return SubmissionApp(rows, state, clock, registry, log)
+    return SubmissionApp(rows, site, clock, registry, log)
 
 
 def call(app, method, path, body=None, host="h"):
@@ -165,6 +171,28 @@
     assert call(app, "POST", "/q/j1", JOB, host="other")[0] == 404
 
 
+@pytest.mark.parametrize(
+    ("method", "path", "kind"),
+    [
+        ("POST", "/q/j1", "job-accepted"),
+        ("GET", "/q/j1", "state-told"),
+        ("DELETE", "/q/j0", "job-cancelled"),
+        ("GET", "/q/", "count-told"),
+        ("GET", "/gone/", "queue-unknown"),
+    ],
+)
+def test_each_answer_tells_which_configuration_decided_and_its_age(
+    app, clock, lines, method, path, kind
+):
+    call(app, "POST", "/q/j0", JOB)
+    lines.clear()
+    clock.advance(1.25)
+    call(app, method, path, JOB if method == "POST" else None)
+    (line,) = lines
+    assert f"event={kind} " in line
+    assert "config=1 age=1.250" in line
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -326,7 +354,7 @@
 
 
 def test_an_outage_that_is_known_is_told_at_once_and_writes_nothing(
-    store, clock, registry, log
+    store, site, clock, registry, log
 ):
     direct = FakeCalls(RESET)
     client = build_client(direct, FakeCalls(RESET), clock, registry, log)
@@ -334,9 +362,8 @@
     for _ in range(2):
         client.call("POST", "/x")
     assert not client.is_reachable
-    state = SiteState(SiteConfiguration(1, (Queue("q", "h", "/q/", "books"),), {}))
     rows = JobRows(store, clock, clock.advance)
-    app = SubmissionApp(rows, state, clock, registry, log, lambda: client.is_reachable)
+    app = SubmissionApp(rows, site, clock, registry, log, lambda: client.is_reachable)
     before = clock.now()
     status, headers, _ = call(app, "POST", "/q/j1", JOB)
     assert (status, clock.now(), store.calls) == (503, before, 0)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -157,6 +157,7 @@
         self.peers = []
         self.follower = SiteFollower(self.store, self.clock, self.registry, self.log)
         self.follower.state.accept(world.configuration)
+        self.follower.state.confirmed_at = world.clock.now()
         self.stopping = threading.Event()
         self.election = Election(
             self.store,
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -169,6 +169,11 @@
         for _, call in list_calls("_fail", {"self"})
     }
     used.update(failures)
+    for path, call in list_calls("_log_answer", {"self"}):
+        kind = call.args[0].value
+        fields = {"config", "age", *(item.arg for item in call.keywords)}
+        assert fields <= set(FIELDS_BY_KIND[kind]), (path, kind)
+        used.setdefault(kind, set()).update(fields)
     assert used == {kind: set(fields) for kind, fields in FIELDS_BY_KIND.items()}
 
 
