--- a/soak/servers.py
+++ b/soak/servers.py
@@ -88,7 +88,7 @@
                 query.get("target", ""),
                 int(query.get("limit", 500)),
             )
-        return _answer_page(outcome)
+        return answer_page(outcome)
 
     def _transact(self, call):
         expects = [Expect(_read_id(row), row["ver"]) for row in call["expected"]]
@@ -115,7 +115,7 @@
                 left = until - time.monotonic()
                 is_empty = isinstance(outcome, Success) and not outcome.unwrap().rows
                 if not is_empty or left <= 0:
-                    return _answer_page(outcome)
+                    return answer_page(outcome)
                 self.changed.wait(left)
 
 
@@ -134,7 +134,11 @@
     }
 
 
-def _answer_page(outcome):
+def answer_page(outcome):
+    """Return status and answer of a call for rows.
+
+    :param outcome: ``Result`` of a ``RowPage``.
+    """
     match outcome:
         case Success(page):
             rows = [_show_row(row) for row in page.rows]
