An entry decides by no configuration that it has not confirmed in time

Cause: how old the configuration may become was the sum of waits of separate parts: 1.5 s at the store, 1.0 s for a slow store, 0.1 s for the way to a peer, 0.3 s pause, 0.8 s for the next reading. One look without an answer took longer than the bound of 2 s, and nothing compared the age of what an entry believes with the bound. Ruled out: a feed that goes past a change (7 losses of the history, no version missed), a busy process (the call took 15 ms).

Why it works: a look proves what was so when it was asked. An entry keeps that time and answers 503, truly not run, once it is older than the bound, so no wait of any part can bring an old version back. Looks at the operator's rows take 1.0 s at most, so that one that gets no answer leaves time for another; a property test plays random troubles on both ways. With one way open, or a store of 0.38 s an answer, nothing is refused.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -64,25 +64,29 @@
         """Tell whether the store took the latest calls, directly or through a peer."""
         return self._failures < FAILURES_FOR_OUTAGE
 
-    def call(self, method, path, body=b"", headers=None, timeout=None):
+    def call(self, method, path, body=b"", headers=None, timeout=None, may_probe=True):
         """Call the store; see ``HttpClient.call``.
 
         A failure of a call that began before the store last answered tells nothing new.
+
+        :param may_probe: Whether a short reading may look if the store is back; not for
+            one that the store answers only after a wait.
         """
         began = self._clock.now()
-        outcome = self._call(method, path, body, headers, timeout or self._timeout)
+        timeout = timeout or self._timeout
+        outcome = self._call(method, path, body, headers, timeout, may_probe)
         if not is_turned_away(outcome):
             self._failures = 0
         elif began >= self._answered_at:
             self._failures += 1
         return outcome
 
-    def _call(self, method, path, body, headers, timeout):
+    def _call(self, method, path, body, headers, timeout, may_probe):
         may_relay = self._clock.now() >= self._no_peer_until and self._relay.has_peer()
         is_lost = may_relay and not self._is_direct
-        is_short = method == "GET" and timeout <= self._timeout
-        may_probe = is_short and self._clock.now() >= self._detour_until
-        if is_lost and not may_probe:
+        is_short = may_probe and method == "GET" and timeout <= self._timeout
+        is_probe = is_short and self._clock.now() >= self._detour_until
+        if is_lost and not is_probe:
             return self._call_peer(method, path, body, timeout)
         began = self._clock.now()
         tried = min(timeout, PROBE_SECONDS) if is_lost else timeout
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -66,6 +66,8 @@
 # Longest wait of one look at the jobs, in seconds. A cancel has to be in force within
 # 3 s, so a feed that went silent is given up in time for another look through a peer.
 FEED_SECONDS = 0.8
+# Further time for the way and a slow store, in seconds.
+FEED_ANSWER_SECONDS = 1.0
 # The balancer looks once a second and takes an entry out after two misses.
 BALANCER_SECONDS = 2.2
 # Time for calls in flight at a stop; the platform kills after 6 s.
@@ -104,7 +106,10 @@
         self.relay_calls = ThreadPoolExecutor(RELAY_THREADS, "relay")
         self.relay, self.client = self._build_client()
         self.store = PlatformRowStore(self.client)
-        self.follower = SiteFollower(self.store, self.clock, self.registry, self.log)
+        within = self.site.config_within_ms / 1000
+        self.follower = SiteFollower(
+            self.store, self.clock, self.registry, self.log, within
+        )
         self.entries = EntryList(
             self.store, settings.name, self.address, self.clock, self.log
         )
@@ -125,6 +130,7 @@
         self.app = SubmissionApp(
             JobRows(self.store, self.clock, self.finished.wait),
             self.follower.state,
+            within,
             self.clock,
             self.registry,
             self.log,
@@ -229,7 +235,7 @@
             self.caller_server.run,
             self.ready_server.run,
             self.metrics_server.run,
-            self._run_follower,
+            lambda: self.follower.run(self.finished),
             self._run_election,
             self._run_feed,
             self._run_dispatcher,
@@ -337,11 +343,6 @@
     def _greet(self, stream):
         stream.send(self.build_heartbeat(stream))
 
-    def _run_follower(self):
-        while not self.finished.is_set():
-            if not self.follower.step():
-                self.finished.wait(RETRY_SECONDS)
-
     def _run_election(self):
         next_peers = 0.0
         while not self.finished.is_set():
@@ -385,7 +386,9 @@
     def _follow_jobs(self, version):
         """Follow or read the table once; returns the version to go on from."""
         if version:
-            outcome = self.store.follow(JOBS, version, FEED_SECONDS)
+            outcome = self.store.follow(
+                JOBS, version, FEED_SECONDS, FEED_SECONDS + FEED_ANSWER_SECONDS
+            )
         else:
             outcome = read_job_rows(self.store)
         match outcome:
--- a/src/bergamotshore/entry/sitefollower.py
+++ b/src/bergamotshore/entry/sitefollower.py
@@ -2,14 +2,13 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.confirmation import get_look_times
 from bergamotshore.core.work.site import SiteState
 from bergamotshore.exceptions import OperatorRowInvalid
 from bergamotshore.platform import operator
 from bergamotshore.ports.rows import HistoryLost
 
-# Longest wait of one look at the feed, in seconds. Configuration has to be in force
-# within 2 s, so a feed that went silent is given up in time for another look.
-FOLLOW_SECONDS = 1.5
+# Time from the begin of a look that failed to the next one, in seconds.
 RETRY_SECONDS = 0.3
 # While the store fails, a short reading finds its return; a slow store answers one in
 # under 0.4 s. In seconds.
@@ -23,16 +22,28 @@
     :param clock: ``Clock``.
     :param registry: ``Registry``.
     :param log: ``EventLog``.
+    :param within: Time after which a change has to be in force, in seconds.
     """
 
-    def __init__(self, store, clock, registry, log):
+    def __init__(self, store, clock, registry, log, within):
         self.state = SiteState()
+        self._times = get_look_times(within)
         self._store = store
         self._clock = clock
         self._registry = registry
         self._log = log
         self._version = None
 
+    def run(self, finished):
+        """Follow until an event is set.
+
+        :param finished: ``threading.Event``.
+        """
+        while not finished.is_set():
+            began = self._clock.now()
+            if not self.step():
+                finished.wait(max(0.0, began + RETRY_SECONDS - self._clock.now()))
+
     def step(self):
         """Read or follow once.
 
@@ -42,7 +53,9 @@
         if self._version is None:
             outcome = self._store.read(operator.TABLE, "", timeout=PROBE_SECONDS)
         else:
-            outcome = self._store.follow(operator.TABLE, self._version, FOLLOW_SECONDS)
+            outcome = self._store.follow(
+                operator.TABLE, self._version, self._times.wait, self._times.timeout
+            )
         match outcome:
             case Success(page):
                 self._take(page)
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -59,6 +59,8 @@
 
     :param rows: ``JobRows``.
     :param site: ``SiteState``.
+    :param longest_age: Age of the configuration from which on no call is decided by it,
+        in seconds.
     :param clock: ``Clock``.
     :param registry: ``Registry``.
     :param log: ``EventLog``.
@@ -66,10 +68,18 @@
     """
 
     def __init__(
-        self, rows, site, clock, registry, log, is_store_reachable=lambda: True
+        self,
+        rows,
+        site,
+        longest_age,
+        clock,
+        registry,
+        log,
+        is_store_reachable=lambda: True,
     ):
         self._rows = rows
         self._site = site
+        self._longest_age = longest_age
         self._clock = clock
         self._registry = registry
         self._log = log
@@ -114,6 +124,10 @@
         configuration = self._site.configuration
         basis = Basis(configuration.version, age)
         self._registry.measure("config_age_seconds", age)
+        if age >= self._longest_age:
+            # A change may be in force that is not known here.
+            self._log_answer("call-refused", path, basis, why="config-unconfirmed")
+            return _refuse(503)
         queue = configuration.find_queue(host, path)
         if queue is None:
             self._log_answer("queue-unknown", path, basis)
--- a/src/bergamotshore/platform/store.py
+++ b/src/bergamotshore/platform/store.py
@@ -22,8 +22,6 @@
 )
 
 JSON_HEADERS = {"Content-Type": "application/json"}
-# A feed answers at the end of its wait; the rest covers the way and a slow store.
-FEED_SLACK_SECONDS = 1.0
 
 
 class WireRow(msgspec.Struct, frozen=True):
@@ -48,7 +46,7 @@
 class PlatformRowStore:
     """Call the store over HTTP, with one kept connection a thread.
 
-    :param client: ``HttpClient`` of the store, or one with the same ``call``.
+    :param client: ``RelayedClient``, or one with the same ``call``.
     """
 
     def __init__(self, client):
@@ -79,14 +77,14 @@
             query["limit"] = limit
         return self._get("/rows-get", query, timeout)
 
-    def follow(self, table, after, wait):
+    def follow(self, table, after, wait, timeout):
         """Wait for changes; see the port."""
         query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
-        return self._get("/rows-feed", query, wait + FEED_SLACK_SECONDS)
+        return self._get("/rows-feed", query, timeout, may_probe=False)
 
-    def _get(self, path, query, timeout):
+    def _get(self, path, query, timeout, may_probe=True):
         path = f"{path}?{urllib.parse.urlencode(query)}"
-        match self._client.call("GET", path, timeout=timeout):
+        match self._client.call("GET", path, timeout=timeout, may_probe=may_probe):
             case Success(HttpAnswer(status=200, body=body)):
                 return decode_page(body)
             case Success(HttpAnswer(status=410)):
--- a/src/bergamotshore/ports/rows.py
+++ b/src/bergamotshore/ports/rows.py
@@ -107,10 +107,11 @@
         :returns: ``Result`` of a ``RowPage``.
         """
 
-    def follow(self, table, after, wait):
+    def follow(self, table, after, wait, timeout):
         """Wait for changes after a version.
 
         :param wait: Longest wait, in seconds.
+        :param timeout: Time until the call is given up, in seconds.
         :returns: ``Result`` of a ``RowPage`` of changed rows in order; ``HistoryLost``
             when the table has to be read again.
         """
--- a/standins/site.py
+++ b/standins/site.py
@@ -101,7 +101,7 @@
         cut = rows[:limit] if limit else rows
         return Success(RowPage(cut, self.version, len(cut) < len(rows)))
 
-    def follow(self, table, after, wait):
+    def follow(self, table, after, wait, timeout=None):
         """Return the changes after a version; never waits."""
         if self.is_down:
             return Failure(PlatformUnavailable("down"))
--- a/tests/site/oneentry.py
+++ b/tests/site/oneentry.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import urllib.parse
 from dataclasses import dataclass
 
@@ -13,16 +14,15 @@
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
 from bergamotshore.entry.jobrows import JobRows
 from bergamotshore.entry.relay import WAY_SECONDS, RelayedClient
-from bergamotshore.entry.sitefollower import RETRY_SECONDS, SiteFollower
+from bergamotshore.entry.sitefollower import SiteFollower
 from bergamotshore.entry.submissions import SubmissionApp
 from bergamotshore.platform import operator
 from bergamotshore.platform.store import PlatformRowStore
 from bergamotshore.ports.rows import Put, RowId
 from soak.servers import answer_page
 from standins.site import RowsStandIn
+from tests.site.world import CONFIG_SECONDS
 
-# A confirmed change of the configuration has to be in force after this time.
-CONFIG_SECONDS = 2.0
 CALL_SECONDS = 1.5
 STEP_SECONDS = 0.05
 ANSWER_SECONDS = 0.005
@@ -64,7 +64,7 @@
         """Make one call; time goes on until it is answered or given up."""
         began = self._entry.get_time()
         timeout = timeout or CALL_SECONDS
-        self._entry.advance(ANSWER_SECONDS)
+        self._entry.pass_time(self._entry.answer_seconds)
         trouble = self._find_trouble()
         if trouble == "busy":
             return Success(HttpAnswer(503, "", b"{}"))
@@ -82,7 +82,7 @@
                 if is_due or not isinstance(outcome, Success) or outcome.unwrap().rows:
                     status, answer = answer_page(outcome)
                     return Success(HttpAnswer(status, "", json.dumps(answer).encode()))
-            self._entry.advance(min(STEP_SECONDS, left))
+            self._entry.pass_time(min(STEP_SECONDS, left))
 
 
 class PeerWay(Way):
@@ -106,14 +106,25 @@
     :param direct: ``Spell`` of the direct way.
     :param peer: ``Spell`` of the way through a peer.
     :param changes: Times of the operator's changes, each of which swaps one queue.
+    :param answer_seconds: Time that the store takes for an answer.
 
     ``stale`` lists answers by an older configuration than is allowed, ``answers`` the
     time, status and age of each call.
     """
 
-    def __init__(self, clock, registry, log, direct=(), peer=(), changes=()):
+    def __init__(
+        self,
+        clock,
+        registry,
+        log,
+        direct=(),
+        peer=(),
+        changes=(),
+        answer_seconds=ANSWER_SECONDS,
+    ):
         self.clock = clock
         self.began = clock.now()
+        self.answer_seconds = answer_seconds
         self.rows = RowsStandIn()
         self.answers = []
         self.stale = []
@@ -124,10 +135,11 @@
             Way(self, direct), PeerWay(self, peer), CALL_SECONDS, clock, registry, log
         )
         store = PlatformRowStore(client)
-        self.follower = SiteFollower(store, clock, registry, log)
+        self.follower = SiteFollower(store, clock, registry, log, CONFIG_SECONDS)
         self.app = SubmissionApp(
-            JobRows(store, clock, self.advance),
+            JobRows(store, clock, self.pass_time),
             self.follower.state,
+            CONFIG_SECONDS,
             clock,
             registry,
             log,
@@ -137,6 +149,11 @@
         """Return seconds since the start."""
         return self.clock.now() - self.began
 
+    @property
+    def refused(self):
+        """Return the calls that were refused although a configuration was known."""
+        return [a for a in self.answers if a[1] == 503 and math.isfinite(a[2])]
+
     def _declare(self, version):
         route = {
             "name": f"queue-{version}",
@@ -157,8 +174,13 @@
             return self.rows.follow(query["table"], int(query["after"]), 0)
         return self.rows.read(query["table"], query.get("part", ""))
 
-    def advance(self, seconds):
-        """Let time pass; the operator changes what is due, and a caller asks."""
+    def pass_time(self, seconds):
+        """Let time pass while a caller asks."""
+        until = self.get_time() + seconds
+        while (left := until - self.get_time()) > LEAST_SECONDS:
+            self._advance(min(STEP_SECONDS, left))
+
+    def _advance(self, seconds):
         self.clock.advance(seconds)
         while self._changes and self._changes[0] <= self.get_time():
             self._changes.pop(0)
@@ -197,9 +219,23 @@
 
     def run(self, seconds):
         """Follow the operator's rows as an entry does."""
-        while self.get_time() < seconds:
-            if not self.follower.step():
-                self.advance(RETRY_SECONDS)
+        self.follower.run(Until(self, seconds))
+
+
+class Until:
+    """An event that is set at a time; waiting for it lets time pass."""
+
+    def __init__(self, entry, seconds):
+        self._entry = entry
+        self._seconds = seconds
+
+    def is_set(self):
+        """Tell whether the time has come."""
+        return self._entry.get_time() >= self._seconds
+
+    def wait(self, seconds):
+        """Wait no longer than the given time."""
+        self._entry.pass_time(seconds)
 
 
 class _Empty:
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -21,7 +21,7 @@
 from bergamotshore.ports.runner import WorkerLife
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import SERVICE, RowsStandIn
-from tests.site.world import build_configuration
+from tests.site.world import CONFIG_SECONDS, build_configuration
 
 JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "mem_mb": 64}]}
 
@@ -43,7 +43,7 @@
 
 @pytest.fixture
 def follower(store, clock, registry, log):
-    return SiteFollower(store, clock, registry, log)
+    return SiteFollower(store, clock, registry, log, CONFIG_SECONDS)
 
 
 def put_operator_row(store, key, value):
@@ -136,7 +136,7 @@
 @pytest.fixture
 def app(store, site, clock, registry, log):
     rows = JobRows(store, clock, clock.advance)
-    return SubmissionApp(rows, site, clock, registry, log)
+    return SubmissionApp(rows, site, CONFIG_SECONDS, clock, registry, log)
 
 
 def call(app, method, path, body=None, host="h"):
@@ -229,7 +229,7 @@
     store, clock, registry, log
 ):
     rows = JobRows(store, clock, clock.advance)
-    app = SubmissionApp(rows, SiteState(), clock, registry, log)
+    app = SubmissionApp(rows, SiteState(), CONFIG_SECONDS, clock, registry, log)
     assert call(app, "POST", "/q/j1", JOB)[0] == 503
     assert call(ReadinessApp(lambda: False), "GET", "/readyz")[0] == 503
 
@@ -363,7 +363,15 @@
         client.call("POST", "/x")
     assert not client.is_reachable
     rows = JobRows(store, clock, clock.advance)
-    app = SubmissionApp(rows, site, clock, registry, log, lambda: client.is_reachable)
+    app = SubmissionApp(
+        rows,
+        site,
+        CONFIG_SECONDS,
+        clock,
+        registry,
+        log,
+        lambda: client.is_reachable,
+    )
     before = clock.now()
     status, headers, _ = call(app, "POST", "/q/j1", JOB)
     assert (status, clock.now(), store.calls) == (503, before, 0)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -47,6 +47,8 @@
 )
 
 STATE_KEPT_SECONDS = 120
+# A confirmed change of the operator's rows has to be in force after this time.
+CONFIG_SECONDS = 2.0
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
 # Comes after all other queues of a test.
@@ -155,7 +157,9 @@
         self.log = EventLog(world.clock, emit=world.lines.append)
         self.store = StoreDoor(world.store, lambda: name in world.without_store)
         self.peers = []
-        self.follower = SiteFollower(self.store, self.clock, self.registry, self.log)
+        self.follower = SiteFollower(
+            self.store, self.clock, self.registry, self.log, CONFIG_SECONDS
+        )
         self.follower.state.accept(world.configuration)
         self.follower.state.confirmed_at = world.clock.now()
         self.stopping = threading.Event()
