A scheduling entry starts nothing on knowledge that it has not confirmed in time

An entry whose feeds got no answer while its writes did went on starting tasks of cancelled jobs and in closed data centres.

Why it works: the table of jobs and the operator's rows have an age each. Nothing is decided or sent for start once it exceeds the bound less the 1.5 s for which a node takes an order and 0.1 s for its way; looks at jobs take half of that at most, so that one without an answer holds nothing up. Starts that are held and resumed are logged with both ages.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -70,9 +70,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RowsChanged:
-    """Rows of the job table changed, or were read again as a whole."""
+    """Rows of the job table changed, or were read again as a whole.
+
+    :param rows: Rows; none when nothing changed.
+    :param asked_at: When the store was asked, on this entry's clock.
+    :param epoch: Term in which it was asked.
+    """
 
     rows: list
+    asked_at: float
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +97,7 @@
     :param store: ``RowStore``.
     :param election: ``Election``.
     :param site: ``SiteState``.
+    :param knowledge: ``StartKnowledge``.
     :param directory: ``StreamDirectory``.
     :param right: Length of a node's right, in seconds.
     :param executor: Runs the writes.
@@ -109,6 +117,7 @@
         store,
         election,
         site,
+        knowledge,
         directory,
         right,
         executor,
@@ -127,6 +136,8 @@
         self.store = store
         self.election = election
         self.site = site
+        self.knowledge = knowledge
+        self._was_fresh = True
         self.directory = directory
         self.right = right
         self.executor = executor
@@ -233,6 +244,7 @@
             return
         self.epoch = epoch
         self.taken_at = self.clock.now()
+        self.knowledge.jobs_confirmed_at = began
         self._reset()
         for part, version in fences.items():
             self.writer.set_fence(part, version)
@@ -276,9 +288,11 @@
                 if worker is not None and worker.stream is stream:
                     worker.stream = None
                     self.log.write("node-lost", worker.node, reason=stream.close_reason)
-            case RowsChanged(rows=rows):
+            case RowsChanged(rows=rows, asked_at=asked_at, epoch=epoch):
                 for row in rows:
                     self._take_row(row)
+                if epoch == self.epoch:
+                    self.knowledge.jobs_confirmed_at = asked_at
             case Written():
                 self._take_written(event, now)
             case UpkeepEvent():
@@ -353,7 +367,8 @@
             slow_keys=self._slow_keys,
         )
         orders_by_node = {}
-        plan = make_plan(view, not self.is_leaving, is_look)
+        may_start = self._may_start(now) and not self.is_leaving
+        plan = make_plan(view, may_start, is_look)
         self._log_plan(plan)
         for question in plan.questions:
             self.questions.ask(self.board, question, self.epoch, now)
@@ -369,6 +384,18 @@
             if worker.stream is not None and (has_moved or batch is not None):
                 self.sender.send(worker, batch or OrderBatch())
 
+    def _may_start(self, now):
+        """Tell whether what starts rest on is young enough; tells of changes."""
+        is_fresh = self.knowledge.is_fresh(now)
+        was_fresh, self._was_fresh = self._was_fresh, is_fresh
+        age = self.site.get_age(now)
+        jobs_age = now - self.knowledge.jobs_confirmed_at
+        if was_fresh and not is_fresh:
+            self.log.write("starts-held", self.epoch, age=age, jobs_age=jobs_age)
+        elif is_fresh and not was_fresh:
+            self.log.write("starts-resumed", self.epoch, age=age, jobs_age=jobs_age)
+        return is_fresh
+
     def _look_at_speeds(self, now):
         """Keep new work away from workers that turned slow."""
         slow = self.board.step_times.find_slow(self.board.worker_by_node.values())
@@ -437,8 +464,8 @@
             case Success(version):
                 self._retry_at_by_part.pop(written.part, None)
                 self.writer.note_written(written.batch, version)
-                is_leading = self.election.lease.is_valid(now)
-                self.sender.send_claims(self.writer.is_written, is_leading, now)
+                hindrance = self._find_hindrance(now)
+                self.sender.send_claims(self.writer.is_written, hindrance, now)
             case Failure(failure):
                 self._retry_at_by_part[written.part] = now + TAKEOVER_RETRY_SECONDS
                 self.log.write("write-failed", written.part, why=failure.code)
@@ -446,6 +473,12 @@
                     self.log.write("fenced", written.part, epoch=self.epoch)
                     self.election.lease.resign()
 
+    def _find_hindrance(self, now):
+        """Return why no order may be sent at all now; empty when they may."""
+        if not self.election.lease.is_valid(now):
+            return "lease-over"
+        return "" if self._may_start(now) else "old-knowledge"
+
     def _count(self, now):
         """Tell all entries how many jobs of each queue wait."""
         if now - self._counted_at < COUNT_SECONDS:
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -34,18 +34,18 @@
         self._epoch = epoch
         self._log = log
 
-    def send_claims(self, is_written, is_leading, now):
+    def send_claims(self, is_written, hindrance, now):
         """Send the orders whose claims are written, or free what can not go.
 
         :param is_written: Tells whether a job is written up to a revision.
-        :param is_leading: Whether this entry still holds the lease.
+        :param hindrance: Why none may be sent at all; empty when they may.
         """
         for worker in self._board.worker_by_node.values():
             orders = OrderBatch()
             for held in list(worker.held_by_key.values()):
                 if held.sent_at or not is_written(held.ref.job, held.revision):
                     continue
-                reason = self._find_hindrance(worker, held, is_leading)
+                reason = hindrance or self._find_hindrance(worker, held)
                 if reason:
                     self._board.release(worker, held, reason, now)
                     continue
@@ -54,10 +54,8 @@
             if orders.starts:
                 self.send(worker, orders)
 
-    def _find_hindrance(self, worker, held, is_leading):
+    def _find_hindrance(self, worker, held):
         progress = self._board.job_by_key.get(held.ref.job)
-        if not is_leading:
-            return "lease-over"
         if worker.stream is None or worker.life.born != held.born:
             return "node-away"
         if worker.is_draining:
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -9,6 +9,11 @@
 from bergamotshore.adapters.http import HttpClient
 from bergamotshore.conf.logs import set_log_level
 from bergamotshore.conf.reload import SettingsWatcher
+from bergamotshore.core.work.confirmation import (
+    StartKnowledge,
+    get_longest_age,
+    get_look_times,
+)
 from bergamotshore.core.work.leases import (
     RENEW_SECONDS,
     get_patience,
@@ -63,11 +68,6 @@
 # Calls about VMs may be slow; an order without an answer is given again. In seconds.
 MACHINES_SECONDS = 1.5
 PEERS_SECONDS = 5.0
-# Longest wait of one look at the jobs, in seconds. A cancel has to be in force within
-# 3 s, so a feed that went silent is given up in time for another look through a peer.
-FEED_SECONDS = 0.8
-# Further time for the way and a slow store, in seconds.
-FEED_ANSWER_SECONDS = 1.0
 # The balancer looks once a second and takes an entry out after two misses.
 BALANCER_SECONDS = 2.2
 # Time for calls in flight at a stop; the platform kills after 6 s.
@@ -126,6 +126,11 @@
             self.may_stand,
         )
         self.directory = StreamDirectory(self.clock, self._greet)
+        self.knowledge = StartKnowledge(
+            self.follower.state,
+            get_longest_age(self.site.evacuate_within_ms / 1000),
+            get_longest_age(self.site.cancel_within_ms / 1000),
+        )
         self.dispatcher = self._build_dispatcher()
         self.app = SubmissionApp(
             JobRows(self.store, self.clock, self.finished.wait),
@@ -172,6 +177,7 @@
             self.store,
             self.election,
             self.follower.state,
+            self.knowledge,
             self.directory,
             get_right_seconds(self.site.longest_hold_ms / 1000),
             self.executor,
@@ -381,28 +387,33 @@
                 continue
             if current != epoch:
                 epoch, version = current, self.dispatcher.feed_version
-            version = self._follow_jobs(version)
+            version = self._follow_jobs(version, epoch)
 
-    def _follow_jobs(self, version):
+    def _follow_jobs(self, version, epoch):
         """Follow or read the table once; returns the version to go on from."""
+        asked_at = self.clock.now()
         if version:
-            outcome = self.store.follow(
-                JOBS, version, FEED_SECONDS, FEED_SECONDS + FEED_ANSWER_SECONDS
-            )
+            times = get_look_times(self.knowledge.longest_jobs_age)
+            outcome = self.store.follow(JOBS, version, times.wait, times.timeout)
         else:
             outcome = read_job_rows(self.store)
         match outcome:
             case Success(page):
-                if page.rows:
-                    self.dispatcher.post(RowsChanged(page.rows))
+                self.dispatcher.post(RowsChanged(page.rows, asked_at, epoch))
                 return page.version
             case Failure(HistoryLost()):
                 self.log.write("history-lost", JOBS, version=version)
                 return 0
             case Failure(failure):
                 self.registry.count("store_failures_total", code=failure.code)
-                self.log.write("store-failed", "job-feed", why=str(failure))
-                self.finished.wait(RETRY_SECONDS)
+                self.log.write(
+                    "store-failed",
+                    "job-feed",
+                    why=str(failure),
+                    seconds=self.clock.now() - asked_at,
+                )
+                passed = self.clock.now() - asked_at
+                self.finished.wait(max(0.0, RETRY_SECONDS - passed))
                 return version
 
     def _run_dispatcher(self):
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.confirmation import ORDER_FRESH_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
 from bergamotshore.ports.runner import RunOrder, RunRejected
@@ -16,9 +17,6 @@
 RETRY_SECONDS = 0.25
 # A start under a shorter lease than this would lapse before the next extension.
 SHORTEST_LEASE_SECONDS = 0.8
-# An order whose echoed reading is older than this is refused: a data centre, a worker
-# or a job may have been taken out since it was decided. In seconds.
-ORDER_FRESH_SECONDS = 1.5
 # Refused connections in a row that prove that no worker process is there.
 REFUSALS_FOR_DOWN = 2
 # The worker's clock may be slow by this share.
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -12,6 +12,7 @@
 
 from returns.result import Failure
 
+from bergamotshore.core.work.confirmation import StartKnowledge, get_longest_age
 from bergamotshore.core.work.leases import (
     RENEW_SECONDS,
     NodeRight,
@@ -49,6 +50,9 @@
 STATE_KEPT_SECONDS = 120
 # A confirmed change of the operator's rows has to be in force after this time.
 CONFIG_SECONDS = 2.0
+# Nothing is started in a closed data centre, or of a cancelled job, after these times.
+EVACUATE_SECONDS = 5.0
+CANCEL_SECONDS = 3.0
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
 # Comes after all other queues of a test.
@@ -56,11 +60,15 @@
 
 
 class StoreDoor:
-    """The way of one process to the store; nothing passes while it is cut."""
+    """The way of one process to the store; nothing passes while it is cut.
 
-    def __init__(self, store, is_cut):
+    While only feeds are cut, everything else passes.
+    """
+
+    def __init__(self, store, is_cut, is_feed_cut):
         self._store = store
         self._is_cut = is_cut
+        self._is_feed_cut = is_feed_cut
 
     def transact(self, *arguments, **options):
         return self._call(self._store.transact, arguments, options)
@@ -69,6 +77,8 @@
         return self._call(self._store.read, arguments, options)
 
     def follow(self, *arguments, **options):
+        if self._is_feed_cut():
+            return Failure(PlatformUnavailable("silent"))
         return self._call(self._store.follow, arguments, options)
 
     def _call(self, function, arguments, options):
@@ -155,7 +165,14 @@
         self.clock = world.clock
         self.registry = Registry()
         self.log = EventLog(world.clock, emit=world.lines.append)
-        self.store = StoreDoor(world.store, lambda: name in world.without_store)
+        self.store = StoreDoor(
+            world.store,
+            lambda: name in world.without_store,
+            lambda: name in world.without_feeds,
+        )
+        self.is_following = lambda: (
+            name not in (world.without_store | world.without_feeds)
+        )
         self.peers = []
         self.follower = SiteFollower(
             self.store, self.clock, self.registry, self.log, CONFIG_SECONDS
@@ -173,10 +190,16 @@
             may_stand=self.may_stand,
         )
         self.directory = StreamDirectory(self.clock, self._greet)
+        self.knowledge = StartKnowledge(
+            self.follower.state,
+            get_longest_age(EVACUATE_SECONDS),
+            get_longest_age(CANCEL_SECONDS),
+        )
         self.dispatcher = Dispatcher(
             self.store,
             self.election,
             self.follower.state,
+            self.knowledge,
             self.directory,
             get_right_seconds(LONGEST_HOLD_SECONDS),
             InlineExecutor(),
@@ -196,6 +219,8 @@
         self.feed = (0, 0)
 
     def step(self):
+        if self.is_following():
+            self.follower.state.confirmed_at = self.clock.now()
         if self.clock.now() >= self.next_election:
             self.election.step()
             self.next_election = self.clock.now() + RENEW_SECONDS
@@ -204,7 +229,7 @@
             version = self.feed[1] if self.feed[0] == epoch else None
             if version is None:
                 version = self.dispatcher.feed_version
-            self.feed = (epoch, self._follow_jobs(version))
+            self.feed = (epoch, self._follow_jobs(version, epoch))
         for _ in range(3):
             self.dispatcher.step(wait=0)
 
@@ -278,6 +303,7 @@
         self.machines = MachinesStandIn(clock, self.runner_by_node, self.ledger)
         self.cut_pairs = set()
         self.without_store = set()
+        self.without_feeds = set()
         self.paused = set()
         self.entry_by_name = {}
         self.node_by_name = {}
@@ -419,6 +445,7 @@
         self.heal()
         self.paused.clear()
         self.without_store.clear()
+        self.without_feeds.clear()
         self.store.is_down = self.machines.is_down = False
         self.store.faults, self.machines.faults = [], []
         self.store.run_late()
