A kept connection is looked at by poll, whatever its descriptor

What callers would see: an entry with over 1,024 descriptors open ends by itself, since the look whether the store has closed a kept connection used select(), which takes none above 1,023, and raised ValueError in the thread that follows the operator's rows.

Test: a connection with a high descriptor is used again; ValueError before.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -129,5 +129,7 @@
 
 def _is_stale(connection):
     """Tell whether the server has closed a kept connection."""
-    readable, _, _ = select.select([connection.sock], [], [], 0)
-    return bool(readable)
+    # select() takes no descriptor above 1,023; an entry may hold thousands open.
+    poll = select.poll()
+    poll.register(connection.sock, select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -1,5 +1,6 @@
 """Calls over kept connections against a server that stops answering."""
 
+import resource
 import socket
 import threading
 import time
@@ -41,6 +42,22 @@
         connection.close()
 
 
+# Guards against a process that ends when it has over 1,024 descriptors open.
+def test_a_connection_with_a_high_descriptor_is_used_again(silent_address):
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4096), hard))
+    pairs = [socket.socketpair() for _ in range(520)]
+    try:
+        client = HttpClient(silent_address, TIMEOUT_SECONDS)
+        assert isinstance(client.call("GET", "/x"), Success)
+        assert isinstance(client.call("GET", "/x"), Failure)
+    finally:
+        for pair in pairs:
+            for end in pair:
+                end.close()
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def test_a_reading_that_gets_no_answer_takes_no_longer_than_allowed(silent_address):
     client = HttpClient(silent_address, TIMEOUT_SECONDS)
     assert isinstance(client.call("GET", "/x"), Success)
