--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -73,10 +73,15 @@
         return outcome
 
     def _call_once(self, method, path, body, headers, timeout):
+        began = time.monotonic()
         try:
             connection = self._connect(timeout)
         except OSError as error:
             return Failure(HttpFailure(repr(error), was_sent=False))
+        left = timeout - (time.monotonic() - began)
+        if left <= 0:
+            return Failure(HttpFailure("timed out connecting", was_sent=False))
+        connection.sock.settimeout(left)
         try:
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
             connection.request(method, path, body=body, headers=headers or {})
@@ -102,7 +107,6 @@
             )
             connection.connect()
             self._local.connection = connection
-        connection.sock.settimeout(timeout)
         return connection
 
     def _drop(self):
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -1,5 +1,6 @@
 """Calls over kept connections against a server that stops answering."""
 
+import http.client
 import resource
 import socket
 import threading
@@ -42,6 +43,23 @@
         connection.close()
 
 
+# Guards against a call that takes its time once to connect and again to be answered.
+def test_connecting_and_waiting_share_the_time_allowed(monkeypatch, silent_address):
+    client = HttpClient(silent_address, TIMEOUT_SECONDS)
+    client.call("GET", "/x")
+    connect = http.client.HTTPConnection.connect
+
+    def connect_late(connection):
+        time.sleep(0.75 * TIMEOUT_SECONDS)
+        connect(connection)
+
+    monkeypatch.setattr(http.client.HTTPConnection, "connect", connect_late)
+    other = HttpClient(silent_address, TIMEOUT_SECONDS)
+    began = time.monotonic()
+    assert isinstance(other.call("GET", "/x"), Failure)
+    assert time.monotonic() - began < 1.5 * TIMEOUT_SECONDS
+
+
 # Guards against a process that ends when it has over 1,024 descriptors open.
 def test_a_connection_with_a_high_descriptor_is_used_again(silent_address):
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
