Calls pass over peers that the store turns away too

Cause: calls through peers took turns over all of them, those that were turned away themselves included, and each such answer barred all peers for 0.4 s.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -27,6 +27,9 @@
 PROBE_SECONDS = 0.8
 # Time for which no peer is asked after the store failed for a peer as well.
 PEER_PAUSE_SECONDS = 0.4
+# Time for which a peer that could not serve a call is asked last, in seconds: as long
+# as this entry's own calls go another way.
+AWAY_SECONDS = DETOUR_SECONDS
 # Further time for the way to the peer and back, in seconds.
 WAY_SECONDS = 0.1
 # Failures in a row after which the store counts as out of reach.
@@ -154,6 +157,8 @@
         self._lock = threading.Lock()
         self._future_by_call = {}
         self._turns = itertools.count()
+        self._calls = itertools.count()
+        self._away_until_by_run = {}
         self._prefix = incarnation
         self._name = settings.name
         self._others = []
@@ -175,13 +180,51 @@
         return bool(self.links.list_streams())
 
     def call(self, method, path, body, timeout):
-        """Call the store through a peer; results as of ``HttpClient.call``."""
+        """Call the store through a peer; results as of ``HttpClient.call``.
+
+        A peer that is turned away like this entry is followed by another, as long as
+        that repeats no write.
+        """
+        until = self._clock.now() + timeout
+        outcome = Failure(HttpFailure("no peer", was_sent=False))
+        for stream in self._list_in_turn():
+            left = until - self._clock.now()
+            if left <= 0:
+                break
+            outcome = self._call_through(stream, method, path, body, left)
+            is_away = is_turned_away(outcome)
+            self._note_outcome(stream, is_away)
+            is_unknown = method != "GET" and _may_have_been_taken(outcome)
+            if not is_away or is_unknown:
+                break
+        return outcome
+
+    def _list_in_turn(self):
+        """Return the streams to peers, those that could not serve a call last."""
         streams = self.links.list_streams()
-        if not streams:
-            return Failure(HttpFailure("no peer", was_sent=False))
-        turn = next(self._turns)
-        stream = streams[turn % len(streams)]
-        call_id = f"{self._prefix}-{turn}"
+        known = {stream.peer.incarnation for stream in streams}
+        now = self._clock.now()
+        with self._lock:
+            self._away_until_by_run = {
+                run: until
+                for run, until in self._away_until_by_run.items()
+                if run in known and until > now
+            }
+            away = set(self._away_until_by_run)
+        first = next(self._turns) % max(1, len(streams))
+        turned = streams[first:] + streams[:first]
+        return sorted(turned, key=lambda stream: stream.peer.incarnation in away)
+
+    def _note_outcome(self, stream, is_away):
+        run = stream.peer.incarnation
+        with self._lock:
+            if is_away:
+                self._away_until_by_run[run] = self._clock.now() + AWAY_SECONDS
+            else:
+                self._away_until_by_run.pop(run, None)
+
+    def _call_through(self, stream, method, path, body, timeout):
+        call_id = f"{self._prefix}-{next(self._calls)}"
         future = Future()
         with self._lock:
             self._future_by_call[call_id] = future
