Work that is done counts, however late its end is told

Cause: a worker goes on while the node beside it is frozen, and lists what ends meanwhile as done. The scheduling entry had given these runs up by then and set late ends aside, so the task was done once more, at times paced to nothing for 20 s, while the next step waited for it.

Why it works: a task one run of which is done is done; its other run is stopped like a copy.

--- a/src/bergamotshore/core/work/board.py
+++ b/src/bergamotshore/core/work/board.py
@@ -70,6 +70,7 @@
         self.worker_by_node = {}
         self.facts = deque(maxlen=OUTCOMES_KEPT)
         self.new_facts = []
+        self._unclaimed_ends = []
         self.interference = Interference()
         self.advice = AdviceDesk()
         self.step_times = StepTimes()
@@ -286,6 +287,13 @@
         worker.seen_end = max(worker.seen_end, listed.sequence)
         if held is not None:
             self._note_fact(worker, held, listed.outcome, now)
+        elif progress is not None:
+            self._unclaimed_ends.append((worker.node, listed))
+
+    def take_unclaimed_ends(self):
+        """Return pairs of node and end of runs that were given up before."""
+        ends, self._unclaimed_ends = self._unclaimed_ends, []
+        return ends
 
     def _end_job(self, progress, listed):
         if progress is None:
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -189,8 +189,9 @@
     def end(self, ref, number, outcome, checkpoint, retries):
         """Record the end of a run.
 
-        An end of a run that was released before changes nothing: its lease had run
-        out, so its work was given to another run.
+        The end of a run that was released before may come late, when its lease had run
+        out and its work was given to another run. Work that is done is done all the
+        same; any other late end changes nothing.
 
         :param outcome: As the worker listed it.
         :param retries: Failed runs after which the job has failed.
@@ -199,9 +200,11 @@
         task = self.get_task(ref)
         if task is None or self.outcome:
             return False
+        step = self.spec.steps[ref.step]
         if not self.release(ref, number):
+            if outcome == "done" and not step.is_lasting and not task.is_done:
+                self._finish(ref, step)
             return False
-        step = self.spec.steps[ref.step]
         if outcome == "done" and not step.is_lasting:
             self._finish(ref, step)
             return True
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -352,6 +352,14 @@
             self.suspicion.note(fact)
             self.board.step_times.note(fact)
             self._log_fact(fact)
+        for node, end in self.board.take_unclaimed_ends():
+            self.log.write(
+                "end-unclaimed",
+                end.task,
+                run=end.number,
+                node=node,
+                outcome=end.outcome,
+            )
         is_look = now - self._looked_at >= LOOK_SECONDS
         if is_look:
             self._looked_at = now
