The soak changes the configuration and judges which one answers

An operator now changes it in irregular series, and callers ask each entry for queues that came and went; an answer by a version over 2 s out of date, or a missing queue that has been there for 2 s, is a broken promise.

--- /dev/null
+++ b/soak/changes.py
@@ -0,0 +1,141 @@
+"""Changes of the configuration while faults come, and callers that judge them.
+
+Each version has the queue of all jobs and one of its own, which the next version drops.
+"""
+
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from bergamotshore.platform import operator
+from bergamotshore.ports.rows import Put, RowId
+from soak.site import HOST_NAME, build_route
+
+# A confirmed change has to be in force after this time, in seconds.
+CONFIG_SECONDS = 2.0
+SHORTEST_GAP_SECONDS = 0.1
+# Series of quick changes, and spells without any. In seconds.
+LONGEST_GAPS_SECONDS = (0.2, 1.5, 5.0)
+# Callers ask for queues of this many versions, the newest included.
+VERSIONS_ASKED = 4
+ASK_SECONDS = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One version of the configuration.
+
+    :param version: Version.
+    :param sent_at: When it was sent to the store, in seconds.
+    :param acked_at: When the store had confirmed it.
+    """
+
+    version: int
+    sent_at: float
+    acked_at: float
+
+
+class Operator(threading.Thread):
+    """Change the configuration in irregular series; the store always serves it.
+
+    :param site: ``SoakSite``.
+    :param seed: Seed of the pauses.
+    """
+
+    def __init__(self, site, seed):
+        super().__init__(daemon=True)
+        self.is_over = False
+        self.changes = []
+        self._site = site
+        self._random = random.Random(f"operator-{seed}")
+
+    def run(self):
+        """Change until it is over."""
+        while not self.is_over:
+            self._change(len(self.changes) + 2)
+            longest = self._random.choice(LONGEST_GAPS_SECONDS)
+            time.sleep(self._random.uniform(SHORTEST_GAP_SECONDS, longest))
+
+    def _change(self, version):
+        routes = [build_route(), build_route(f"probe-{version}", get_prefix(version))]
+        config = {"version": version, "routes": routes, "services": []}
+        put = Put(
+            RowId(operator.TABLE, "", operator.CONFIG_KEY), json.dumps(config).encode()
+        )
+        sent_at = time.monotonic()
+        rows = self._site.rows
+        with self._site.store.changed:
+            faults, rows.faults = rows.faults, []
+            was_down, rows.is_down = rows.is_down, False
+            rows.transact([], [put], []).unwrap()
+            rows.faults, rows.is_down = faults, was_down
+            self._site.store.changed.notify_all()
+        self.changes.append(Change(version, sent_at, time.monotonic()))
+
+
+class ConfigAsker(threading.Thread):
+    """Ask one entry for queues that are there, or were, and judge its answers.
+
+    :param operator: ``Operator``.
+    :param caller: ``Caller`` whose connection is used.
+    :param problems: Takes broken promises.
+    :param seed: Seed of what is asked for.
+    """
+
+    def __init__(self, operator, caller, problems, seed):
+        super().__init__(daemon=True)
+        self.is_over = False
+        self.answered = 0
+        self._operator = operator
+        self._caller = caller
+        self._problems = problems
+        self._random = random.Random(f"asker-{seed}")
+
+    def run(self):
+        """Ask until it is over."""
+        while not self.is_over:
+            time.sleep(ASK_SECONDS)
+            changes = list(self._operator.changes)
+            if changes:
+                self._ask(self._random.choice(changes[-VERSIONS_ASKED:]).version)
+
+    def _ask(self, version):
+        sent_at = time.monotonic()
+        path = get_prefix(version)
+        status, _ = self._caller.send("GET", path, None, {"Host": HOST_NAME})
+        answered_at = time.monotonic()
+        self.answered += status in (200, 404)
+        problem = judge_answer(
+            self._operator.changes, version, status, sent_at, answered_at
+        )
+        if problem:
+            self._problems.append(problem)
+
+
+def get_prefix(version):
+    """Return the prefix of the queue that only one version has."""
+    return f"/probe-{version}/"
+
+
+def judge_answer(changes, version, status, sent_at, answered_at):
+    """Return the promise that an answer breaks; empty when it breaks none.
+
+    :param changes: List of ``Change`` in order.
+    :param version: Version whose queue was asked for.
+    :param status: HTTP status; others than 200 and 404 tell nothing.
+    :param sent_at: When the call was sent, in seconds.
+    :param answered_at: When its answer was there.
+    """
+    own = next(change for change in changes if change.version == version)
+    following = next((c for c in changes if c.version > version), None)
+    settled = sent_at - CONFIG_SECONDS
+    if status == 200 and following is not None and following.acked_at < settled:
+        late = sent_at - following.acked_at
+        return f"queue of version {version} served {late:.2f} s after it was dropped"
+    is_kept = following is None or following.sent_at > answered_at
+    if status == 404 and own.acked_at < settled and is_kept:
+        late = sent_at - own.acked_at
+        return f"queue of version {version} not served {late:.2f} s after it came"
+    return ""
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 
 from bergamotshore.core.work.site import Queue
 from bergamotshore.platform.jobs import decode_submission
+from soak.changes import ConfigAsker, Operator
 from soak.proxy import MODES
 from soak.site import HOST_NAME, PREFIX, RETRIES, SoakSite
 from standins.site import SERVICE
@@ -170,6 +171,16 @@
         self._callers = [
             Caller(site, name, self.evidence, seed) for name in site.entry_by_name
         ]
+        self.operator = Operator(site, seed)
+        self._askers = [
+            ConfigAsker(
+                self.operator,
+                Caller(site, name, self.evidence, seed),
+                self.evidence.problems,
+                f"{seed}-{name}",
+            )
+            for name in site.entry_by_name
+        ]
 
     def play(self, seconds):
         """Play faults for some seconds, let them end, and judge.
@@ -179,7 +190,8 @@
         threading.Thread(target=self._watch_stalls, daemon=True).start()
         self.site.start()
         time.sleep(START_SECONDS)
-        for caller in self._callers:
+        self.operator.start()
+        for caller in (*self._callers, *self._askers):
             caller.start()
         until = time.monotonic() + seconds
         while time.monotonic() < until and not self.site.ledger.problems:
@@ -204,9 +216,18 @@
             self._settle()
             if len(self.stalls) == seen:
                 break
+        for thread in (self.operator, *self._askers):
+            thread.is_over = True
+        for asker in self._askers:
+            asker.join(2 * CALL_SECONDS)
         self._judge()
         return self.evidence.problems
 
+    @property
+    def answered(self):
+        """Return how many answers told which configuration is in force."""
+        return sum(asker.answered for asker in self._askers)
+
     def _watch_stalls(self):
         """Take note of times in which this process stood still."""
         while True:
@@ -365,6 +386,7 @@
             f"seed {seed}: {len(evidence.accepted)} accepted,"
             f" {len(evidence.refused)} refused, {len(evidence.cancelled)} cancelled,"
             f" {len(soak.site.ledger.starts)} starts, {len(soak.events)} faults,"
+            f" {len(soak.operator.changes)} changes, {soak.answered} answers on them,"
             f" {len(soak.stalls)} stalls, {len(problems)} problems",
             flush=True,
         )
--- a/soak/site.py
+++ b/soak/site.py
@@ -118,15 +118,8 @@
             self._add_node(Path(folder), index, doors, seed)
 
     def _put_configuration(self):
-        route = {
-            "name": "queue",
-            "host": HOST_NAME,
-            "prefix": PREFIX,
-            "service": SERVICE,
-            "retries": RETRIES,
-        }
         services = [{"name": SERVICE, "admission_check": False}]
-        config = {"version": 1, "routes": [route], "services": services}
+        config = {"version": 1, "routes": [build_route()], "services": services}
         content = json.dumps(config)
         self.rows.transact([], [Put(RowId("op", "", "config"), content.encode())], [])
 
@@ -226,6 +219,17 @@
             proxy.close()
 
 
+def build_route(name="queue", prefix=PREFIX):
+    """Return a queue as the operator declares it."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "prefix": prefix,
+        "service": SERVICE,
+        "retries": RETRIES,
+    }
+
+
 def _build_platform(address):
     return {"table": address, "objects": address, "timeout": 1.5}
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,3 +17,4 @@
     assert problems == [], f"logs: {folder}"
     assert soak.evidence.accepted
     assert soak.site.ledger.starts
+    assert soak.answered
