Bind acknowledgements of completions to the incarnation that numbered them

Callers could see a task run again after it had completed (TWICE): a worker numbers its completions from 1 in each incarnation, and the node sent the number acknowledged for the former incarnation in every renewal, also in the first one that reached a restarted worker. A completion there that nobody had seen was acknowledged by it.

The number now travels with the incarnation that gave it (Acknowledgement), from the order's arrival to the call, so that an order for the former incarnation can't be applied to the next one between two steps of the node. On the wire the number is alone, and a worker may restart under its name and address, so the client sends it only on the connection on which that incarnation has answered: a connection ends with its process.

The soak restarted a worker behind open connections, and applied calls sent to the former incarnation to the next one, which no process can. A restart is now a new server on a new port behind the proxy, with all connections ended.

Other values that might outlive what gave them, read and found bound: tickets (worker and its start time), echoes (clock of the node, stream), reports of a replaced machine (start time), feed versions after a lost history (read anew).

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -44,15 +44,21 @@
         """Set the fault mode of all connections."""
         self.mode = mode
         if mode == "reset":
-            self._close_all()
+            self.close_connections()
+
+    def redirect(self, target):
+        """Forward new connections to another target, and close all connections."""
+        self.target = target
+        self.close_connections()
 
     def close(self):
         """Stop listening and close all connections."""
         self._is_closed = True
         self._listener.close()
-        self._close_all()
+        self.close_connections()
 
-    def _close_all(self):
+    def close_connections(self):
+        """Close all connections."""
         with self._lock:
             sockets, self._sockets = self._sockets, set()
         for sock in sockets:
--- a/soak/run.py
+++ b/soak/run.py
@@ -242,7 +242,7 @@
         """Inject or clear one random fault."""
         rng, site = self._random, self.site
         program = rng.choice(site.programs)
-        worker = rng.choice(list(site.worker_by_node.values()))
+        node, worker = rng.choice(list(site.worker_by_node.items()))
         kind = rng.choice(
             ["kill", "pause", "go-on", "stop", "start", "proxy", "proxy", "pass"]
             + ["store-down", "store-faults", "compact", "worker-restart", "hang"]
@@ -276,10 +276,12 @@
                     item.kill()
             case "hang":
                 worker.is_hanging = not worker.is_hanging
+            case "worker-restart":
+                site.restart_worker(node)
             case _:
-                self._inject_platform_fault(kind, worker.runner)
+                self._inject_platform_fault(kind)
 
-    def _inject_platform_fault(self, kind, runner):
+    def _inject_platform_fault(self, kind):
         rng, rows = self._random, self.site.rows
         match kind:
             case "store-down":
@@ -292,9 +294,6 @@
             case "compact":
                 with self.site.store.changed:
                     rows.compact()
-            case "worker-restart":
-                with self.site.lock:
-                    runner.restart()
             case "order-faults":
                 faults = ["lost", "late", "silent"]
                 for worker in self.site.worker_by_node.values():
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,7 +13,7 @@
 
 from bergamotshore.exceptions import PlatformUnavailable
 from bergamotshore.ports.rows import Expect, HistoryLost, Put, RowId, RowsConflict
-from bergamotshore.ports.runner import RunOrder, RunRejected
+from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
 from bergamotshore.utils.addresses import split_address
 from standins.site import RunnerStandIn
 
@@ -150,7 +150,26 @@
     return 503, {}
 
 
-class WorkerServer(HttpServer):
+class IncarnationServer(HttpServer):
+    """Serve one incarnation of a worker; the next one listens on another port.
+
+    Calls that reach it after a restart get no answer and have no effect, as if its
+    process had ended.
+
+    :param worker: ``WorkerServer``.
+    """
+
+    def __init__(self, worker):
+        self._worker = worker
+        self._born = worker.runner.born
+        super().__init__(WORKER_THREADS)
+
+    def handle(self, path, query, body):
+        """Answer a call from the node."""
+        return self._worker.answer(self._born, path, json.loads(body))
+
+
+class WorkerServer:
     """Serve one worker: answer its node, end tasks when due, and send heartbeats.
 
     :param clock: ``Clock``.
@@ -173,22 +192,37 @@
         self._heartbeat_address = split_address(heartbeat_address)
         self._is_closed = False
         self._sequence = 0
-        super().__init__(WORKER_THREADS)
+        self._server = IncarnationServer(self)
         for function in (self._run_tasks, self._send_heartbeats):
             threading.Thread(target=function, daemon=True).start()
 
+    @property
+    def port(self):
+        """Return the port of the current incarnation."""
+        return self._server.port
+
     def close(self):
         """Stop the worker's threads."""
         self._is_closed = True
 
-    def handle(self, path, query, body):
-        """Answer a call from the node."""
+    def restart(self):
+        """Start a new incarnation without any state, on a new port."""
+        with self.lock:
+            self.runner.restart()
+        self._server = IncarnationServer(self)
+
+    def answer(self, born, path, call):
+        """Answer a call to one incarnation.
+
+        :param born: Start time of the incarnation, in milliseconds.
+        """
         while self.is_hanging and not self._is_closed:
             time.sleep(TICK_SECONDS)
-        call = json.loads(body)
         if path == "/hold":
             time.sleep(min(0.1, call.get("wait_ms", 0) / 1000))
         with self.lock:
+            if self.runner.born != born:
+                return 500, {}
             outcome = self._call(path, call)
             clock_ms, born = self.runner.clock_ms, self.runner.born
         common = {"clock_ms": clock_ms, "born": born}
@@ -205,8 +239,9 @@
         fence, runner = call["fence"], self.runner
         match path:
             case "/hold":
+                acknowledgement = Acknowledgement(runner.born, call["ack_cursor"])
                 return runner.renew_lease(
-                    call.get("until_ms"), fence, call["ack_cursor"], 0
+                    call.get("until_ms"), fence, acknowledgement, 0
                 )
             case "/run-start":
                 order = RunOrder(call["task"], call["run"], call["spec"], "", "")
--- a/soak/site.py
+++ b/soak/site.py
@@ -107,6 +107,7 @@
         self._put_configuration()
         self.proxies = []
         self.worker_by_node = {}
+        self.worker_proxy_by_node = {}
         self.entry_by_name = {}
         self.node_by_name = {}
         self.callers_by_entry = {}
@@ -166,6 +167,7 @@
         )
         self.worker_by_node[name] = worker
         proxy = self._add_proxy(worker.port, seed)
+        self.worker_proxy_by_node[name] = proxy
         settings = {
             "name": name,
             "zone": zone,
@@ -189,6 +191,12 @@
         for program in self.programs:
             program.start()
 
+    def restart_worker(self, node):
+        """Start a new incarnation of a worker; connections to the former one end."""
+        worker = self.worker_by_node[node]
+        worker.restart()
+        self.worker_proxy_by_node[node].redirect((HOST, worker.port))
+
     def heal(self):
         """Clear all faults and restart processes that have exited."""
         for proxy in self.proxies:
--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -1,6 +1,7 @@
 """HTTP client with persistent connections, one per thread and address."""
 
 import http.client
+import itertools
 import select
 import socket
 import threading
@@ -21,11 +22,14 @@
     :param status: HTTP status.
     :param content_type: Media type.
     :param body: Body.
+    :param connection: Number of the connection it was received on, unique within the
+        client.
     """
 
     status: int
     content_type: str
     body: bytes
+    connection: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,10 @@
     code: str = "http"
 
 
+class ConnectionReplaced(ConnectionError):
+    """The connection that a call was bound to is no longer open."""
+
+
 class HttpClient:
     """Call one server.
 
@@ -52,32 +60,38 @@
         self.host, self.port = split_address(address)
         self.timeout = timeout
         self._local = threading.local()
+        self._connection_numbers = itertools.count(1)
 
-    def call(self, method, path, body=b"", headers=None, timeout=None):
+    def call(self, method, path, body=b"", headers=None, timeout=None, connection=None):
         """Send one request and return the complete response.
 
         The server may have closed an idle persistent connection. A GET that fails on a
         reused connection is therefore sent once more; other methods are not, since they
         may not be idempotent. Both attempts together take no longer than the timeout.
 
+        :param connection: Number of the only connection on which the request may be
+            sent; None for any. A connection ends with the server process, so this also
+            names the process that receives the request.
         :returns: ``Result`` of ``HttpAnswer`` or ``HttpFailure``.
         """
         timeout = timeout or self.timeout
         started_at = time.monotonic()
         is_reused = getattr(self._local, "connection", None) is not None
-        outcome = self._call_once(method, path, body, headers, timeout)
+        outcome = self._call_once(method, path, body, headers, timeout, connection)
         remaining = timeout - (time.monotonic() - started_at)
         match outcome:
             case Failure(HttpFailure()) if (
                 is_reused and method == "GET" and remaining > 0
             ):
-                return self._call_once(method, path, body, headers, remaining)
+                return self._call_once(
+                    method, path, body, headers, remaining, connection
+                )
         return outcome
 
-    def _call_once(self, method, path, body, headers, timeout):
+    def _call_once(self, method, path, body, headers, timeout, required):
         started_at = time.monotonic()
         try:
-            connection = self._connect(timeout)
+            connection = self._connect(timeout, required)
         except OSError as error:
             return Failure(HttpFailure(repr(error), was_sent=False))
         remaining = timeout - (time.monotonic() - started_at)
@@ -98,19 +112,26 @@
         if response.will_close:
             self._discard_connection()
         content_type = response.getheader("Content-Type", "")
-        return Success(HttpAnswer(response.status, content_type, content))
+        return Success(
+            HttpAnswer(response.status, content_type, content, self._local.number)
+        )
 
-    def _connect(self, timeout):
+    def _connect(self, timeout, required):
         connection = getattr(self._local, "connection", None)
         if connection is not None and _is_stale(connection):
             self._discard_connection()
             connection = None
+        if required is not None and (
+            connection is None or self._local.number != required
+        ):
+            raise ConnectionReplaced(f"connection {required} is no longer open")
         if connection is None:
             connection = http.client.HTTPConnection(
                 self.host, self.port, timeout=timeout
             )
             connection.connect()
             self._local.connection = connection
+            self._local.number = next(self._connection_numbers)
         return connection
 
     def _discard_connection(self):
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -9,7 +9,7 @@
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
-from bergamotshore.ports.runner import RunOrder, RunRejected
+from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
 
 # The worker reports the tail latency of a latency-critical task over the last half
 # second; polling slightly more often reads each figure once.
@@ -70,11 +70,11 @@
         self.registry = registry
         self.log = log
         self.worker_report = None
-        self.acknowledged = 0
         self.incarnation = 0
         self.is_answering = False
         self.running = []
         self.ended = []
+        self._acknowledgement = Acknowledgement()
         self._fence = int(clock.wall() * 1_000_000)
         self._lock = threading.Lock()
         self._unresolved_by_key = {}
@@ -128,8 +128,7 @@
         calls = [(self._call_stop, task, number) for task, number in orders.stops] + [
             (self._call_throttle, *row) for row in orders.paces
         ]
-        if orders.born == self.incarnation:
-            self.acknowledged = max(self.acknowledged, orders.acknowledged)
+        self._record_acknowledgement(Acknowledgement(orders.born, orders.acknowledged))
         reason = self._find_refusal_reason(orders, now)
         for task, number, checkpoint, ticket in orders.starts:
             if reason:
@@ -142,6 +141,20 @@
             starts.append((self._call_start, order, orders))
         return calls, starts
 
+    @property
+    def acknowledged(self):
+        """Return the highest completion that the current incarnation may discard."""
+        acknowledgement = self._acknowledgement
+        is_current = acknowledgement.started_ms == self.incarnation
+        return acknowledgement.sequence if is_current else 0
+
+    def _record_acknowledgement(self, acknowledgement):
+        """Record an acknowledgement unless it is for another incarnation."""
+        with self._lock:
+            is_current = acknowledgement.started_ms == self.incarnation
+            if is_current and acknowledgement.sequence > self.acknowledged:
+                self._acknowledgement = acknowledgement
+
     def _record_stops(self, stops):
         """Record the runs to stop, so that starts still queued for them are dropped."""
         for task, number in stops:
@@ -247,9 +260,9 @@
         with self._lock:
             fence = self._fence
             lease_end = self._get_lease_end(sent_at)
-            acknowledged = self.acknowledged
+            acknowledgement = self._acknowledgement
         wait_ms = HOLD_WAIT_MS if self.is_answering else 0
-        outcome = self.runner.renew_lease(lease_end, fence, acknowledged, wait_ms)
+        outcome = self.runner.renew_lease(lease_end, fence, acknowledgement, wait_ms)
         match outcome:
             case Success(listing):
                 self._apply_listing(listing, fence, sent_at)
@@ -337,7 +350,6 @@
                 and fence >= self._incarnation_fence
             ):
                 self.incarnation = listing.started_ms
-                self.acknowledged = 0
                 self._worker_clock_reading = None
                 self._lease_lapses_at = 0.0
                 self._started_at_by_key.clear()
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -1,5 +1,6 @@
 """Client of the platform's workers, and the format of their heartbeats."""
 
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -80,9 +81,27 @@
     labels: list[str] = []
 
 
+@dataclass(frozen=True, slots=True)
+class IdentifiedConnection:
+    """Connection on which the worker has named its incarnation.
+
+    :param number: Number of the connection; 0 for none.
+    :param started_ms: Start time of the incarnation, in milliseconds.
+    """
+
+    number: int = 0
+    started_ms: int = 0
+
+
 class PlatformRunner:
     """Call the worker on this VM over HTTP.
 
+    The platform acknowledges completions by sequence number alone, and a worker may
+    restart under its name and address. An acknowledgement is therefore sent only on a
+    connection on which its incarnation has answered before: it can't reach another one.
+    ``renew_lease`` must always be called by the same thread, since connections belong
+    to threads.
+
     :param address: Address of the worker as host:port.
     :param timeout: Timeout of one call, in seconds.
     """
@@ -90,6 +109,7 @@
     def __init__(self, address, timeout):
         self._client = HttpClient(address, timeout)
         self._timeout = timeout
+        self._identified = IdentifiedConnection()
 
     def start(self, order, lease_end_ms, fence, worker):
         """Start a run; see the port."""
@@ -117,13 +137,31 @@
         request = {"task": task, "run": number, "percent": percent, "fence": fence}
         return self._send_order("/pace", request)
 
-    def renew_lease(self, lease_end_ms, fence, acknowledged, wait_ms):
+    def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
         """Extend the lease and return the listing of runs; see the port."""
-        request = {"fence": fence, "ack_cursor": acknowledged, "wait_ms": wait_ms}
+        request = {"fence": fence, "ack_cursor": 0, "wait_ms": wait_ms}
         if lease_end_ms is not None:
             request["until_ms"] = lease_end_ms
-        answer = self._call("/hold", request, "", self._timeout + wait_ms / 1000)
-        return _read_answer(answer, WireListing).map(_decode_listing)
+        timeout = self._timeout + wait_ms / 1000
+        is_known = self._identified.number > 0
+        if is_known and acknowledgement.started_ms == self._identified.started_ms:
+            bound_request = {**request, "ack_cursor": acknowledgement.sequence}
+            answer = self._call(
+                "/hold", bound_request, "", timeout, self._identified.number
+            )
+            if not _is_connection_replaced(answer):
+                return self._read_listing(answer)
+        return self._read_listing(self._call("/hold", request, "", timeout))
+
+    def _read_listing(self, answer):
+        """Decode a listing and record on which connection its incarnation answered."""
+        outcome = _read_answer(answer, WireListing).map(_decode_listing)
+        match answer, outcome:
+            case Success(HttpAnswer(connection=number)), Success(listing):
+                self._identified = IdentifiedConnection(number, listing.started_ms)
+            case _:
+                self._identified = IdentifiedConnection()
+        return outcome
 
     def _send_order(self, path, request, worker=""):
         answer = self._call(path, request, worker, self._timeout)
@@ -131,12 +169,20 @@
             lambda item: RunAccepted(item.clock_ms)
         )
 
-    def _call(self, path, request, worker, timeout):
+    def _call(self, path, request, worker, timeout, connection=None):
         headers = {"Content-Type": "application/json"}
         if worker:
             headers["X-Expect-Instance"] = worker
         body = msgspec.json.encode(request)
-        return self._client.call("POST", path, body, headers, timeout)
+        return self._client.call("POST", path, body, headers, timeout, connection)
+
+
+def _is_connection_replaced(answer):
+    """Return whether a call wasn't sent because its connection is gone."""
+    match answer:
+        case Failure(HttpFailure(was_sent=False)):
+            return True
+    return False
 
 
 def _read_answer(outcome, answer_type):
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -88,6 +88,22 @@
     ended: list
 
 
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """Completions that a worker may discard.
+
+    Each incarnation numbers its completions from 1, so a sequence number means nothing
+    to any other incarnation.
+
+    :param started_ms: Start time of the incarnation that numbered them, in
+        milliseconds; 0 when nothing is acknowledged.
+    :param sequence: Sequence number up to which it may discard them.
+    """
+
+    started_ms: int = 0
+    sequence: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class RunAccepted:
     """The worker accepted an order.
@@ -171,13 +187,13 @@
         Returns the same results as ``start``.
         """
 
-    def renew_lease(self, lease_end_ms, fence, acknowledged, wait_ms):
+    def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
         """Extend the lease and list the running and finished runs.
 
         :param lease_end_ms: New expiry of the lease on the worker's clock, in
             milliseconds; None leaves the lease as it is.
-        :param acknowledged: Sequence number up to which the worker may discard
-            completions.
+        :param acknowledgement: ``Acknowledgement``; has no effect on any incarnation
+            but the one that it names.
         :param wait_ms: Maximum time to wait for a completion, in milliseconds.
         :returns: ``Result`` of ``WorkerListing``; failures are those of ``start``.
         """
--- a/standins/site.py
+++ b/standins/site.py
@@ -243,7 +243,7 @@
         """Accept a throttle order, which has no effect here."""
         return Success(RunAccepted(self.clock_ms))
 
-    def renew_lease(self, lease_end_ms, fence, acknowledged, wait_ms):
+    def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
         """Extend the lease; list runs and unacknowledged completions at once."""
         match self._check_reachable():
             case Failure() as failure:
@@ -253,6 +253,8 @@
         self.fence = fence
         if lease_end_ms is not None:
             self._extend(lease_end_ms)
+        is_mine = acknowledgement.started_ms == self.born
+        acknowledged = acknowledgement.sequence if is_mine else 0
         for end in self.ends:
             if end.sequence <= acknowledged and end.sequence not in self.void_sequences:
                 self.ledger.record_acknowledgement(end)
--- /dev/null
+++ b/tests/adapters/test_runner.py
@@ -0,0 +1,117 @@
+"""Tests of the worker client against a worker that restarts at the same address."""
+
+import contextlib
+import http.server
+import json
+import socket
+import threading
+
+import pytest
+from returns.result import Failure, Success
+
+from bergamotshore.platform.runner import PlatformRunner
+from bergamotshore.ports.runner import Acknowledgement
+
+TIMEOUT_SECONDS = 2.0
+FORMER_MS = 1_000
+CURRENT_MS = 2_000
+
+
+class Worker(http.server.ThreadingHTTPServer):
+    """Worker that records the acknowledgements sent to each of its incarnations."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.started_ms = FORMER_MS
+        self.acknowledged_by_incarnation = {FORMER_MS: [], CURRENT_MS: []}
+        self._sockets = []
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def get_request(self):
+        sock, address = super().get_request()
+        self._sockets.append(sock)
+        return sock, address
+
+    def restart(self):
+        """Start a new incarnation; the connections to the former one end."""
+        self.started_ms = CURRENT_MS
+        self.end_connections()
+
+    def end_connections(self):
+        for sock in self._sockets:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answer each call with an empty listing."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self):
+        request = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        started_ms = self.server.started_ms
+        acknowledged = self.server.acknowledged_by_incarnation[started_ms]
+        acknowledged.append(request["ack_cursor"])
+        listing = {"clock_ms": 1, "born": started_ms}
+        body = json.dumps({**listing, "running": [], "finished": []}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        """Write no access log."""
+
+
+@pytest.fixture
+def worker():
+    server = Worker()
+    yield server
+    server.shutdown()
+    server.end_connections()
+    server.server_close()
+
+
+@pytest.fixture
+def runner(worker):
+    return PlatformRunner(f"127.0.0.1:{worker.server_address[1]}", TIMEOUT_SECONDS)
+
+
+def renew(runner, acknowledgement):
+    return runner.renew_lease(None, 1, acknowledgement, 0)
+
+
+def test_acknowledgement_is_sent_once_its_incarnation_has_answered(runner, worker):
+    for _ in range(2):
+        assert isinstance(renew(runner, Acknowledgement(FORMER_MS, 7)), Success)
+    assert worker.acknowledged_by_incarnation[FORMER_MS] == [0, 7]
+
+
+# Guards against running a completed task again: a restarted worker numbers its
+# completions from 1, so the number of a completion of its former incarnation would
+# acknowledge one that nobody has seen.
+def test_restarted_worker_receives_no_acknowledgement_of_its_former_incarnation(
+    runner, worker
+):
+    acknowledgement = Acknowledgement(FORMER_MS, 7)
+    renew(runner, acknowledgement)
+    worker.restart()
+    outcomes = [renew(runner, acknowledgement) for _ in range(3)]
+    assert isinstance(outcomes[-1], Success)
+    assert set(worker.acknowledged_by_incarnation[CURRENT_MS]) == {0}
+
+
+def test_worker_that_is_gone_is_reported_as_not_reached(runner, worker):
+    renew(runner, Acknowledgement())
+    worker.shutdown()
+    worker.server_close()
+    worker.end_connections()
+    renew(runner, Acknowledgement(FORMER_MS, 1))
+    match renew(runner, Acknowledgement(FORMER_MS, 1)):
+        case Failure(failure):
+            assert failure.is_certain
+        case _:
+            pytest.fail("a worker that is gone cannot answer")
