--- a/tests/utils/test_services.py
+++ b/tests/utils/test_services.py
@@ -18,6 +18,34 @@
 run_services("process", [serve] * 8, stopping, lambda: None)
 """
 
+# The signal arrives while the main thread holds the lock of the event.
+LOCKED_PROGRAM = """
+import os, signal, threading
+from bergamotshore.utils.services import run_services
+class SignalledEvent(threading.Event):
+    def is_set(self):
+        with self._cond:
+            os.kill(os.getpid(), signal.SIGTERM)
+            return super().is_set()
+    def wait(self, timeout=None):
+        with self._cond:
+            os.kill(os.getpid(), signal.SIGTERM)
+        return super().wait(timeout)
+finished = threading.Event()
+run_services("process", [finished.wait], SignalledEvent(), finished.set)
+"""
+
+
+# Guards against a signal handler that waits for a lock which the interrupted thread
+# holds.
+def test_sigterm_while_the_main_thread_holds_the_lock_of_the_event_stops_the_process():
+    process = subprocess.Popen([sys.executable, "-c", LOCKED_PROGRAM])
+    try:
+        assert process.wait(STOP_TIMEOUT_SECONDS) == 0
+    finally:
+        process.kill()
+        process.wait()
+
 
 def test_sigterm_right_after_sigcont_stops_the_process():
     """After a pause, a signal may reach a thread other than the main thread."""
