Pool the load of latency-critical tasks by step and learn factors beside it

Cause: the factor of a pair was learned from the difference of two figures that follow each other, each as rough as the effect itself, and usage was compared with latencies of another time window; in the new simulation factors of heavy pairs come out at 0.43 to 0.50 of their true values. So speed limits were too high beside some tasks, and the own load, known no better than one rough figure, left half of the tolerated load unused beside others.

The figures of all of them now estimate one load with its trend (a Kalman filter), and the factors of the best-effort images beside a task take the part of an error that their uncertainty explains. Runs that began or ended within the window of a latency figure count for their part. Speed limits rest on the load forecast until the next limit takes effect, and a task may use 0.9 of its goal instead of 0.68.

test_interference.py: the signature of allocate_speeds changed. One test took a load of 0.6 for full; with the smaller headroom a whole task fits there, so it uses 0.7.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -220,6 +220,8 @@
             self.release(worker, allocation, outcome, now)
 
     def _record_outcome(self, worker, allocation, outcome, now):
+        if allocation.step.is_filling:
+            worker.record_ended_best_effort(allocation, now)
         run_outcome = RunOutcome(worker.node, allocation, outcome, now)
         self.recent_outcomes.append(run_outcome)
         self.new_outcomes.append(run_outcome)
@@ -354,6 +356,7 @@
         if outcome == STARTED:
             allocation.is_started = True
             allocation.started_at = allocation.progressed_at = now
+            worker.is_throttle_stale = True
         else:
             self.release(worker, allocation, outcome, now)
 
--- a/src/bergamotshore/core/work/evictions.py
+++ b/src/bergamotshore/core/work/evictions.py
@@ -32,7 +32,7 @@
                 continue
             if not _may_evict(view, run, evictions_by_step):
                 continue
-            key = get_step_key(run.ref)
+            key = run.ref.step_key
             evictions_by_step[key] = evictions_by_step.get(key, 0) + 1
             run.stop_sent_at = view.now
             stops.append(StopRun(node, run.name, run.number, "upkeep"))
@@ -50,16 +50,11 @@
     if not step.is_lasting or step.may_miss < 0:
         return True
     unavailable = count_unavailable(view.cluster, run.ref) + evictions_by_step.get(
-        get_step_key(run.ref), 0
+        run.ref.step_key, 0
     )
     return unavailable < step.may_miss
 
 
-def get_step_key(ref):
-    """Return a key that identifies the step of a task."""
-    return (ref.job, ref.occurrence, ref.step)
-
-
 def count_unavailable(cluster, ref):
     """Return how many other tasks of a long-running step are not available.
 
@@ -70,7 +65,7 @@
         run.ref.index
         for worker in cluster.worker_by_node.values()
         for run in worker.allocation_by_key.values()
-        if get_step_key(run.ref) == get_step_key(ref)
+        if run.ref.step_key == ref.step_key
         and run.percent >= FULL_PERCENT
         and run.stop_sent_at == 0.0
         and worker.is_reachable
--- a/src/bergamotshore/core/work/interference.py
+++ b/src/bergamotshore/core/work/interference.py
@@ -3,78 +3,80 @@
 A latency-critical task is modelled as a queue: its tail latency is its unloaded latency
 divided by one minus its load. Best-effort tasks on the same worker add to that load in
 proportion to the share of the worker's processors that they use; the factor depends on
-both images. Measurements are coarse and half a second old, and the load of a
-latency-critical task also varies by itself, so factors are learned from the differences
-between consecutive measurements.
+both images. The remaining load is the task's own. The tasks of one step serve the same
+users, so their own loads rise and fall together: the figures of all of them show it,
+and what one of them has beyond it is due to its neighbours.
+
+Each figure corrects the own load of the step, with its trend, and the factors of the
+best-effort images beside the task. As in a Kalman filter, the error of the prediction
+is split by how uncertain each of these is.
 """
 
 from dataclasses import dataclass, field
 
-# Factor assumed for a pair without measurements: that of a pair with strong
-# interference.
+from bergamotshore.core.work.stepload import StepLoad
+from bergamotshore.core.work.workers import USAGE_WINDOW_SECONDS
+
+# Factor assumed for a pair without measurements, that of a pair with strong
+# interference, and the variance of this guess.
 DEFAULT_FACTOR = 1.5
+DEFAULT_VARIANCE = 1.0
+# Variance of a factor that a former scheduler learned.
+RESTORED_VARIANCE = 0.1
+# Lower bound of the variance of a factor, so that it keeps following changes.
+MIN_VARIANCE = 0.01
 MAX_FACTOR = 4.0
-# Step size of the normalized least mean squares filter, and the change of processor
-# share at which its regularization halves the step.
-LEARNING_RATE = 0.15
-REGULARIZATION_SHARE = 0.05
-# Changes below this share of a worker's processors are too small to learn from.
-MIN_CHANGE_SHARE = 0.02
-# Samples further apart than this are not compared, in seconds.
-MAX_SAMPLE_GAP_SECONDS = 1.6
+# Shares below this one of a worker's processors are too small to learn from.
+MIN_SHARE = 0.01
 # The unloaded latency can't be measured; the lowest measured latency occurred at about
 # this load.
 LOAD_AT_LOWEST_LATENCY = 0.2
-# Weight of a new sample in the moving average of a task's own load; averages over
-# about 8 s of samples.
-OWN_LOAD_WEIGHT = 0.05
+# Unloaded latency assumed before lower ones are measured, as a share of the goal.
+UNLOADED_GOAL_SHARE = 0.25
+# Standard deviation of a load derived from one latency figure.
+LOAD_NOISE = 0.05
+# Errors of more standard deviations are cut to this: a single figure, such as that of a
+# stalled worker, must not outweigh all others.
+MAX_ERROR_DEVIATIONS = 3.0
+# Weight of a new figure in the moving averages of a run.
+RUN_WEIGHT = 0.3
+# A speed limit takes effect after this time, and the next one after another report of
+# the worker. In seconds.
+ORDER_SECONDS = 0.2
+REPORT_SECONDS = 0.4
 # Share of its latency goal that a latency-critical task may use; the rest is headroom
-# for load changes before the next sample.
-GOAL_SHARE = 0.68
-# Load assumed for a latency-critical task without samples.
-DEFAULT_LOAD = 0.5
-
-
-@dataclass(slots=True)
-class Sample:
-    """Measurement of one latency-critical task.
-
-    :param at: Time of the measurement, in seconds.
-    :param load: Load derived from its tail latency, 0 to 1.
-    :param share_by_image: Share of the worker's processors used, by best-effort image.
-    """
-
-    at: float
-    load: float
-    share_by_image: dict
+# for errors of the model.
+GOAL_SHARE = 0.9
 
 
 @dataclass(slots=True)
-class LoadRecord:
-    """Load of one latency-critical run.
+class RunRecord:
+    """Moving averages of one latency-critical run.
 
-    :param sample: Latest ``Sample``.
-    :param own_load: Latest load without the part that best-effort tasks add.
-    :param mean_own_load: Moving average of ``own_load``.
+    :param latency: Tail latency, in ms.
+    :param excess: Load beyond what the model predicted.
     """
 
-    sample: Sample | None = None
-    own_load: float = DEFAULT_LOAD
-    mean_own_load: float = DEFAULT_LOAD
+    latency: float
+    excess: float = 0.0
 
 
 @dataclass(slots=True)
 class Interference:
-    """Learned interference factors and the current load of latency-critical runs.
+    """Learned interference factors and the current load of latency-critical steps.
 
     :param factor_by_pair: Factor by pair of latency-critical and best-effort image.
-    :param lowest_latency_by_image: Lowest measured tail latency by latency-critical
-        image, in ms.
-    :param record_by_run: ``LoadRecord`` by name and number of a latency-critical run.
+    :param variance_by_pair: Variance of that factor by pair.
+    :param lowest_latency_by_image: Lowest tail latency, averaged over some figures, by
+        latency-critical image, in ms.
+    :param load_by_step: ``StepLoad`` by key of a latency-critical step.
+    :param record_by_run: ``RunRecord`` by name and number of a latency-critical run.
     """
 
     factor_by_pair: dict = field(default_factory=dict)
+    variance_by_pair: dict = field(default_factory=dict)
     lowest_latency_by_image: dict = field(default_factory=dict)
+    load_by_step: dict = field(default_factory=dict)
     record_by_run: dict = field(default_factory=dict)
 
     def export(self):
@@ -99,57 +101,63 @@
             (critical_image, best_effort_image), DEFAULT_FACTOR
         )
 
+    def _get_variance(self, pair):
+        is_known = pair in self.factor_by_pair
+        return self.variance_by_pair.get(
+            pair, RESTORED_VARIANCE if is_known else DEFAULT_VARIANCE
+        )
+
     def record_report(self, worker, now):
         """Update loads and factors from a worker's report, once its size is known."""
         if not worker.cpu:
             return
-        shares = _sum_shares(worker)
+        shares = _sum_shares(worker, now)
         for run in worker.allocation_by_key.values():
             if run.step.goal_ms and run.usage > 0 and run.percent >= 100:
-                self._record_load(run, shares, now)
+                self._record_latency(run)
+                self._record_load(run, shares, now - USAGE_WINDOW_SECONDS / 2)
 
-    def _record_load(self, run, shares, now):
-        """Derive the load of a latency-critical run from its tail latency."""
-        image = run.step.image
-        lowest_latency = min(
-            run.usage, self.lowest_latency_by_image.get(image, run.usage)
-        )
-        self.lowest_latency_by_image[image] = lowest_latency
-        load = max(
-            0.0, 1.0 - lowest_latency * (1.0 - LOAD_AT_LOWEST_LATENCY) / run.usage
-        )
-        record = self.record_by_run.setdefault(run.key, LoadRecord())
-        before, record.sample = record.sample, Sample(now, load, shares)
-        if before is not None and now - before.at < MAX_SAMPLE_GAP_SECONDS:
-            self._learn(image, before, record.sample)
-        added_load = self.get_added_load(image, shares)
-        record.own_load = min(1.0, max(0.0, load - added_load))
-        record.mean_own_load += OWN_LOAD_WEIGHT * (
-            record.own_load - record.mean_own_load
-        )
+    def _record_latency(self, run):
+        """Update the averages that tell the unloaded latency of an image."""
+        record = self.record_by_run.setdefault(run.key, RunRecord(run.usage))
+        record.latency += RUN_WEIGHT * (run.usage - record.latency)
+        lowest = self.lowest_latency_by_image.get(run.step.image, record.latency)
+        self.lowest_latency_by_image[run.step.image] = min(lowest, record.latency)
+
+    def _record_load(self, run, shares, at):
+        """Correct the model by the load that a tail latency shows.
 
-    def _learn(self, critical_image, before, after):
-        """Adjust the factors of an image by the error of the predicted load change."""
-        images = before.share_by_image.keys() | after.share_by_image.keys()
-        change_by_image = {
-            image: after.share_by_image.get(image, 0.0)
-            - before.share_by_image.get(image, 0.0)
-            for image in images
+        :param shares: Share of the worker's processors used, by best-effort image.
+        :param at: Middle of the time that the figure describes, in seconds.
+        """
+        load = max(0.0, 1.0 - self.get_unloaded_latency(run.step) / run.usage)
+        step_load = self.get_step_load(run)
+        step_load.predict(at)
+        share_by_pair = {
+            (run.step.image, image): share
+            for image, share in shares.items()
+            if share >= MIN_SHARE
         }
-        squared_change = sum(change * change for change in change_by_image.values())
-        if squared_change < MIN_CHANGE_SHARE**2:
-            return
-        expected_change = sum(
-            self.get_factor(critical_image, image) * change
-            for image, change in change_by_image.items()
+        variance = LOAD_NOISE**2 + step_load.variance
+        for pair, share in share_by_pair.items():
+            variance += share**2 * self._get_variance(pair)
+        error = load - step_load.level - self.get_added_load(run.step.image, shares)
+        record = self.record_by_run[run.key]
+        record.excess += RUN_WEIGHT * (error - record.excess)
+        largest = MAX_ERROR_DEVIATIONS * variance**0.5
+        error = min(largest, max(-largest, error))
+        step_load.correct(error, variance)
+        for pair, share in share_by_pair.items():
+            self._correct_factor(pair, share, error, variance)
+
+    def _correct_factor(self, pair, share, error, variance):
+        factor_variance = self._get_variance(pair)
+        gain = share * factor_variance / variance
+        factor = self.get_factor(*pair) + gain * error
+        self.factor_by_pair[pair] = min(MAX_FACTOR, max(0.0, factor))
+        self.variance_by_pair[pair] = max(
+            MIN_VARIANCE, factor_variance * (1.0 - gain * share)
         )
-        error = after.load - before.load - expected_change
-        step = LEARNING_RATE * error / (squared_change + REGULARIZATION_SHARE**2)
-        for image, change in change_by_image.items():
-            factor = self.get_factor(critical_image, image) + step * change
-            self.factor_by_pair[(critical_image, image)] = min(
-                MAX_FACTOR, max(0.0, factor)
-            )
 
     def get_added_load(self, critical_image, shares):
         """Return the load that best-effort tasks add to a latency-critical task.
@@ -162,46 +170,94 @@
             for image, share in shares.items()
         )
 
-    def get_load_limit(self, run):
-        """Return the highest load at which a run stays well below its latency goal."""
-        lowest_latency = self.lowest_latency_by_image.get(run.step.image)
+    def get_unloaded_latency(self, step):
+        """Return the tail latency of a step's tasks without any load, in ms."""
+        latency = UNLOADED_GOAL_SHARE * step.goal_ms
+        lowest_latency = self.lowest_latency_by_image.get(step.image)
         if lowest_latency is None:
-            return 1.0 - 1.0 / 3.0
-        unloaded_latency = lowest_latency * (1.0 - LOAD_AT_LOWEST_LATENCY)
-        return max(0.0, 1.0 - unloaded_latency / (GOAL_SHARE * run.step.goal_ms))
+            return latency
+        return min(latency, lowest_latency * (1.0 - LOAD_AT_LOWEST_LATENCY))
+
+    def get_load_limit(self, step):
+        """Return the highest load at which a step's tasks stay below their goal."""
+        unloaded_latency = self.get_unloaded_latency(step)
+        return max(0.0, 1.0 - unloaded_latency / (GOAL_SHARE * step.goal_ms))
+
+    def get_step_load(self, run):
+        """Return the ``StepLoad`` of the step of a latency-critical run."""
+        step_load = self.load_by_step.get(run.ref.step_key)
+        if step_load is None:
+            step_load = self.load_by_step[run.ref.step_key] = StepLoad()
+        return step_load
+
+    def _get_excess(self, run):
+        record = self.record_by_run.get(run.key)
+        return max(0.0, record.excess) if record is not None else 0.0
+
+    def get_peak_own_load(self, run, now):
+        """Return the highest own load expected until the next limit takes effect."""
+        step_load = self.get_step_load(run)
+        return self._get_excess(run) + max(
+            step_load.forecast(now + ORDER_SECONDS),
+            step_load.forecast(now + ORDER_SECONDS + REPORT_SECONDS),
+        )
 
-    def get_load_record(self, run):
-        """Return the ``LoadRecord`` of a latency-critical run."""
-        return self.record_by_run.setdefault(run.key, LoadRecord())
+    def get_mean_own_load(self, run):
+        """Return the own load of a run averaged over some time."""
+        return self._get_excess(run) + self.get_step_load(run).mean_level
 
-    def prune(self, live_keys):
-        """Remove the records of finished runs.
+    def prune(self, live_keys, live_jobs):
+        """Remove the records of finished runs and closed jobs.
 
         :param live_keys: Keys of all runs that are still placed on a worker.
+        :param live_jobs: Keys of all open jobs.
         """
         for key in [key for key in self.record_by_run if key not in live_keys]:
             del self.record_by_run[key]
+        for key in [key for key in self.load_by_step if key[0] not in live_jobs]:
+            del self.load_by_step[key]
+
 
+def _sum_shares(worker, now):
+    """Return the share of a worker's processors that each best-effort image used.
 
-def _sum_shares(worker):
-    """Return the share of a worker's processors that each best-effort image uses."""
+    Latency figures are means over a time window, but usage is reported from the start
+    of a run and not after its end. So runs that began or ended within the window count
+    for their part of it.
+    """
     shares = {}
     for run in worker.allocation_by_key.values():
         if run.step.is_filling and run.usage > 0:
-            image = run.step.image
-            shares[image] = shares.get(image, 0.0) + run.usage / worker.cpu
+            age = max(0.0, now - run.started_at)
+            part = min(1.0, age / USAGE_WINDOW_SECONDS)
+            _add_share(shares, run, part / worker.cpu)
+    for run, ended_at in worker.ended_best_effort:
+        part = max(0.0, 1.0 - (now - ended_at) / USAGE_WINDOW_SECONDS)
+        _add_share(shares, run, part / worker.cpu)
     return shares
 
 
-def list_load_budgets(worker, interference, use_mean):
-    """Return pairs of latency-critical run and the load that may be added to it.
+def _add_share(shares, run, part):
+    shares[run.step.image] = shares.get(run.step.image, 0.0) + run.usage * part
+
+
+def get_budget_by_image(worker, interference, now=None):
+    """Return the load that may be added to the tasks of each latency-critical image.
 
-    :param use_mean: Whether to use the average of its own load, not the latest value.
+    Of several tasks of one image, the one that bears least counts.
+
+    :param now: Current time, for the budget until the next report; None for the budget
+        in the long run.
     """
-    budgets = []
+    budget_by_image = {}
     for run in worker.allocation_by_key.values():
         if run.step.goal_ms:
-            record = interference.get_load_record(run)
-            own_load = record.mean_own_load if use_mean else record.own_load
-            budgets.append((run, interference.get_load_limit(run) - own_load))
-    return budgets
+            own_load = (
+                interference.get_mean_own_load(run)
+                if now is None
+                else interference.get_peak_own_load(run, now)
+            )
+            budget = interference.get_load_limit(run.step) - own_load
+            image = run.step.image
+            budget_by_image[image] = min(budget, budget_by_image.get(image, budget))
+    return budget_by_image
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -117,6 +117,11 @@
     step: int
     index: int
 
+    @property
+    def step_key(self):
+        """Return the key of its step: job key, occurrence and index of the step."""
+        return (self.job, self.occurrence, self.step)
+
 
 def get_job_key(queue, job_id):
     """Return the key that identifies a job across all queues."""
--- a/src/bergamotshore/core/work/pacing.py
+++ b/src/bergamotshore/core/work/pacing.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from bergamotshore.core.work.interference import list_load_budgets
+from bergamotshore.core.work.interference import get_budget_by_image
 
 FULL_SPEED = 100
 # A task throttled below this makes too little progress and is paused, in percent.
@@ -53,8 +53,11 @@
         for run in worker.allocation_by_key.values()
         if run.step.is_filling and run.is_started
     ]
+    budget_by_image = get_budget_by_image(worker, interference, now)
     changes = []
-    for run, speed in allocate_speeds(worker, best_effort, interference):
+    for run, speed in allocate_speeds(
+        best_effort, budget_by_image, worker.cpu, interference
+    ):
         if is_significant_change(run.throttle_percent, speed):
             run.throttle_percent = speed
             run.progressed_at = now
@@ -71,61 +74,57 @@
     )
 
 
-def allocate_speeds(worker, best_effort, interference):
+def allocate_speeds(best_effort, budget_by_image, cpu, interference):
     """Divide the load that latency-critical tasks tolerate among best-effort tasks.
 
     Tasks that interfere least are served first, which maximizes the work done.
 
     :param best_effort: List of ``Allocation`` of best-effort tasks.
+    :param budget_by_image: Load that may be added, by latency-critical image.
+    :param cpu: Processors of the worker, in thousandths.
     :returns: Pairs of run and allowed speed in percent.
     """
-    budgets = list_load_budgets(worker, interference, use_mean=False)
-    if not budgets:
-        return [(run, FULL_SPEED) for run in best_effort]
     ranked = sorted(
         best_effort,
-        key=lambda run: (_get_worst_factor(run, budgets, interference), run.key),
+        key=lambda run: (
+            _get_worst_factor(run.step, budget_by_image, interference),
+            run.key,
+        ),
     )
+    left_by_image = dict(budget_by_image)
     allocated = []
     for run in ranked:
-        full_share = run.step.cpu / worker.cpu
-        speed_share = min(
-            (
-                budget / max(1e-6, factor * full_share)
-                for budget, factor in _list_budget_factors(run, budgets, interference)
-            ),
-            default=1.0,
-        )
-        speed = round(FULL_SPEED * min(1.0, max(0.0, speed_share)))
+        share = _get_speed_share(run.step, left_by_image, cpu, interference)
+        speed = round(FULL_SPEED * min(1.0, max(0.0, share)))
         speed = speed if speed >= MIN_SPEED_PERCENT else 0
-        budgets = [
-            (
-                critical,
-                budget
-                - interference.get_factor(critical.step.image, run.step.image)
-                * full_share
+        for image in left_by_image:
+            left_by_image[image] -= (
+                interference.get_factor(image, run.step.image)
+                * run.step.cpu
+                / cpu
                 * speed
-                / FULL_SPEED,
+                / FULL_SPEED
             )
-            for critical, budget in budgets
-        ]
         allocated.append((run, speed))
     return allocated
 
 
-def _list_budget_factors(run, budgets, interference):
-    """Yield each budget with the interference factor of a run for it."""
-    for critical, budget in budgets:
-        yield (
-            budget,
-            interference.get_factor(critical.step.image, run.step.image),
-        )
+def _get_worst_factor(step, budget_by_image, interference):
+    return max(
+        (interference.get_factor(image, step.image) for image in budget_by_image),
+        default=0.0,
+    )
 
 
-def _get_worst_factor(run, budgets, interference):
-    return max(
-        interference.get_factor(critical.step.image, run.step.image)
-        for critical, _ in budgets
+def _get_speed_share(step, budget_by_image, cpu, interference):
+    """Return the share of full speed at which a task stays within all budgets."""
+    return min(
+        (
+            budget
+            / max(1e-6, interference.get_factor(image, step.image) * step.cpu / cpu)
+            for image, budget in budget_by_image.items()
+        ),
+        default=1.0,
     )
 
 
@@ -134,19 +133,11 @@
 
     :param step: ``Step`` of the task.
     """
-    budgets = list_load_budgets(worker, interference, use_mean=True)
-    speed_share = 1.0
-    for critical, budget in budgets:
-        used_budget = sum(
-            interference.get_factor(critical.step.image, run.step.image)
-            * run.step.cpu
-            / worker.cpu
-            for run in worker.allocation_by_key.values()
-            if run.step.is_filling
-        )
-        factor = interference.get_factor(critical.step.image, step.image)
-        speed_share = min(
-            speed_share,
-            (budget - used_budget) / max(1e-6, factor * step.cpu / worker.cpu),
-        )
-    return max(0.0, speed_share)
+    left_by_image = get_budget_by_image(worker, interference)
+    for run in worker.allocation_by_key.values():
+        if run.step.is_filling:
+            for image in left_by_image:
+                factor = interference.get_factor(image, run.step.image)
+                left_by_image[image] -= factor * run.step.cpu / worker.cpu
+    share = _get_speed_share(step, left_by_image, worker.cpu, interference)
+    return min(1.0, max(0.0, share))
--- a/src/bergamotshore/core/work/placing.py
+++ b/src/bergamotshore/core/work/placing.py
@@ -57,7 +57,7 @@
     expected_speed = get_expected_speed(worker, step, interference)
     if expected_speed < MIN_EXPECTED_SPEED or unused_cpu < step.cpu:
         return None
-    return (True, -min(1.0, expected_speed))
+    return (True, -expected_speed)
 
 
 def choose_least_disturbed_worker(step, workers, interference):
--- a/src/bergamotshore/core/work/speed.py
+++ b/src/bergamotshore/core/work/speed.py
@@ -85,7 +85,7 @@
             return
         share = (FULL_PERCENT - run.first_reported_percent) / FULL_PERCENT
         if share >= MIN_OBSERVED_SHARE:
-            durations = self._durations_by_step.setdefault(get_step_key(run), [])
+            durations = self._durations_by_step.setdefault(run.ref.step_key, [])
             durations.append((fact.node, (fact.at - run.first_reported_at) / share))
 
     def prune(self, live_jobs):
@@ -106,10 +106,10 @@
             estimated for worker in workers for estimated in _estimate_durations(worker)
         ]
         for node, run, duration in running:
-            durations_by_step.setdefault(get_step_key(run), []).append((node, duration))
+            durations_by_step.setdefault(run.ref.step_key, []).append((node, duration))
         estimates_by_node = {}
         for node, run, duration in running:
-            siblings = durations_by_step[get_step_key(run)]
+            siblings = durations_by_step[run.ref.step_key]
             others = [seconds for name, seconds in siblings if name != node]
             if len(others) >= MIN_SIBLINGS:
                 expected_duration = max(MIN_TASK_SECONDS, median(others))
@@ -129,11 +129,6 @@
     return is_finite and run.first_reported_at > 0.0
 
 
-def get_step_key(run):
-    """Return a key that identifies the step of a run."""
-    return (run.ref.job, run.ref.occurrence, run.ref.step)
-
-
 def _estimate_durations(worker):
     """Yield node, run and estimated duration of the runs observed for long enough.
 
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -6,6 +6,8 @@
 
 # Share of its requested processors that a latency-critical task leaves idle on average.
 LATENCY_CRITICAL_IDLE_SHARE = 0.5
+# Workers report usage and latency as means over this time, in seconds.
+USAGE_WINDOW_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -95,6 +97,8 @@
     :param latency_critical_by_image: Number of latency-critical tasks by image.
     :param best_effort_tasks: Number of best-effort tasks.
     :param best_effort_cpu: Processors requested by those, in thousandths.
+    :param ended_best_effort: Pairs of ``Allocation`` and time of end, in seconds, of
+        the best-effort tasks that ended within the last window of usage.
     :param is_throttle_stale: Whether load or report changed since throttles were
         planned.
     """
@@ -128,6 +132,7 @@
     latency_critical_by_image: dict = field(default_factory=dict)
     best_effort_tasks: int = 0
     best_effort_cpu: int = 0
+    ended_best_effort: list = field(default_factory=list)
     is_throttle_stale: bool = True
 
     def allocate(self, allocation):
@@ -150,6 +155,15 @@
             self.best_effort_tasks += sign
             self.best_effort_cpu += sign * step.cpu
 
+    def record_ended_best_effort(self, allocation, now):
+        """Record the end of a best-effort task, whose usage latencies still show."""
+        recent = [
+            (run, ended_at)
+            for run, ended_at in self.ended_best_effort
+            if now - ended_at < USAGE_WINDOW_SECONDS
+        ]
+        self.ended_best_effort = [*recent, (allocation, now)]
+
     def count_other_latency_critical(self, image):
         """Return the number of latency-critical tasks of other images."""
         return self.latency_critical_tasks - self.latency_critical_by_image.get(
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -519,7 +519,8 @@
                 key
                 for worker in self.cluster.worker_by_node.values()
                 for key in worker.allocation_by_key
-            }
+            },
+            self.cluster.job_by_key,
         )
         counts = {}
         for progress in self.cluster.job_by_key.values():
--- a/tests/site/test_interference.py
+++ b/tests/site/test_interference.py
@@ -3,7 +3,11 @@
 import pytest
 
 from bergamotshore.core.work.cluster import ClusterState
-from bergamotshore.core.work.interference import DEFAULT_FACTOR, Interference
+from bergamotshore.core.work.interference import (
+    DEFAULT_FACTOR,
+    Interference,
+    get_budget_by_image,
+)
 from bergamotshore.core.work.model import JobSpec, Step, TaskRef
 from bergamotshore.core.work.pacing import (
     FULL_SPEED,
@@ -64,6 +68,11 @@
     return run
 
 
+def allocate(worker, best_effort, interference, now=1.0):
+    budget_by_image = get_budget_by_image(worker, interference, now)
+    return allocate_speeds(best_effort, budget_by_image, worker.cpu, interference)
+
+
 def get_tail_latency(load):
     return UNLOADED_MS / (1.0 - min(load, 0.99))
 
@@ -105,17 +114,17 @@
 def test_best_effort_tasks_run_at_full_speed_without_latency_critical_tasks(cluster):
     worker = build_worker()
     run = place_run(worker, build_best_effort_step(), "f")
-    assert allocate_speeds(worker, [run], cluster.interference) == [(run, FULL_SPEED)]
+    assert allocate(worker, [run], cluster.interference) == [(run, FULL_SPEED)]
 
 
 def test_a_latency_critical_task_near_its_goal_pauses_interfering_tasks(cluster):
     worker = build_worker()
     critical = place_run(worker, build_latency_critical_step(), "s")
     run = place_run(worker, build_best_effort_step(), "f")
-    for load in (0.3, 0.9, 0.9):
+    for at, load in ((1.0, 0.3), (1.4, 0.9), (1.8, 0.9)):
         critical.usage = get_tail_latency(load)
-        cluster.interference.record_report(worker, load)
-    assert allocate_speeds(worker, [run], cluster.interference) == [(run, 0)]
+        cluster.interference.record_report(worker, at)
+    assert allocate(worker, [run], cluster.interference, 1.8) == [(run, 0)]
 
 
 def test_the_least_interfering_tasks_get_speed_first(cluster):
@@ -132,7 +141,7 @@
         cluster.interference.record_report(worker, at)
     speed_by_name = dict(
         (run.name, speed)
-        for run, speed in allocate_speeds(worker, [heavy, light], cluster.interference)
+        for run, speed in allocate(worker, [heavy, light], cluster.interference, 1.4)
     )
     assert speed_by_name["b"] == FULL_SPEED
     assert speed_by_name["a"] < FULL_SPEED
@@ -167,7 +176,7 @@
 
 def test_best_effort_tasks_prefer_workers_without_latency_critical_tasks():
     busy, free = build_worker("node-0"), build_worker("node-1")
-    place_run(busy, build_latency_critical_step(), "a", usage=get_tail_latency(0.6))
+    place_run(busy, build_latency_critical_step(), "a", usage=get_tail_latency(0.7))
     interference = Interference()
     interference.lowest_latency_by_image["web"] = get_tail_latency(0.2)
     for at in range(60):
