Limit best-effort runs from their start, and send a limit until it is accepted

Latency-critical tasks were over their goal for a moment after each start of a best-effort task beside them: a run starts at full speed, and its first limit came with the next report, up to 0.4 s later. A limit whose call got no answer was logged and forgotten, and a worker that carried it out late replaced a newer one by it; limits for one run were sent by three threads in no fixed order.

The order to start a run now brings its limit, which the node sends as soon as the run is there (the message has had the field, so an older node only logs a failure). SpeedLimits keeps the latest limit of each run until the worker has accepted it, one call at a time for each run; a call of unknown outcome is voided by a higher fencing token.

--- a/src/bergamotshore/core/work/pacing.py
+++ b/src/bergamotshore/core/work/pacing.py
@@ -47,6 +47,25 @@
     return orders
 
 
+def limit_new_runs(worker, interference, now):
+    """Set the speed limit of each best-effort run that is about to start.
+
+    A run starts at full speed unless its order says otherwise, which may disturb its
+    neighbours until the next report.
+    """
+    best_effort = [
+        run for run in worker.allocation_by_key.values() if run.step.is_filling
+    ]
+    if all(run.sent_at for run in best_effort):
+        return
+    budget_by_image = get_budget_by_image(worker, interference, now)
+    for run, speed in allocate_speeds(
+        best_effort, budget_by_image, worker.cpu, interference
+    ):
+        if not run.sent_at:
+            run.throttle_percent = speed
+
+
 def _plan_worker(worker, interference, now):
     best_effort = [
         run
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from bergamotshore.core.work.pacing import FULL_SPEED, limit_new_runs
 from bergamotshore.generated.messages import RunOrders
 
 
@@ -42,6 +43,7 @@
         :param blocking_reason: Why no order may be sent at all; empty if allowed.
         """
         for worker in self._board.worker_by_node.values():
+            limit_new_runs(worker, self._board.interference, now)
             orders = OrderBatch()
             for allocation in list(worker.allocation_by_key.values()):
                 if allocation.sent_at or not is_written(
@@ -56,6 +58,14 @@
                     continue
                 allocation.sent_at, allocation.stream = now, worker.stream
                 orders.starts.append(allocation)
+                if allocation.throttle_percent != FULL_SPEED:
+                    orders.paces.append(
+                        (
+                            allocation.name,
+                            allocation.number,
+                            allocation.throttle_percent,
+                        )
+                    )
             if orders.starts:
                 self.send(worker, orders)
 
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -9,6 +9,7 @@
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
+from bergamotshore.node.speedlimits import SpeedLimits
 from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
 
 # The worker reports the tail latency of a latency-critical task over the last half
@@ -84,6 +85,9 @@
         self._lease_lapses_at = 0.0
         self._refused_connections = 0
         self._is_worker_down = True
+        self._speed_limits = SpeedLimits(
+            runner, lambda: self._fence, self._void_fence, registry, log
+        )
 
     def record_heartbeat(self, report):
         """Store the worker's report on itself.
@@ -125,9 +129,8 @@
         now = self.clock.now()
         starts = []
         self._record_stops(orders.stops)
-        calls = [(self._call_stop, task, number) for task, number in orders.stops] + [
-            (self._call_throttle, *row) for row in orders.paces
-        ]
+        calls = [(self._call_stop, task, number) for task, number in orders.stops]
+        calls += self._record_limits(orders)
         self._record_acknowledgement(Acknowledgement(orders.born, orders.acknowledged))
         reason = self._find_refusal_reason(orders, now)
         for task, number, checkpoint, ticket in orders.starts:
@@ -155,6 +158,29 @@
             if is_current and acknowledgement.sequence > self.acknowledged:
                 self._acknowledgement = acknowledgement
 
+    def _record_limits(self, orders):
+        """Record speed limits; return calls to send those of runs that are there."""
+        starting = {(task, number) for task, number, _, _ in orders.starts}
+        calls = []
+        for task, number, percent in orders.paces:
+            key = (task, number)
+            self._speed_limits.record(key, percent)
+            if key not in starting and key not in self._unresolved_by_key:
+                calls.append((self._speed_limits.send, key))
+        return calls
+
+    def list_repeated_limits(self):
+        """Return calls that send speed limits which the worker has not accepted."""
+        with self._lock:
+            running_keys = {(run.task, run.number) for run in self.running}
+            pending_keys = {*self._unresolved_by_key, *self._started_at_by_key}
+        self._speed_limits.drop_obsolete(running_keys | pending_keys)
+        return [
+            (self._speed_limits.send, key)
+            for key in self._speed_limits.list_unaccepted()
+            if key in running_keys
+        ]
+
     def _record_stops(self, stops):
         """Record the runs to stop, so that starts still queued for them are dropped."""
         for task, number in stops:
@@ -216,6 +242,7 @@
         outcome = self.runner.start(order, lease_end, fence, worker)
         match outcome:
             case Success(_):
+                self._speed_limits.send(key)
                 self._resolve(key, "started")
             case Failure(RunRejected(reason=reason)):
                 self._resolve(key, reason)
@@ -229,7 +256,12 @@
                     self._unresolved_by_key[key] = UnresolvedOrder(
                         fence, is_in_flight=False
                     )
-                    self._fence = max(self._fence, fence + 1)
+                self._void_fence(fence)
+
+    def _void_fence(self, fence):
+        """Make the worker reject a call that it may carry out late."""
+        with self._lock:
+            self._fence = max(self._fence, fence + 1)
 
     def _resolve(self, key, outcome):
         with self._lock:
@@ -245,12 +277,6 @@
                 self.registry.count("worker_call_failures_total", call="stop")
                 self.log.write("stop-failed", task, why=str(failure))
 
-    def _call_throttle(self, task, number, percent):
-        match self.runner.throttle(task, number, percent, self._fence):
-            case Failure(failure):
-                self.registry.count("worker_call_failures_total", call="pace")
-                self.log.write("pace-failed", task, why=str(failure))
-
     def hold(self):
         """Renew the worker's lease and apply the list of runs in its answer.
 
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -129,12 +129,19 @@
     def _run_lease_renewal(self):
         while not self.stopping.is_set():
             self.watcher.step()
-            pause = self.run_manager.hold()
+            pause = self._renew_lease()
             if self.run_manager.ended:
                 pause = max(pause, UNACKNOWLEDGED_POLL_SECONDS)
             if pause:
                 self.stopping.wait(pause)
 
+    def _renew_lease(self):
+        """Renew the worker's lease; return the seconds to wait before the next time."""
+        pause = self.run_manager.hold()
+        for call, *arguments in self.run_manager.list_repeated_limits():
+            self.stops.submit(self._execute, call, arguments)
+        return pause
+
     def _choose_entries(self):
         self.links.set_addresses(
             choose_peers(
--- a/standins/site.py
+++ b/standins/site.py
@@ -119,8 +119,11 @@
 class RunnerStandIn:
     """One worker; ``faults`` lists the faults of the next start orders.
 
-    Faults are 'ok' (none), 'lost' (executed, response lost), 'late' (executed by
-    ``run_late``) and 'silent' (not executed, no response).
+    ``usage`` is listed for each run: its tail latency or its processor usage.
+
+    ``throttle_faults`` lists those of the next throttle orders. Faults are 'ok' (none),
+    'lost' (executed, response lost), 'late' (executed by ``run_late``) and 'silent'
+    (not executed, no response).
     """
 
     def __init__(self, clock, name, ledger, cpu=16000, memory=64000):
@@ -130,8 +133,11 @@
         self.ledger = ledger
         self.cpu, self.memory = cpu, memory
         self.rack = "r1-1"
+        self.usage = 1.0
         self.faults = []
         self.late = []
+        self.throttle_faults = []
+        self.late_throttles = []
         self.is_cut = False
         self.is_gone = False
         self.is_draining = False
@@ -145,6 +151,9 @@
         self.started_at = self.clock.now()
         self.fence = 0
         self.run_by_task = {}
+        self.percent_by_run = {}
+        self.throttled_at_by_run = {}
+        self.started_at_by_run = {}
         self.refused_up_to_number = {}
         self.ends = []
         self.sequence = 0
@@ -210,6 +219,10 @@
         for order, lease_end_ms, fence, born in late:
             if born == self.born:
                 self._start(order, lease_end_ms, fence)
+        late_throttles, self.late_throttles = self.late_throttles, []
+        for task, number, percent, fence, born in late_throttles:
+            if born == self.born:
+                self._throttle(task, number, percent, fence)
 
     def _start(self, order, lease_end_ms, fence):
         self.end_runs_if_expired()
@@ -224,6 +237,7 @@
         if lease_end_ms <= self.clock_ms:
             return Failure(RunRejected("late", self.clock_ms))
         self.run_by_task[order.task] = order.number
+        self.started_at_by_run[(order.task, order.number)] = self.clock.now()
         self.ledger.record_start(self, order.task, order.number)
         return Success(RunAccepted(self.clock_ms))
 
@@ -240,7 +254,26 @@
         return Success(RunAccepted(self.clock_ms))
 
     def throttle(self, task, number, percent, fence):
-        """Accept a throttle order, which has no effect here."""
+        """Set the speed limit of a run, subject to the next injected fault."""
+        match self._check_reachable():
+            case Failure() as failure:
+                return failure
+        match self.throttle_faults.pop(0) if self.throttle_faults else "ok":
+            case "silent":
+                return Failure(WorkerFailure("silent", is_certain=False))
+            case "late":
+                self.late_throttles.append((task, number, percent, fence, self.born))
+                return Failure(WorkerFailure("late", is_certain=False))
+        return self._throttle(task, number, percent, fence)
+
+    def _throttle(self, task, number, percent, fence):
+        if fence < self.fence:
+            return Failure(RunRejected("fence", self.clock_ms))
+        self.fence = fence
+        if self.run_by_task.get(task) != number:
+            return Failure(RunRejected("invalid", self.clock_ms))
+        self.percent_by_run[(task, number)] = percent
+        self.throttled_at_by_run.setdefault((task, number), self.clock.now())
         return Success(RunAccepted(self.clock_ms))
 
     def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
@@ -259,7 +292,10 @@
             if end.sequence <= acknowledged and end.sequence not in self.void_sequences:
                 self.ledger.record_acknowledgement(end)
         self.ends = [end for end in self.ends if end.sequence > acknowledged]
-        running = [ListedRun(t, n, "", 100, 1.0) for t, n in self.run_by_task.items()]
+        running = [
+            ListedRun(task, number, "", 100, self.usage)
+            for task, number in self.run_by_task.items()
+        ]
         return Success(
             WorkerListing(self.clock_ms, self.born, running, list(self.ends))
         )
--- a/tests/site/colocation.py
+++ b/tests/site/colocation.py
@@ -15,6 +15,7 @@
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.pacing import limit_new_runs
 from bergamotshore.core.work.site import Queue, SiteConfiguration, SiteState
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
@@ -351,6 +352,7 @@
             self.stops[stop.reason] = self.stops.get(stop.reason, 0) + 1
             self._post(self._stop, stop)
         for worker in self.cluster.worker_by_node.values():
+            limit_new_runs(worker, self.cluster.interference, self.now)
             for run in worker.allocation_by_key.values():
                 if not run.sent_at:
                     run.sent_at = self.now
@@ -377,6 +379,7 @@
             done,
             self.now + (RESTORE_SECONDS if done else 0.0),
             saved=done,
+            percent=allocation.throttle_percent,
         )
         self.cluster.record_order_result(worker, allocation.key, "started", self.now)
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -282,7 +282,7 @@
     def step(self):
         if not (self.runner.is_cut or self.runner.is_gone):
             self.run_manager.record_heartbeat(self.runner.build_report(self.zone))
-        self.run_manager.hold()
+        self._renew_lease()
 
 
 class Simulation:
