Send speed limits again after a takeover and on a new stream

A best-effort run that was paused stayed paused after a takeover, while the new scheduling entry took its speed for full: it called the run stuck after 2.5 s, stopped it and quarantined its worker. A limit that was lost with its stream was not sent again either. The limit of a run that another process ordered, or that was sent on a former stream, is now unknown until it is sent, and a run with an unknown limit is not stuck.

Both new tests of tests/site/test_speed_limits.py fail on the former code.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -148,6 +148,7 @@
             allocation = self._build_allocation(progress, ref, run)
             allocation.sent_at = now
             worker.allocate(allocation)
+            worker.forget_limits()
 
     def remove_job(self, key):
         """Remove a closed job; its runs keep their allocations until they end."""
--- a/src/bergamotshore/core/work/pacing.py
+++ b/src/bergamotshore/core/work/pacing.py
@@ -85,7 +85,12 @@
 
 
 def is_significant_change(before, after):
-    """Return whether a change of a speed limit is large enough to send, in percent."""
+    """Return whether a change of a speed limit is large enough to send, in percent.
+
+    :param before: Limit of the last order; None while it is unknown.
+    """
+    if before is None:
+        return True
     if after in (0, FULL_SPEED):
         return after != before
     return (
--- a/src/bergamotshore/core/work/stuck.py
+++ b/src/bergamotshore/core/work/stuck.py
@@ -23,7 +23,7 @@
     if (
         not run.is_started
         or run.stop_sent_at
-        or run.throttle_percent == 0
+        or not run.throttle_percent
         or run.step.is_gang
     ):
         return False
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -33,7 +33,7 @@
     :param progressed_at: When the progress last changed, in seconds.
     :param usage: Last reported tail latency in ms, or processors in use.
     :param throttle_percent: Share of its full speed allowed by the last throttle
-        order, in percent.
+        order, in percent; None while it is unknown.
     :param stop_sent_at: When a stop order was last sent, in seconds; 0 for never.
     :param checkpoint: Newest reported checkpoint.
     :param ticket: Ticket of the advice service; empty when none is needed.
@@ -55,7 +55,7 @@
     first_reported_percent: int = 0
     progressed_at: float = 0.0
     usage: float = 0.0
-    throttle_percent: int = 100
+    throttle_percent: int | None = 100
     stop_sent_at: float = 0.0
     checkpoint: str = ""
     ticket: str = ""
@@ -155,6 +155,13 @@
             self.best_effort_tasks += sign
             self.best_effort_cpu += sign * step.cpu
 
+    def forget_limits(self):
+        """Forget the speed limits of best-effort tasks, so that they are sent again."""
+        for run in self.allocation_by_key.values():
+            if run.step.is_filling:
+                run.throttle_percent = None
+        self.is_throttle_stale = True
+
     def record_ended_best_effort(self, allocation, now):
         """Record the end of a best-effort task, whose usage latencies still show."""
         recent = [
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -333,6 +333,7 @@
         worker = self.cluster.get_worker(stream.peer.name, stream.peer.zone)
         if worker.stream is not stream:
             worker.stream = stream
+            worker.forget_limits()
             self.log.write("node-seen", worker.node, born=report.born)
         apply_report(self.cluster, worker, report, now)
         if report.is_lapsed:
--- a/tests/site/test_speed_limits.py
+++ b/tests/site/test_speed_limits.py
@@ -124,3 +124,33 @@
     assert limits.list_unaccepted() == [RUN]
     limits.drop_obsolete(set())
     assert limits.list_unaccepted() == []
+
+
+def allow_full_speed(simulation):
+    """Let the figures of latency-critical tasks show plenty of room."""
+    for runner in simulation.runner_by_node.values():
+        runner.usage = 6.0
+
+
+# Guards against a paused run that stays paused after a takeover: the successor would
+# take its speed for full, call it stuck and quarantine its worker.
+def test_a_successor_sends_the_limits_of_runs_that_it_took_over(simulation, node):
+    assert node.runner.percent_by_run[RUN] == 0
+    allow_full_speed(simulation)
+    simulation.start_entry(simulation.leader.name)
+    simulation.advance(8.0)
+    assert node.runner.percent_by_run[RUN] == 100
+    assert RUN[0] in node.runner.run_by_task
+
+
+# Guards against a limit that is lost with the stream on which it was sent.
+def test_limits_are_sent_again_on_a_new_stream(simulation, node):
+    node.runner.percent_by_run[RUN] = 77
+    for entry in simulation.entry_by_name:
+        simulation.disconnect(entry, node.name)
+    for stream in node.streams:
+        stream.close("lost")
+        stream.other.close("lost")
+    simulation.heal()
+    simulation.advance(1.0)
+    assert node.runner.percent_by_run[RUN] == 0
