Move throttled best-effort runs to workers where they are much faster

Wide best-effort steps took several times their work: a step is as late as its slowest task, and a task stayed where it was placed, also when the load of its neighbours rose or a better worker became free.

A run that has little speed in the long run, and would have at least 0.4 of its full speed more on another worker that no waiting task can use, is stopped and resumes there from the checkpoint of the stop. A run without checkpoints moves only before a tenth is done. At most a tenth of the workers lose a run in a pass.

--- a/src/bergamotshore/core/work/decisions.py
+++ b/src/bergamotshore/core/work/decisions.py
@@ -6,6 +6,7 @@
 from bergamotshore.core.work.pacing import plan_throttling
 from bergamotshore.core.work.planner import plan_copies, plan_starts
 from bergamotshore.core.work.preemption import plan_preemptions
+from bergamotshore.core.work.relocation import plan_relocations
 from bergamotshore.core.work.stops import plan_stops
 
 
@@ -46,5 +47,6 @@
     if is_full_scan:
         plan.stops += plan_evictions(view, view.is_urgent_by_draining_node)
         plan.stops += plan_preemptions(view)
+        plan.stops += plan_relocations(view)
         plan.copies = plan_copies(view)
     return plan
--- a/tests/site/test_colocation.py
+++ b/tests/site/test_colocation.py
@@ -14,6 +14,8 @@
 # Time over the goal counts four times, and neighbours should cost latency-critical
 # tasks no more than a twentieth of their worth.
 MAX_OVER_SHARE = 0.05 / 4
+# The users' target for days with load and trouble.
+MIN_WORTH = 0.67
 
 
 @pytest.fixture(scope="module")
@@ -38,3 +40,9 @@
 
 def test_wide_best_effort_steps_leave_latency_critical_tasks_below_their_goal(days):
     assert mean(day.over_share for day in days) <= MAX_OVER_SHARE
+
+
+# Guards against wide steps that wait for tasks which are throttled or badly placed: a
+# step is as late as its slowest task.
+def test_wide_best_effort_steps_are_mostly_in_time(days):
+    assert mean(day.get_batch_worth() for day in days) >= MIN_WORTH
--- a/tests/site/test_interference.py
+++ b/tests/site/test_interference.py
@@ -8,7 +8,7 @@
     Interference,
     get_budget_by_image,
 )
-from bergamotshore.core.work.model import JobSpec, Step, TaskRef
+from bergamotshore.core.work.model import JobSpec, Step
 from bergamotshore.core.work.pacing import (
     FULL_SPEED,
     allocate_speeds,
@@ -20,52 +20,14 @@
 from bergamotshore.core.work.planner import BEST_EFFORT_STARVATION_SECONDS, plan_starts
 from bergamotshore.core.work.site import SiteState
 from bergamotshore.core.work.waiting import PlanView, list_waiting
-from bergamotshore.core.work.workers import Allocation, WorkerState
-from bergamotshore.ports.runner import WorkerIncarnation
 from tests.site.simulation import SERVICE, Simulation, build_configuration
-
-GOAL_MS = 45.0
-UNLOADED_MS = 10.0
-
-
-def build_worker(node="node-0", cpu=16000):
-    return WorkerState(
-        node,
-        "zone-0",
-        stream=object(),
-        incarnation=WorkerIncarnation(f"worker of {node}", 1),
-        service=SERVICE,
-        cpu=cpu,
-        memory=64000,
-        is_reachable=True,
-        is_answering=True,
-        has_right=True,
-    )
-
-
-def build_latency_critical_step(image="web", cpu=3000):
-    return Step(tasks=1, cpu=cpu, image=image, goal_ms=GOAL_MS, is_lasting=True)
-
-
-def build_best_effort_step(image="crunch", cpu=1600, **fields):
-    return Step(tasks=1, cpu=cpu, image=image, is_filling=True, **fields)
-
-
-def place_run(worker, step, name, usage=0.0, percent=100):
-    run = Allocation(
-        ref=TaskRef("queue/job", 0, 0, 0),
-        name=name,
-        number=1,
-        step=step,
-        born=1,
-        sent_at=1.0,
-        is_started=True,
-        started_at=1.0,
-        usage=usage,
-        percent=percent,
-    )
-    worker.allocate(run)
-    return run
+from tests.site.workers import (
+    build_best_effort_step,
+    build_latency_critical_step,
+    build_worker,
+    get_tail_latency,
+    place_run,
+)
 
 
 def allocate(worker, best_effort, interference, now=1.0):
@@ -73,10 +35,6 @@
     return allocate_speeds(best_effort, budget_by_image, worker.cpu, interference)
 
 
-def get_tail_latency(load):
-    return UNLOADED_MS / (1.0 - min(load, 0.99))
-
-
 @pytest.fixture
 def cluster():
     return ClusterState(build_configuration(priority=2).get_queue)
