Place best-effort tasks beside those that interfere much more

Best-effort tasks that disturb no neighbour waited for a worker while there was room: the expected speed of a task counted all best-effort tasks of a worker at full speed, also those that would be throttled in its favour, since the load that neighbours bear goes to the tasks that interfere least. Tasks with more than twice the interference no longer count.

The new test of test_interference.py fails on the former code.

--- a/src/bergamotshore/core/work/pacing.py
+++ b/src/bergamotshore/core/work/pacing.py
@@ -11,6 +11,8 @@
 FULL_SPEED = 100
 # A task throttled below this makes too little progress and is paused, in percent.
 MIN_SPEED_PERCENT = 8
+# Ratio of interference factors from which the difference is not due to their errors.
+MUCH_LARGER_FACTOR = 2.0
 # Hysteresis: smaller changes of the limit aren't sent to the worker, in percent.
 MIN_INCREASE_PERCENT = 10
 MIN_DECREASE_PERCENT = 4
@@ -155,11 +157,16 @@
 def get_expected_speed(worker, step, interference):
     """Return the share of full speed that a best-effort task would be allowed, 0 to 1.
 
+    Tasks that interfere much more don't count: they would get what this one leaves.
+
     :param step: ``Step`` of the task.
     """
     left_by_image = get_budget_by_image(worker, interference)
+    limit = MUCH_LARGER_FACTOR * _get_worst_factor(step, left_by_image, interference)
     for run in worker.allocation_by_key.values():
-        if run.step.is_filling:
+        if not run.step.is_filling:
+            continue
+        if _get_worst_factor(run.step, left_by_image, interference) <= limit:
             for image in left_by_image:
                 factor = interference.get_factor(image, run.step.image)
                 left_by_image[image] -= factor * run.step.cpu / worker.cpu
--- a/tests/site/test_interference.py
+++ b/tests/site/test_interference.py
@@ -201,3 +201,19 @@
         item.progress.spec.job_id for item in list_waiting(build_view(cluster, 100.0))
     ]
     assert order == ["short", "long"]
+
+
+# Guards against idle room beside tasks that a best-effort task doesn't disturb, while
+# disturbing ones hold the whole budget of the worker.
+def test_tasks_that_interfere_much_more_do_not_keep_others_off_a_worker():
+    worker = build_worker()
+    place_run(worker, build_latency_critical_step(), "s")
+    for index in range(3):
+        place_run(worker, build_best_effort_step("heavy"), f"h{index}")
+    interference = Interference()
+    interference.factor_by_pair = {("web", "heavy"): 2.0, ("web", "light"): 0.1}
+    light = build_best_effort_step("light")
+    assert get_expected_speed(worker, light, interference) == 1.0
+    assert choose_worker(light, [worker], {}, interference) is worker
+    heavy = build_best_effort_step("heavy")
+    assert get_expected_speed(worker, heavy, interference) == 0.0
