Count 0.58 of the processors of latency-critical tasks as idle

Best-effort tasks waited for processors that were free: the scheduler counted half of what latency-critical tasks request as used.

--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -5,7 +5,7 @@
 from bergamotshore.core.work.model import Step, TaskRef
 
 # Share of its requested processors that a latency-critical task leaves idle on average.
-LATENCY_CRITICAL_IDLE_SHARE = 0.5
+LATENCY_CRITICAL_IDLE_SHARE = 0.58
 # Workers report usage and latency as means over this time, in seconds.
 USAGE_WINDOW_SECONDS = 0.5
 
