Send the answers to requests read at the end of a graceful stop

What callers saw: at the end of the drain of an entry, a request that had just been read was carried out, and its connection was closed without an answer.

Cause: the drain ends when no connection has an unanswered request. A request that arrived between that check and the end of the server's loop was read, while the loop that sends answers had already ended; the thread that answered it failed with "Bad file descriptor".

Change: the server itself ends the drain. Once asked to finish it reads no further request, so one that is still on its way has provably not run, and it sends the answers to those read before it closes. Both roles wait for that before they stop what the answers need: streams to nodes and peers, presence, pauses. The wait for busy connections is 0.3 s shorter, so that the whole stop stays below the platform's limit.

--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -202,10 +202,10 @@
         stop_deadline = self.clock.now() + self.entry.stop_within
         while self._is_busy() and self.clock.now() < stop_deadline:
             wait_event.wait(STOP_POLL_INTERVAL_SECONDS)
+        self.caller_server.finish(stop_deadline - self.clock.now())
         self.finished.set()
         self._refresh_requested.set()
         self.presence.withdraw()
-        self.caller_server.stop()
         self.operator_server.stop()
         self.loop.stop()
 
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -74,7 +74,7 @@
 BALANCER_REMOVAL_SECONDS = 2.2
 # Time allowed for calls in flight at shutdown; the platform kills the process after
 # 6 s.
-DRAIN_TIMEOUT_SECONDS = 3.2
+DRAIN_TIMEOUT_SECONDS = 2.9
 POLL_SECONDS = 0.05
 # An entry reports itself as not ready after this time without an answer from the store,
 # in seconds.
@@ -288,8 +288,9 @@
         deadline = self.clock.now() + DRAIN_TIMEOUT_SECONDS
         while self._is_busy() and self.clock.now() < deadline:
             pause.wait(POLL_SECONDS)
+        self.caller_server.finish(deadline - self.clock.now())
         self.finished.set()
-        for server in (self.caller_server, self.ready_server, self.metrics_server):
+        for server in (self.ready_server, self.metrics_server):
             server.stop()
         self.loop.stop()
 
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -3,6 +3,7 @@
 import http
 import socket
 import threading
+import time
 
 from waitress import create_server, wasyncore
 from waitress.channel import HTTPChannel
@@ -14,6 +15,12 @@
 IDLE_TIMEOUT_SECONDS = 60
 EXTRA_THREADS = 24
 POLL_SECONDS = 0.25
+# Pause between two checks whether the last answers have been sent, in seconds.
+FINISH_POLL_SECONDS = 0.02
+# Least time for the answers to requests that arrive at the end of a drain, in seconds.
+MIN_FINISH_SECONDS = 0.3
+# Time for the threads of calls that are given up, in seconds.
+THREADS_EXIT_SECONDS = 0.1
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BUFFER_BYTES = 1 << 30
 
@@ -33,6 +40,14 @@
 
     task_class = DrainingTask
 
+    def readable(self):
+        """Return whether to read; no further request is read during the last answers.
+
+        A request that is read has to be answered, while one that isn't has provably
+        not run.
+        """
+        return not self.server.is_finishing and super().readable()
+
 
 class HttpServer:
     """HTTP server for one application on one address.
@@ -49,11 +64,14 @@
         host, port = address
         self._socket_map = {}
         self._is_stopped = threading.Event()
+        self._has_ended = threading.Event()
+        self._finish_deadline = 0.0
         try:
             self._server = self._create(app, host, port, threads, largest_body)
         except OSError as error:
             raise AddressInUseError(f"{host}:{port}", str(error)) from error
         self._server.is_draining = False
+        self._server.is_finishing = False
         self._server.channel_class = DrainableChannel
 
     def _create(self, app, host, port, threads, largest_body):
@@ -79,13 +97,25 @@
         return self._server.effective_port
 
     def run(self):
-        """Serve until ``stop`` is called."""
-        while not self._is_stopped.is_set():
-            wasyncore.loop(
-                timeout=POLL_SECONDS, use_poll=True, map=self._socket_map, count=1
+        """Serve until ``stop`` or ``finish`` is called."""
+        try:
+            while not self._is_stopped.is_set():
+                self._poll(POLL_SECONDS)
+            self._server.is_finishing = True
+            while self.count_busy_connections() and not self._is_finish_overdue():
+                self._poll(FINISH_POLL_SECONDS)
+            self._server.task_dispatcher.shutdown(
+                cancel_pending=True, timeout=THREADS_EXIT_SECONDS
             )
-        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0.1)
-        wasyncore.close_all(self._socket_map)
+            wasyncore.close_all(self._socket_map)
+        finally:
+            self._has_ended.set()
+
+    def _poll(self, timeout):
+        wasyncore.loop(timeout=timeout, use_poll=True, map=self._socket_map, count=1)
+
+    def _is_finish_overdue(self):
+        return time.monotonic() >= self._finish_deadline
 
     def drain(self):
         """Close each keep-alive connection after its next response."""
@@ -104,6 +134,20 @@
         channels = list(self._server.active_channels.values())
         return sum(1 for item in channels if item.requests or item.total_outbufs_len)
 
+    def finish(self, timeout):
+        """Read no further requests, send the answers to those read, then stop.
+
+        Returns once ``run`` has closed all connections, at the latest shortly after the
+        timeout.
+
+        :param timeout: Longest wait for the answers, in seconds; at least
+            ``MIN_FINISH_SECONDS`` are allowed.
+        """
+        timeout = max(MIN_FINISH_SECONDS, timeout)
+        self._finish_deadline = time.monotonic() + timeout
+        self._is_stopped.set()
+        self._has_ended.wait(timeout + POLL_SECONDS + THREADS_EXIT_SECONDS)
+
     def stop(self):
         """Ask ``run`` to close all connections and return."""
         self._is_stopped.set()
