Log long-running tasks that have had no run for 4 s, and why

That a task was down could be seen only by lines that were missing, and what kept it from running had no line: a run that is taken for active at a node that is silent or that does not report, a worker that is closed, or no room. task-down tells these apart, task-up tells when the task runs again. No decision depends on either.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -13,6 +13,7 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.decisions import make_plan
+from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
@@ -51,6 +52,8 @@
 # Interval of the checks for slow workers and for steps that lack capacity, in seconds.
 # Workers list their progress every 0.4 s; checking twice as often misses no list.
 CHECK_INTERVAL_SECONDS = 0.2
+# Interval of the checks for long-running tasks without a run, in seconds.
+DOWNTIME_INTERVAL_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +177,8 @@
         self._interference_row = self._build_row(INTERFERENCE_ROW)
         self._checked_at = 0.0
         self._slow_keys = frozenset()
+        self._downtime = DowntimeTracker()
+        self._downtime_checked_at = 0.0
 
     def _build_row(self, row_id):
         return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
@@ -392,6 +397,7 @@
         may_start = self._may_start(now) and not self.is_shutting_down
         plan = make_plan(view, may_start, is_check_due)
         self._log_plan(plan)
+        self._log_downtime(view)
         for question in plan.questions:
             self.questions.ask(self.cluster, question, self.epoch, now)
         for stop in plan.stops:
@@ -460,6 +466,24 @@
                 why=straggler.sign,
             )
 
+    def _log_downtime(self, view):
+        """Log the long-running tasks that have been down for long, or run again."""
+        if view.now - self._downtime_checked_at < DOWNTIME_INTERVAL_SECONDS:
+            return
+        self._downtime_checked_at = view.now
+        downtimes, resumed = self._downtime.update(view)
+        for downtime in downtimes:
+            self.registry.count("tasks_down_total", reason=downtime.reason)
+            self.log.write(
+                "task-down",
+                downtime.name,
+                seconds=downtime.seconds,
+                why=downtime.reason,
+                node=downtime.node,
+            )
+        for name, seconds in resumed:
+            self.log.write("task-up", name, seconds=seconds)
+
     def _log_completion(self, completion):
         self.registry.count("runs_ended_total", outcome=completion.outcome)
         self.log.write(
