Report the loss of a worker from a node that has restarted beside it

Callers saw a long-running task that did not run although there was room (LOST). Cause: a node sent no report before its worker had answered it. When a worker is gone for good and its node restarts, no report ever comes; the heartbeats of the node go on, so that its runs did not expire either, and all tasks of that worker, finite ones too, were taken for running for ever. After a restart of all processes it was the same.

A node now keeps an upper bound of the leases of its worker from its start, when a former process may have extended them last, and reports that they are over once the worker refuses connections or the bound has passed. The bound is no longer forgotten with a new incarnation: a worker that fell silent before its first renewal was never reported as lapsed.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -336,6 +336,10 @@
 
     def _handle_report(self, stream, report, now):
         worker = self.cluster.get_worker(stream.peer.name, stream.peer.zone)
+        if not report.born:
+            # A node that restarted tells only that its worker's leases have expired.
+            self._release_worker(worker, "worker-lapsed", now)
+            return
         if worker.stream is not stream:
             worker.stream = stream
             worker.forget_limits()
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
+from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
 from bergamotshore.node.speedlimits import SpeedLimits
@@ -82,9 +83,10 @@
         self._stopped_run_by_task = OrderedDict()
         self._started_at_by_key = {}
         self._worker_clock_reading = None
-        self._lease_lapses_at = 0.0
+        # An earlier process of this node may have extended the lease just before.
+        self._lease_lapses_at = clock.now() + get_lease_expiry_seconds(grant.duration)
         self._refused_connections = 0
-        self._is_worker_down = True
+        self._is_worker_down = False
         self._speed_limits = SpeedLimits(
             runner, lambda: self._fence, self._void_fence, registry, log
         )
@@ -377,7 +379,6 @@
             ):
                 self.incarnation = listing.started_ms
                 self._worker_clock_reading = None
-                self._lease_lapses_at = 0.0
                 self._started_at_by_key.clear()
                 if (
                     self.worker_report is not None
@@ -395,21 +396,28 @@
     _incarnation_fence = 0
 
     def build_report(self, epoch):
-        """Return the current ``RunReport``, None before the first accepted listing.
+        """Return the current ``RunReport``.
+
+        Before the first accepted listing the runs of the worker are not known, so there
+        is a report only once they are certainly over.
 
         :param epoch: Highest term seen by this node, read before the call.
+        :returns: None if nothing is known.
         """
         with self._lock:
-            if not self.incarnation:
+            now = self.clock.now()
+            if not (self.incarnation or self._is_lapsed(now)):
                 return None
-            return self._build_report(epoch)
+            return self._build_report(epoch, now)
 
-    def _build_report(self, epoch):
-        now = self.clock.now()
-        report = self.worker_report
-        is_lapsed = self._is_worker_down or (
-            not self.is_answering and now > self._lease_lapses_at > 0.0
+    def _is_lapsed(self, now):
+        """Return whether every lease given to the worker has certainly expired."""
+        return self._is_worker_down or (
+            not self.is_answering and now > self._lease_lapses_at
         )
+
+    def _build_report(self, epoch, now):
+        report = self.worker_report
         not_yet_listed = [
             (task, run, "", 0, 0.0) for task, run in self._started_at_by_key
         ]
@@ -418,7 +426,7 @@
             worker=report.incarnation.worker if report is not None else "",
             born=self.incarnation,
             is_answering=self.is_answering,
-            is_lapsed=is_lapsed,
+            is_lapsed=self._is_lapsed(now),
             has_right=self.grant.get_remaining(now) > MIN_LEASE_SECONDS,
             service=report.service if report is not None else "",
             cpu=report.cpu if report is not None else 0,
