Tell all entries that a worker is gone, so that a later one knows it

Callers saw a long-running task that did not run for 11 s after a change of the scheduling entry, although there was room (LOST). Cause: that a worker is gone was told to the scheduling entry only. Two workers left while there was none, and their nodes after them; the successor knew nothing of either and waited for the last possible echo of its predecessor (4.2 s) and the lease after it (6.9 s).

A node now sends the report by which a worker is gone for good (connections refused) to all entries, and to each that connects later. Entries keep these ends, and a scheduling entry gives up the runs of a life of a worker that is gone, whenever that was told. No other run can begin in that life: its process does not exist any more.

The test fails without the change.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -364,10 +364,26 @@
         for worker in self.cluster.worker_by_node.values():
             last_heard = self.directory.get_last_heartbeat_at(worker.node)
             worker.is_reachable = now - last_heard < HEARTBEAT_TIMEOUT_SECONDS
+            if worker.allocation_by_key:
+                self._release_ended(worker, now)
             heard_at = max(self.term_started_at, self.election.last_echo_at, last_heard)
             if worker.allocation_by_key and now - heard_at > lapse_seconds:
                 self._release_worker(worker, "node-silent", now)
 
+    def _release_ended(self, worker, now):
+        """Release the runs of incarnations of a worker that are gone.
+
+        The node may have told so before this term, and have left since.
+        """
+        ended = self.directory.get_ended_incarnations(worker.node)
+        runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
+        if runs:
+            self.log.write(
+                "runs-lost", worker.node, reason="worker-gone", runs=len(runs)
+            )
+        for run in runs:
+            self.cluster.release(worker, run, "worker-gone", now)
+
     def _decide(self, now):
         for completion in self.cluster.pop_new_outcomes():
             self.suspicion.record_fact(completion)
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -334,6 +334,8 @@
                 if stream.peer.role == "node":
                     self.directory.record_heartbeat(stream)
             case RunReport() | RunResults():
+                if isinstance(message, RunReport) and message.is_gone:
+                    self.directory.record_worker_end(stream.peer.name, message.born)
                 if self.election.lease.epoch:
                     self.dispatcher.post(NodeMessage(stream, message))
             case _:
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -1,6 +1,10 @@
 """Streams from nodes at one entry."""
 
 import threading
+from collections import deque
+
+# Ends of workers kept for each node: those of the time without a scheduling entry.
+MAX_ENDS_PER_NODE = 8
 
 
 class StreamDirectory:
@@ -17,6 +21,7 @@
         self._lock = threading.Lock()
         self._stream_by_node = {}
         self._last_heartbeat_at_by_node = {}
+        self._ended_incarnations_by_node = {}
 
     def open(self, stream):
         """Register a stream; return the open stream that it replaces, or None."""
@@ -41,6 +46,23 @@
         with self._lock:
             return self._last_heartbeat_at_by_node.get(node, 0.0)
 
+    def record_worker_end(self, node, born):
+        """Record that an incarnation of the worker beside a node is gone.
+
+        :param born: Start time of that incarnation, in ms.
+        """
+        with self._lock:
+            ended = self._ended_incarnations_by_node.setdefault(
+                node, deque(maxlen=MAX_ENDS_PER_NODE)
+            )
+            if born not in ended:
+                ended.append(born)
+
+    def get_ended_incarnations(self, node):
+        """Return the start times of a node's workers that are gone, in ms."""
+        with self._lock:
+            return tuple(self._ended_incarnations_by_node.get(node, ()))
+
     def is_current(self, stream):
         """Return whether a stream is open and the newest of its node."""
         with self._lock:
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -395,6 +395,11 @@
     _candidate_incarnation = (0, False)
     _incarnation_fence = 0
 
+    @property
+    def ended_incarnation(self):
+        """Return the incarnation of the worker if it is certainly gone, otherwise 0."""
+        return self.incarnation if self._is_worker_down else 0
+
     def build_report(self, epoch):
         """Return the current ``RunReport``.
 
@@ -454,4 +459,5 @@
                 if completion.sequence > self.acknowledged
             ],
             doubtful=list(self._unresolved_by_key),
+            is_gone=bool(self.ended_incarnation),
         )
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -83,6 +83,7 @@
         self.peers = set(self.site.peers)
         self.leader = ""
         self.leader_stream = None
+        self._announced_end = 0
         self.heartbeat_server = HttpServer(
             HeartbeatApp(self.run_manager, self.registry, self.log),
             split_address(self.site.heartbeats),
@@ -157,6 +158,8 @@
         """Record a connected entry once its hello message has arrived."""
         self.links.record_open(stream)
         self.log.write("entry-connected", stream.peer.name)
+        if self.run_manager.ended_incarnation:
+            stream.send(self.run_manager.build_report(self.grant.epoch))
 
     def on_close(self, stream):
         """Record the closed stream and schedule a reconnect."""
@@ -218,11 +221,16 @@
             self.log.write("order-error", str(call), why=repr(error))
 
     def _send_report(self):
-        stream = self.leader_stream
-        if stream is None or not stream.is_open:
-            return
         report = self.run_manager.build_report(self.grant.epoch)
-        if report is not None:
+        if report is None:
+            return
+        if report.is_gone and report.born != self._announced_end:
+            # This node may have left when a later scheduling entry looks for its runs.
+            self._announced_end = report.born
+            self.links.broadcast(report)
+            return
+        stream = self.leader_stream
+        if stream is not None and stream.is_open:
             stream.send(report)
 
     def _send_result(self, result):
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -144,9 +144,18 @@
         function(*arguments)
 
 
-class NullLinks:
+class NodeLinks:
     """Replacement for a node's links; the simulation opens the streams."""
 
+    def __init__(self, node):
+        self._node = node
+
+    def broadcast(self, message):
+        """Send a message to every connected entry."""
+        for stream in self._node.streams:
+            if stream.is_open:
+                stream.send(message)
+
     def record_open(self, stream):
         """Do nothing."""
 
@@ -257,12 +266,13 @@
         self.registry = Registry()
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
         self.loop = InlineLoop()
-        self.links = NullLinks()
+        self.links = NodeLinks(self)
         self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
         self.starts = self.stops = InlineExecutor()
         self.is_draining = False
         self.leader = ""
         self.leader_stream = None
+        self._announced_end = 0
         self.peers = set()
         self.runner = runner
         self.run_manager = RunManager(
--- /dev/null
+++ b/tests/site/test_takeover.py
@@ -0,0 +1,29 @@
+"""Runs of workers and nodes that were lost between two scheduling entries."""
+
+from tests.site.test_promises import LONG_RUNNING
+from tests.site.test_restarted_nodes import lose_worker_running
+
+# Pause between the loss of a worker and that of its node, in seconds: the node is told
+# to end once its worker has left.
+NODE_LEAVES_SECONDS = 1.0
+# Time in which another entry takes the lease of one that was killed, in seconds.
+TAKEOVER_SECONDS = 4.5
+
+
+# Guards against waiting for the last possible echo of the former scheduling entry and
+# the lease after it, 11 s after a takeover, for the runs of a worker whose end its node
+# has told before it left.
+def test_tasks_of_a_worker_and_node_that_left_before_a_takeover_run_again_after_it(
+    simulation,
+):
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    simulation.kill_entry(simulation.leader.name)
+    node = lose_worker_running(simulation, "job.0.0.0")
+    simulation.advance(NODE_LEAVES_SECONDS)
+    simulation.kill_node(node)
+    simulation.advance(TAKEOVER_SECONDS - NODE_LEAVES_SECONDS)
+    assert simulation.leader is not None
+    simulation.advance(1.0)
+    assert [task for task, _ in simulation.running] == ["job.0.0.0", "job.0.0.1"]
+    assert simulation.ledger.problems == []
