Stop waiting for the echoes of a scheduling entry that has ended

Callers saw a long-running task that did not run although there was room (LOST). Cause: after a takeover, the runs of nodes that are gone wait for the last possible echo of the predecessor, 4.2 s after its lease was taken, and then for one lease, 6.9 s. The first part holds for a predecessor that may be alive and cut off. One that lost power and was started again under the same name was waited for as well.

Entries already exchange heartbeats on the streams by which they relay calls of the store. One from another process under the name of the predecessor, that echoes a clock reading of this term, proves that the predecessor has ended. It counts only if all entries of earlier terms had stopped before, which the row of the lease tells.

The new test of tests/site/test_takeover.py fails without the change. The simulation exchanges the heartbeats among its entries, so that its random faults play this as well.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -80,6 +80,8 @@
         self._candidacy_delay = candidacy_delay
         self._can_schedule = can_schedule
         self._free_since = None
+        self._predecessor = None
+        self._acquired_at = 0.0
         self._version = 0
         self._observation = LeaseObservation()
 
@@ -115,11 +117,34 @@
         if self._can_schedule() and now - self._free_since >= self._candidacy_delay:
             epoch = self.row.epoch + 1 if self.row is not None else 1
             is_free = self._is_free()
-            if version and not (is_free and self.row is not None and self.row.is_alone):
+            is_alone = self.row is not None and self.row.is_alone
+            if version and not (is_free and is_alone):
                 self.last_echo_at = get_last_echo_time(now)
+            # The processes of still earlier terms are not known by name.
+            self._predecessor = self.row if is_alone and not is_free else None
+            self._acquired_at = now
             return self._write(epoch, version, "free" if is_free else "lapsed")
         return True
 
+    def record_entry(self, name, incarnation, echo):
+        """Record a message from another entry.
+
+        A process that has the name of the predecessor and another incarnation proves
+        that the predecessor has ended, and so have its echoes.
+
+        :param name: Name of the entry.
+        :param incarnation: Incarnation of its process.
+        :param echo: Reading of this entry's clock that it received last, in seconds; a
+            message that it sent before this term proves nothing.
+        """
+        predecessor = self._predecessor
+        if predecessor is None or predecessor.name != name:
+            return
+        if predecessor.incarnation != incarnation and echo >= self._acquired_at:
+            self._predecessor = None
+            self.last_echo_at = min(self.last_echo_at, self._clock.now())
+            self._log.write("predecessor-ended", name, epoch=predecessor.epoch)
+
     def _is_free(self):
         """Return whether no process can hold the lease, regardless of its age."""
         if self.row is None or not self.row.name:
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -333,6 +333,10 @@
             case Heartbeat():
                 if stream.peer.role == "node":
                     self.directory.record_heartbeat(stream)
+                else:
+                    self.election.record_entry(
+                        stream.peer.name, stream.peer.incarnation, message.echo
+                    )
             case RunReport() | RunResults():
                 if isinstance(message, RunReport) and message.is_gone:
                     self.directory.record_worker_end(stream.peer.name, message.born)
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -189,10 +189,11 @@
         self.follower.state.accept(simulation.configuration)
         self.follower.state.confirmed_at = simulation.clock.now()
         self.stopping = threading.Event()
+        self.incarnation = f"{name}-{incarnation}"
         self.election = Election(
             self.store,
             name,
-            f"{name}-{incarnation}",
+            self.incarnation,
             f"{name}:1",
             self.clock,
             self.log,
@@ -224,6 +225,7 @@
         )
         self.dispatcher.events = NonBlockingQueue()
         self.streams = []
+        self.started_at = simulation.clock.now()
         self.next_election_at = 0.0
         self.feed = (0, 0)
 
@@ -413,6 +415,29 @@
             for stream in process.streams:
                 if stream.is_open:
                     stream.send(process.build_heartbeat(stream))
+        self._exchange_entry_heartbeats()
+
+    def _exchange_entry_heartbeats(self):
+        """Deliver heartbeats among the entries, which echo the previous ones."""
+        echo = self.clock.now() - HEARTBEAT_SECONDS
+        entries = [
+            entry
+            for entry in self.entry_by_name.values()
+            if entry.name not in self.paused
+        ]
+        for sender, receiver in itertools.permutations(entries, 2):
+            peer = Hello(
+                protocol=1,
+                role="entry",
+                name=sender.name,
+                incarnation=sender.incarnation,
+                zone="",
+            )
+            is_echoing = echo >= max(sender.started_at, receiver.started_at)
+            receiver.on_message(
+                FakeStream(receiver, peer),
+                Heartbeat(sent_at=self.clock.now(), echo=echo if is_echoing else 0.0),
+            )
 
     def _deliver(self):
         for process in self._list_unpaused():
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -172,3 +172,49 @@
     third.step()
     assert third.lease.epoch == 3
     assert third.last_echo_at <= clock.now()
+
+
+# Guards against waiting 4.2 s for the echoes of a process that has ended.
+def test_no_wait_for_echoes_of_a_predecessor_whose_successor_process_answers(
+    build, clock
+):
+    build("a").step()
+    second = build("b")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    assert second.lease.epoch == 2
+    assert second.last_echo_at > clock.now()
+    second.record_entry("a", "a-2", echo=clock.now())
+    assert second.last_echo_at <= clock.now()
+
+
+@pytest.mark.parametrize(
+    ("name", "incarnation", "delay"),
+    [("a", "a-1", 0.0), ("c", "c-1", 0.0), ("a", "a-2", 0.5)],
+)
+def test_echoes_are_waited_for_without_proof_that_the_predecessor_ended(
+    build, clock, name, incarnation, delay
+):
+    """The last one was sent before this term began, by whichever process."""
+    build("a").step()
+    second = build("b")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    second.record_entry(name, incarnation, echo=clock.now() - delay)
+    assert second.last_echo_at > clock.now()
+
+
+def test_the_end_of_a_predecessor_proves_nothing_about_earlier_terms(build, clock):
+    build("a").step()
+    second, third = build("b"), build("c")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    third.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    third.step()
+    assert third.lease.epoch == 3
+    third.record_entry("b", "b-2", echo=clock.now())
+    assert third.last_echo_at > clock.now()
--- a/tests/site/test_takeover.py
+++ b/tests/site/test_takeover.py
@@ -1,5 +1,7 @@
 """Runs of workers and nodes that were lost between two scheduling entries."""
 
+from bergamotshore.core.work.leases import get_grant_seconds, get_lease_expiry_seconds
+from tests.site.simulation import LONGEST_HOLD_SECONDS
 from tests.site.test_promises import LONG_RUNNING
 from tests.site.test_restarted_nodes import lose_worker_running
 
@@ -8,6 +10,7 @@
 NODE_LEAVES_SECONDS = 1.0
 # Time in which another entry takes the lease of one that was killed, in seconds.
 TAKEOVER_SECONDS = 4.5
+LEASE_EXPIRY_SECONDS = get_lease_expiry_seconds(get_grant_seconds(LONGEST_HOLD_SECONDS))
 
 
 # Guards against waiting for the last possible echo of the former scheduling entry and
@@ -27,3 +30,21 @@
     simulation.advance(1.0)
     assert [task for task, _ in simulation.running] == ["job.0.0.0", "job.0.0.1"]
     assert simulation.ledger.problems == []
+
+
+# Guards against the same wait for a worker that is lost together with its node, after
+# the process of the former scheduling entry has ended for certain.
+def test_tasks_of_a_node_lost_with_the_scheduling_entry_wait_for_one_lease_only(
+    simulation,
+):
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    former = simulation.leader.name
+    simulation.kill_entry(former)
+    simulation.kill_node(lose_worker_running(simulation, "job.0.0.0"))
+    simulation.advance(TAKEOVER_SECONDS)
+    assert simulation.leader is not None
+    simulation.start_entry(former)
+    simulation.advance(LEASE_EXPIRY_SECONDS + 2.0)
+    assert [task for task, _ in simulation.running] == ["job.0.0.0", "job.0.0.1"]
+    assert simulation.ledger.problems == []
