Plan only with workers of known size, and give the unknown size a type

What callers saw: the scheduling entry ended with code 1 by ZeroDivisionError in pacing.py, and callers waited for a takeover.

Where the size of a worker is used, as read before the change:

Cause: a size of 0 stood for "not known", and each caller had to remember it.

Change: WorkerSize has processors, or there is none. It can't be built without, so no share of it divides by zero. Reports carry a size or none. Planning takes list_sized_workers; what runs on the others is left as it is, and claims not sent yet to such a worker are released (size-unknown). A worker that reports no processors has no size either: it keeps its runs and gets no others.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -8,7 +8,7 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.decisions import make_plan
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.model import JobSpec, Step, WorkerSize
 from bergamotshore.core.work.site import Queue, SiteState
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
@@ -43,7 +43,7 @@
         for index in range(nodes):
             worker = self.cluster.get_worker(f"node-{index}", "zone")
             worker.incarnation = WorkerIncarnation(f"worker-{index}", 1)
-            worker.service, worker.cpu, worker.memory = SERVICE, 16000, 64000
+            worker.service, worker.size = SERVICE, WorkerSize(16000, 64000)
             worker.stream = object()
             worker.is_reachable = worker.is_answering = worker.has_right = True
         self._add("serve", nodes * SERVING_PER_NODE, cpu=3200, goal_ms=40.0, image="w")
@@ -85,9 +85,7 @@
             is_lapsed=False,
             has_right=True,
             service=SERVICE,
-            cpu=16000,
-            memory=64000,
-            accelerators=0,
+            size=(16000, 64000, 0),
             labels=[],
             rack="",
             machine="",
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -280,7 +280,7 @@
                 "state": "draining" if report.is_draining else "ready",
                 "born": report.incarnation.started_ms,
                 "seq": self._sequence,
-                "capacity": {"cpu": report.cpu, "mem_mb": report.memory},
+                "capacity": {"cpu": self.runner.cpu, "mem_mb": self.runner.memory},
                 "labels": list(report.labels),
             }
             self._send(f"/instances/{report.incarnation.worker}", json.dumps(body))
--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -165,6 +165,12 @@
             worker.zone = zone
         return worker
 
+    def list_sized_workers(self):
+        """Return the workers whose size is known, which are those to plan for."""
+        return [
+            worker for worker in self.worker_by_node.values() if worker.size is not None
+        ]
+
     def get_priority(self, spec):
         """Return the priority of a job's queue."""
         queue = self.get_queue(spec.queue)
--- a/src/bergamotshore/core/work/gangs.py
+++ b/src/bergamotshore/core/work/gangs.py
@@ -48,7 +48,7 @@
             group_by_rack.setdefault(worker.rack, []).append(worker)
     return sorted(
         group_by_rack.values(),
-        key=lambda group: sum(worker.used_cpu - worker.cpu for worker in group),
+        key=lambda group: sum(worker.used_cpu - worker.size.cpu for worker in group),
     )
 
 
--- a/src/bergamotshore/core/work/interference.py
+++ b/src/bergamotshore/core/work/interference.py
@@ -109,7 +109,7 @@
 
     def record_report(self, worker, now):
         """Update loads and factors from a worker's report, once its size is known."""
-        if not worker.cpu:
+        if worker.size is None:
             return
         shares = _sum_shares(worker, now)
         for run in worker.allocation_by_key.values():
@@ -230,10 +230,10 @@
         if run.step.is_filling and run.usage > 0:
             age = max(0.0, now - run.started_at)
             part = min(1.0, age / USAGE_WINDOW_SECONDS)
-            _add_share(shares, run, part / worker.cpu)
+            _add_share(shares, run, worker.size.get_share(part))
     for run, ended_at in worker.ended_best_effort:
         part = max(0.0, 1.0 - (now - ended_at) / USAGE_WINDOW_SECONDS)
-        _add_share(shares, run, part / worker.cpu)
+        _add_share(shares, run, worker.size.get_share(part))
     return shares
 
 
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -1,4 +1,4 @@
-"""Job specifications that callers submit, with their steps and task references."""
+"""Job specifications that callers submit, task references, and sizes of workers."""
 
 from dataclasses import dataclass
 
@@ -123,6 +123,46 @@
         return (self.job, self.occurrence, self.step)
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerSize:
+    """Resources of a worker, as last reported by it.
+
+    A worker without processors has no size: ``build_worker_size`` returns None.
+
+    :param cpu: Processors, in thousandths; more than 0.
+    :param memory: Memory, in MB.
+    :param accelerators: Number of accelerators.
+    """
+
+    cpu: int
+    memory: int
+    accelerators: int = 0
+
+    def __post_init__(self):
+        if self.cpu <= 0:
+            raise ValueError(f"a worker of {self.cpu} processors has no size")
+
+    def get_share(self, cpu):
+        """Return the share of the processors that an amount of them makes up.
+
+        :param cpu: Processors, in thousandths.
+        """
+        return cpu / self.cpu
+
+    def covers(self, cpu, memory, accelerators):
+        """Return whether a total of resources fits into the worker."""
+        return (
+            cpu <= self.cpu
+            and memory <= self.memory
+            and accelerators <= self.accelerators
+        )
+
+
+def build_worker_size(cpu, memory, accelerators=0):
+    """Return a ``WorkerSize``; None for a worker without processors."""
+    return WorkerSize(cpu, memory, accelerators) if cpu > 0 else None
+
+
 def get_job_key(queue, job_id):
     """Return the key that identifies a job across all queues."""
     return f"{queue}/{job_id}"
--- a/src/bergamotshore/core/work/pacing.py
+++ b/src/bergamotshore/core/work/pacing.py
@@ -40,9 +40,9 @@
     Only workers whose load or report changed since the last call are checked.
     """
     orders = []
-    for worker in view.cluster.worker_by_node.values():
+    for worker in view.cluster.list_sized_workers():
         is_reachable = worker.stream is not None and worker.is_answering
-        if worker.is_throttle_stale and is_reachable and worker.cpu:
+        if worker.is_throttle_stale and is_reachable:
             worker.is_throttle_stale = False
             if worker.best_effort_tasks:
                 orders += _plan_worker(worker, view.cluster.interference, view.now)
@@ -58,11 +58,11 @@
     best_effort = [
         run for run in worker.allocation_by_key.values() if run.step.is_filling
     ]
-    if all(run.sent_at for run in best_effort):
+    if worker.size is None or all(run.sent_at for run in best_effort):
         return
     budget_by_image = get_budget_by_image(worker, interference, now)
     for run, speed in allocate_speeds(
-        best_effort, budget_by_image, worker.cpu, interference
+        best_effort, budget_by_image, worker.size, interference
     ):
         if not run.sent_at:
             run.throttle_percent = speed
@@ -77,7 +77,7 @@
     budget_by_image = get_budget_by_image(worker, interference, now)
     changes = []
     for run, speed in allocate_speeds(
-        best_effort, budget_by_image, worker.cpu, interference
+        best_effort, budget_by_image, worker.size, interference
     ):
         if is_significant_change(run.throttle_percent, speed):
             run.throttle_percent = speed
@@ -100,14 +100,14 @@
     )
 
 
-def allocate_speeds(best_effort, budget_by_image, cpu, interference):
+def allocate_speeds(best_effort, budget_by_image, size, interference):
     """Divide the load that latency-critical tasks tolerate among best-effort tasks.
 
     Tasks that interfere least are served first, which maximizes the work done.
 
     :param best_effort: List of ``Allocation`` of best-effort tasks.
     :param budget_by_image: Load that may be added, by latency-critical image.
-    :param cpu: Processors of the worker, in thousandths.
+    :param size: ``WorkerSize``.
     :returns: Pairs of run and allowed speed in percent.
     """
     ranked = sorted(
@@ -120,14 +120,13 @@
     left_by_image = dict(budget_by_image)
     allocated = []
     for run in ranked:
-        share = _get_speed_share(run.step, left_by_image, cpu, interference)
+        share = _get_speed_share(run.step, left_by_image, size, interference)
         speed = round(FULL_SPEED * min(1.0, max(0.0, share)))
         speed = speed if speed >= MIN_SPEED_PERCENT else 0
         for image in left_by_image:
             left_by_image[image] -= (
                 interference.get_factor(image, run.step.image)
-                * run.step.cpu
-                / cpu
+                * size.get_share(run.step.cpu)
                 * speed
                 / FULL_SPEED
             )
@@ -142,12 +141,12 @@
     )
 
 
-def _get_speed_share(step, budget_by_image, cpu, interference):
+def _get_speed_share(step, budget_by_image, size, interference):
     """Return the share of full speed at which a task stays within all budgets."""
+    share = size.get_share(step.cpu)
     return min(
         (
-            budget
-            / max(1e-6, interference.get_factor(image, step.image) * step.cpu / cpu)
+            budget / max(1e-6, interference.get_factor(image, step.image) * share)
             for image, budget in budget_by_image.items()
         ),
         default=1.0,
@@ -159,6 +158,7 @@
 
     Tasks that interfere much more don't count: they would get what this one leaves.
 
+    :param worker: ``WorkerState`` of known size.
     :param step: ``Step`` of the task.
     """
     left_by_image = get_budget_by_image(worker, interference)
@@ -169,6 +169,6 @@
         if _get_worst_factor(run.step, left_by_image, interference) <= limit:
             for image in left_by_image:
                 factor = interference.get_factor(image, run.step.image)
-                left_by_image[image] -= factor * run.step.cpu / worker.cpu
-    share = _get_speed_share(step, left_by_image, worker.cpu, interference)
+                left_by_image[image] -= factor * worker.size.get_share(run.step.cpu)
+    share = _get_speed_share(step, left_by_image, worker.size, interference)
     return min(1.0, max(0.0, share))
--- a/src/bergamotshore/core/work/placing.py
+++ b/src/bergamotshore/core/work/placing.py
@@ -67,7 +67,7 @@
         fitting,
         key=lambda worker: (
             -get_expected_speed(worker, step, interference),
-            worker.best_effort_cpu / max(1, worker.cpu),
+            worker.size.get_share(worker.best_effort_cpu),
         ),
         default=None,
     )
--- a/src/bergamotshore/core/work/preemption.py
+++ b/src/bergamotshore/core/work/preemption.py
@@ -159,8 +159,8 @@
     accelerators = worker.used_accelerators - sum(
         run.step.accelerators for run in removed
     )
-    return (
-        cpu + step.reserved_cpu <= worker.cpu
-        and memory + step.memory <= worker.memory
-        and accelerators + step.accelerators <= worker.accelerators
+    return worker.size.covers(
+        cpu + step.reserved_cpu,
+        memory + step.memory,
+        accelerators + step.accelerators,
     )
--- a/src/bergamotshore/core/work/relocation.py
+++ b/src/bergamotshore/core/work/relocation.py
@@ -55,7 +55,7 @@
     """
     slow_runs = [
         item
-        for worker in view.cluster.worker_by_node.values()
+        for worker in view.cluster.list_sized_workers()
         if worker.best_effort_tasks and worker.latency_critical_tasks
         for item in _list_slow_runs(view, worker)
     ]
@@ -92,7 +92,7 @@
     ]
     interference = view.cluster.interference
     budget_by_image = get_budget_by_image(worker, interference)
-    speeds = allocate_speeds(best_effort, budget_by_image, worker.cpu, interference)
+    speeds = allocate_speeds(best_effort, budget_by_image, worker.size, interference)
     return [
         SlowRun(worker, run, percent / FULL_SPEED)
         for run, percent in speeds
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from bergamotshore.core.work.model import Step, TaskRef
+from bergamotshore.core.work.model import Step, TaskRef, WorkerSize
 
 # Share of its requested processors that a latency-critical task leaves idle on average.
 LATENCY_CRITICAL_IDLE_SHARE = 0.58
@@ -75,9 +75,8 @@
     :param stream: Stream to the node; None while disconnected.
     :param incarnation: ``WorkerIncarnation``; None before the first report.
     :param service: Service that it belongs to.
-    :param cpu: Processors, in thousandths.
-    :param memory: Memory, in MB.
-    :param accelerators: Number of accelerators.
+    :param size: ``WorkerSize``; None while it is unknown. Such a worker gets no new
+        runs, and what it runs is left as it is.
     :param labels: Tuple of labels.
     :param rack: Rack; empty when unknown.
     :param machine: VM that it runs on; empty when unknown.
@@ -108,9 +107,7 @@
     stream: object = None
     incarnation: object = None
     service: str = ""
-    cpu: int = 0
-    memory: int = 0
-    accelerators: int = 0
+    size: WorkerSize | None = None
     labels: tuple = ()
     rack: str = ""
     machine: str = ""
@@ -180,10 +177,11 @@
     def get_best_effort_cpu(self):
         """Return the processors left for further best-effort tasks, in thousandths.
 
-        Latency-critical tasks leave part of the processors that they request idle.
+        The size of the worker has to be known. Latency-critical tasks leave part of the
+        processors that they request idle.
         """
         used = self.used_cpu - self.latency_critical_cpu * LATENCY_CRITICAL_IDLE_SHARE
-        return self.cpu - used - self.best_effort_cpu
+        return self.size.cpu - used - self.best_effort_cpu
 
     def free(self, key):
         """Free the resources of a run; return its ``Allocation``, or None."""
@@ -197,35 +195,34 @@
 
     def fits(self, step):
         """Return whether the free resources suffice for a task of a step."""
-        return (
-            self.used_cpu + step.reserved_cpu <= self.cpu
-            and self.used_memory + step.memory <= self.memory
-            and self.used_accelerators + step.accelerators <= self.accelerators
+        return self.size is not None and self.size.covers(
+            self.used_cpu + step.reserved_cpu,
+            self.used_memory + step.memory,
+            self.used_accelerators + step.accelerators,
         )
 
     def could_fit(self, step):
         """Return whether the worker could run a task of a step if it were empty."""
         return (
-            step.cpu <= self.cpu
-            and step.memory <= self.memory
-            and step.accelerators <= self.accelerators
+            self.size is not None
+            and self.size.covers(step.cpu, step.memory, step.accelerators)
             and (not step.label or step.label in self.labels)
         )
 
     @property
     def is_schedulable(self):
-        """Return whether it can take new runs: reachable, with all its runs known."""
+        """Return whether it can take new runs: reachable, of known size and runs."""
         return (
             self.stream is not None
             and self.is_reachable
             and self.is_answering
             and self.has_right
-            and self.cpu > 0
+            and self.size is not None
             and not self.is_draining
             and not self.unknown_runs
         )
 
     @property
     def cpu_share(self):
-        """Return the share of its processors that is allocated."""
-        return self.used_cpu / self.cpu if self.cpu else 1.0
+        """Return the share of its processors that is allocated; 1 if unknown."""
+        return 1.0 if self.size is None else self.size.get_share(self.used_cpu)
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -71,6 +71,8 @@
 
     def _find_blocking_reason(self, worker, allocation):
         progress = self._board.job_by_key.get(allocation.ref.job)
+        if worker.size is None:
+            return "size-unknown"
         if worker.stream is None or worker.incarnation.started_ms != allocation.born:
             return "node-away"
         if worker.is_draining:
--- a/src/bergamotshore/entry/reports.py
+++ b/src/bergamotshore/entry/reports.py
@@ -1,5 +1,6 @@
 """Applies the reports of nodes to the cluster state."""
 
+from bergamotshore.core.work.model import WorkerSize
 from bergamotshore.ports.runner import ListedCompletion, ListedRun, WorkerIncarnation
 
 
@@ -38,8 +39,7 @@
 
 def _update_worker(worker, report, now):
     worker.service = report.service
-    worker.cpu, worker.memory = report.cpu, report.memory
-    worker.accelerators = report.accelerators
+    worker.size = WorkerSize(*report.size) if report.size is not None else None
     worker.labels = tuple(report.labels)
     worker.rack = report.rack
     worker.machine = report.machine
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -421,9 +421,7 @@
             is_lapsed=is_lapsed,
             has_right=self.grant.get_remaining(now) > MIN_LEASE_SECONDS,
             service=report.service if report is not None else "",
-            cpu=report.cpu if report is not None else 0,
-            memory=report.memory if report is not None else 0,
-            accelerators=report.accelerators if report is not None else 0,
+            size=_encode_size(report.size) if report is not None else None,
             labels=list(report.labels) if report is not None else [],
             rack=report.rack if report is not None else "",
             machine=report.machine if report is not None else "",
@@ -447,3 +445,7 @@
             ],
             doubtful=list(self._unresolved_by_key),
         )
+
+
+def _encode_size(size):
+    return None if size is None else (size.cpu, size.memory, size.accelerators)
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
+from bergamotshore.core.work.model import build_worker_size
 from bergamotshore.exceptions import ReportInvalid, WorkerFailure
 from bergamotshore.ports.runner import (
     ListedCompletion,
@@ -242,9 +243,9 @@
             is_draining=report.state == STATE_DRAINING,
             remaining=report.remaining_ms / 1000,
             warmup=report.warmup_left_ms / 1000,
-            cpu=report.capacity.cpu,
-            memory=report.capacity.mem_mb,
-            accelerators=report.capacity.gpu,
+            size=build_worker_size(
+                report.capacity.cpu, report.capacity.mem_mb, report.capacity.gpu
+            ),
             labels=tuple(report.labels),
             rack=report.labels[1] if len(report.labels) > 1 else "",
             machine=report.machine,
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from bergamotshore.core.work.model import WorkerSize
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerIncarnation:
@@ -139,9 +141,7 @@
     :param is_draining: Whether the worker is draining before it shuts down.
     :param remaining: Minimum time left while draining, in seconds.
     :param warmup: Remaining time of reduced speed after its start, in seconds.
-    :param cpu: Processor capacity, in thousandths of a processor.
-    :param memory: Memory, in MB.
-    :param accelerators: Number of accelerators.
+    :param size: ``WorkerSize``; None when not reported.
     :param labels: Labels, including its kind and its rack.
     :param rack: Rack of the worker; empty when not reported.
     :param machine: VM that the worker runs on; empty when not reported.
@@ -155,9 +155,7 @@
     is_draining: bool
     remaining: float
     warmup: float
-    cpu: int
-    memory: int
-    accelerators: int
+    size: WorkerSize | None
     labels: tuple = field(default=())
     rack: str = ""
     machine: str = ""
--- a/standins/site.py
+++ b/standins/site.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.model import build_worker_size
 from bergamotshore.exceptions import (
     PlatformAnswerInvalid,
     PlatformUnavailable,
@@ -310,9 +311,7 @@
             is_draining=self.is_draining,
             remaining=0.0,
             warmup=0.0,
-            cpu=self.cpu,
-            memory=self.memory,
-            accelerators=0,
+            size=build_worker_size(self.cpu, self.memory),
             machine=self.machine,
             labels=("a", self.rack),
             rack=self.rack,
--- a/tests/site/burst.py
+++ b/tests/site/burst.py
@@ -2,7 +2,7 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.leases import get_grant_seconds, get_lease_expiry_seconds
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.model import JobSpec, Step, WorkerSize
 from bergamotshore.core.work.planner import plan_copies, plan_starts
 from bergamotshore.core.work.site import SiteState
 from bergamotshore.core.work.stops import plan_stops
@@ -46,7 +46,7 @@
         for index in range(NODES):
             worker = self.cluster.get_worker(f"node-{index}", "zone-0")
             worker.incarnation = WorkerIncarnation(f"worker-{index}", 1)
-            worker.service, worker.cpu, worker.memory = SERVICE, 16000, 64000
+            worker.service, worker.size = SERVICE, WorkerSize(16000, 64000)
             worker.stream = object()
             worker.is_reachable = worker.is_answering = worker.has_right = True
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -265,6 +265,10 @@
         self.leader_stream = None
         self.peers = set()
         self.runner = runner
+        self.is_receiving_heartbeats = lambda: (
+            not (runner.is_cut or runner.is_gone)
+            and name not in simulation.without_heartbeats
+        )
         self.run_manager = RunManager(
             runner,
             self.grant,
@@ -280,7 +284,7 @@
         """Do nothing; the simulation opens the streams."""
 
     def step(self):
-        if not (self.runner.is_cut or self.runner.is_gone):
+        if self.is_receiving_heartbeats():
             self.run_manager.record_heartbeat(self.runner.build_report(self.zone))
         self._renew_lease()
 
@@ -304,6 +308,7 @@
         self.disconnected_pairs = set()
         self.without_store = set()
         self.without_feeds = set()
+        self.without_heartbeats = set()
         self.paused = set()
         self.entry_by_name = {}
         self.node_by_name = {}
@@ -446,6 +451,7 @@
         """Remove all faults and run until the processes have recovered."""
         self.heal()
         self.paused.clear()
+        self.without_heartbeats.clear()
         self.without_store.clear()
         self.without_feeds.clear()
         self.store.is_down = self.machines.is_down = False
--- a/tests/site/test_borders.py
+++ b/tests/site/test_borders.py
@@ -7,7 +7,13 @@
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
-from bergamotshore.core.work.model import JobSpec, Step, decode_spec, encode_spec
+from bergamotshore.core.work.model import (
+    JobSpec,
+    Step,
+    WorkerSize,
+    decode_spec,
+    encode_spec,
+)
 from bergamotshore.core.work.progress import (
     JobProgress,
     encode_progress,
@@ -56,7 +62,8 @@
 def test_heartbeat_body_is_decoded_into_a_report():
     report = parse_heartbeat("PUT", "/instances/i-1", REPORT_BODY).unwrap()
     assert report.incarnation == WorkerIncarnation("i-1", 17)
-    assert (report.cpu, report.memory, report.labels) == (16000, 32768, ("a", "r1-3"))
+    assert report.size == WorkerSize(16000, 32768)
+    assert report.labels == ("a", "r1-3")
     assert not report.is_draining
     assert parse_heartbeat("DELETE", "/instances/i-1", b"") == Success("i-1")
 
--- a/tests/site/test_interference.py
+++ b/tests/site/test_interference.py
@@ -32,7 +32,7 @@
 
 def allocate(worker, best_effort, interference, now=1.0):
     budget_by_image = get_budget_by_image(worker, interference, now)
-    return allocate_speeds(best_effort, budget_by_image, worker.cpu, interference)
+    return allocate_speeds(best_effort, budget_by_image, worker.size, interference)
 
 
 @pytest.fixture
@@ -54,7 +54,9 @@
     for step in range(400):
         best_effort.usage = 1600.0 * ((step // 2) % 3)
         own = 0.2 + 0.4 * abs((step % 70) / 35 - 1)
-        critical.usage = get_tail_latency(own + factor * best_effort.usage / worker.cpu)
+        critical.usage = get_tail_latency(
+            own + factor * worker.size.get_share(best_effort.usage)
+        )
         interference.record_report(worker, step * 0.4)
     assert interference.get_factor("web", "crunch") == pytest.approx(factor, abs=0.35)
 
--- a/tests/site/test_preemption.py
+++ b/tests/site/test_preemption.py
@@ -4,7 +4,7 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.decisions import make_plan
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.model import JobSpec, Step, WorkerSize
 from bergamotshore.core.work.preemption import (
     PREEMPTION_DELAY_SECONDS,
     RESERVATION_SECONDS,
@@ -39,7 +39,7 @@
         for index in range(NODES):
             worker = self.cluster.get_worker(f"node-{index}", "zone-0")
             worker.incarnation = WorkerIncarnation(f"worker-{index}", 1)
-            worker.service, worker.cpu, worker.memory = SERVICE, CPU, 64000
+            worker.service, worker.size = SERVICE, WorkerSize(CPU, 64000)
             worker.stream = object()
             worker.is_reachable = worker.is_answering = worker.has_right = True
 
--- a/tests/site/test_scale.py
+++ b/tests/site/test_scale.py
@@ -7,7 +7,7 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.decisions import make_plan
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.model import JobSpec, Step, WorkerSize
 from bergamotshore.core.work.planner import UnplaceableSizes
 from bergamotshore.core.work.site import Queue, SiteState
 from bergamotshore.core.work.waiting import PlanView
@@ -28,8 +28,8 @@
         worker = cluster.get_worker(f"node-{index}", "zone")
         worker.incarnation = WorkerIncarnation(f"worker-{index}", 1)
         worker.service = SERVICE
-        worker.cpu, worker.memory = rng.choice([8000, 16000, 24000]), 32000
-        worker.accelerators = rng.choice([0, 0, 2])
+        cpu = rng.choice([8000, 16000, 24000])
+        worker.size = WorkerSize(cpu, 32000, rng.choice([0, 0, 2]))
         worker.labels = (rng.choice("ab"), f"r{index % 3}")
         worker.stream = object()
         worker.is_reachable = worker.is_answering = worker.has_right = True
--- a/tests/site/workers.py
+++ b/tests/site/workers.py
@@ -1,6 +1,6 @@
 """Workers with runs, as the scheduling entry knows them."""
 
-from bergamotshore.core.work.model import Step, TaskRef
+from bergamotshore.core.work.model import Step, TaskRef, build_worker_size
 from bergamotshore.core.work.workers import Allocation, WorkerState
 from bergamotshore.ports.runner import WorkerIncarnation
 from tests.site.simulation import SERVICE
@@ -16,8 +16,7 @@
         stream=object(),
         incarnation=WorkerIncarnation(f"worker of {node}", 1),
         service=SERVICE,
-        cpu=cpu,
-        memory=64000,
+        size=build_worker_size(cpu, 64000),
         is_reachable=True,
         is_answering=True,
         has_right=True,
