--- a/soak/site.py
+++ b/soak/site.py
@@ -13,8 +13,9 @@
 from bergamotshore.ports.rows import Put, RowId
 from soak.proxy import FaultProxy
 from soak.servers import StoreServer, WorkerServer
+from standins.ledger import Ledger
 from standins.ports import PortPool
-from standins.site import LONGEST_HOLD_SECONDS, SERVICE, Ledger, RowsStandIn
+from standins.site import LONGEST_HOLD_SECONDS, SERVICE, RowsStandIn
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -38,11 +38,11 @@
     Expect,
 )
 from bergamotshore.utils.eventlog import EventLog
+from standins.ledger import Ledger
 from standins.machines import MachinesStandIn
 from standins.site import (
     LONGEST_HOLD_SECONDS,
     SERVICE,
-    Ledger,
     RowsStandIn,
     RunnerStandIn,
 )
