Change the capacity of simulated workers while they run, and judge LIMIT with it

The checker counted processors only, and the capacity that a worker began with. It now reports a start that brings a worker over its processors, memory or accelerators. Runs that are being stopped count until they have ended. A reduction counts 4.1 s later (3 s of contact and one heartbeat), growth at once. A start that asks nothing of the exceeded resource is allowed.

--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -10,6 +10,12 @@
 MAX_STARTS_AFTER_CRASHES = 3
 # Names of the state of a finished job, to callers and within the system.
 COMPLETE_STATES = ("complete", "done")
+# Field of ``Capacity`` that limits each field of ``Step``.
+LIMITED_BY_STEP_FIELD = {
+    "reserved_cpu": "cpu",
+    "memory": "memory",
+    "accelerators": "accelerators",
+}
 
 
 class Ledger:
@@ -49,13 +55,19 @@
         self._check_retry_limit(task)
         self._check_crash_limit(task)
         self.live[(runner.name, task)] = number
-        used = sum(
-            self.get_step(task).reserved_cpu
-            for name, task in self.live
-            if name == runner.name
-        )
-        if used > runner.cpu:
-            self.problems.append(f"{runner.name} holds {used} of {runner.cpu}")
+        self._check_capacity(runner, self.get_step(task))
+
+    def _check_capacity(self, runner, started_step):
+        """Check the capacity of a worker, which runs being stopped use as well."""
+        limit = runner.get_start_limit()
+        steps = [self.get_step(task) for name, task in self.live if name == runner.name]
+        for field, limited in LIMITED_BY_STEP_FIELD.items():
+            used = sum(getattr(step, field) for step in steps)
+            available = getattr(limit, limited)
+            if getattr(started_step, field) and used > available:
+                self.problems.append(
+                    f"{runner.name} holds {used} of {available} {limited}"
+                )
 
     def _check_step_order(self, task):
         job, occurrence, step, _ = task.split(".")
--- a/standins/site.py
+++ b/standins/site.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
 
@@ -31,6 +32,23 @@
 WORKER_DRIFT = 0.02
 # Time for which a crashed worker refuses connections, in seconds.
 CRASH_SECONDS = 3.0
+# A reduced capacity limits starts only after this time, in seconds: 3 s of contact and
+# one heartbeat.
+REDUCTION_NOTICE_SECONDS = 3.0 + 1.1
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Capacity of a worker.
+
+    :param cpu: Processors, in thousandths.
+    :param memory: Memory, in MB.
+    :param accelerators: Number of accelerators.
+    """
+
+    cpu: int
+    memory: int
+    accelerators: int = 0
 
 
 class RowsStandIn:
@@ -127,6 +145,9 @@
     'lost' (executed, response lost), 'late' (executed by ``run_late``) and 'silent'
     (not executed, no response).
 
+    ``stop_seconds`` is the time that a stop takes; the run keeps its resources until
+    then.
+
     A task with a crash delay in the ledger crashes the worker after that time of work;
     without a delay, the order to start it gets no response.
     """
@@ -136,7 +157,8 @@
         self.name = name
         self.machine = f"vm of {name}"
         self.ledger = ledger
-        self.cpu, self.memory = cpu, memory
+        self.capacity = Capacity(cpu, memory)
+        self.stop_seconds = 0.0
         self.rack = "r1-1"
         self.usage = 1.0
         self.faults = []
@@ -165,6 +187,8 @@
         self.ledger.forget_worker(self)
         self.down_until = 0.0
         self.crash_at_by_run = {}
+        self.stopped_at_by_run = {}
+        self.former_capacities = []
         self.born = next(self.incarnation_starts)
         self.started_at = self.clock.now()
         self.fence = 0
@@ -193,12 +217,39 @@
         """Return whether heartbeats of the worker reach its node."""
         return not (self.is_cut or self.is_gone or self.is_down)
 
+    def resize(self, **changes):
+        """Change the capacity of the running worker.
+
+        :param changes: New values of fields of ``Capacity``.
+        """
+        self.former_capacities.append((self.clock.now(), self.capacity))
+        self.capacity = replace(self.capacity, **changes)
+
+    def get_start_limit(self):
+        """Return the ``Capacity`` that starts may not exceed.
+
+        Reductions count once the scheduler has had the time to notice them.
+        """
+        noticed_since = self.clock.now() - REDUCTION_NOTICE_SECONDS
+        sizes = [size for at, size in self.former_capacities if at > noticed_since]
+        sizes.append(self.capacity)
+        return Capacity(
+            max(size.cpu for size in sizes),
+            max(size.memory for size in sizes),
+            max(size.accelerators for size in sizes),
+        )
+
     def update(self):
-        """Apply what is due: return after a crash, expired leases, crashes."""
+        """Apply what is due: return after a crash, expired leases, stops, crashes."""
         now = self.clock.now()
         if self.is_down and now >= self.down_until:
             self.begin_incarnation()
         self.end_runs_if_expired()
+        for (task, number), stopped_at in list(self.stopped_at_by_run.items()):
+            if now >= stopped_at:
+                del self.stopped_at_by_run[(task, number)]
+                if self.run_by_task.get(task) == number:
+                    self.finish(task, "stopped")
         if any(
             self.run_by_task.get(task) == number and now >= crash_at
             for (task, number), crash_at in self.crash_at_by_run.items()
@@ -297,7 +348,9 @@
             number, self.refused_up_to_number.get(task, 0)
         )
         if self.run_by_task.get(task) == number:
-            self.finish(task, "stopped")
+            stopped_at = self.clock.now() + self.stop_seconds
+            self.stopped_at_by_run.setdefault((task, number), stopped_at)
+            self.update()
         return Success(RunAccepted(self.clock_ms))
 
     def throttle(self, task, number, percent, fence):
@@ -357,9 +410,9 @@
             is_draining=self.is_draining,
             remaining=0.0,
             warmup=0.0,
-            cpu=self.cpu,
-            memory=self.memory,
-            accelerators=0,
+            cpu=self.capacity.cpu,
+            memory=self.capacity.memory,
+            accelerators=self.capacity.accelerators,
             machine=self.machine,
             labels=("a", self.rack),
             rack=self.rack,
--- a/tests/site/test_ledger_checks.py
+++ b/tests/site/test_ledger_checks.py
@@ -1,5 +1,7 @@
 """The checks of the ledger: each one fires on a violation and on nothing else."""
 
+from dataclasses import replace
+
 import pytest
 from returns.result import Failure, Success
 
@@ -7,11 +9,20 @@
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.ports.runner import RunOrder
 from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES, Ledger
-from standins.site import CRASH_SECONDS, SERVICE, RunnerStandIn
+from standins.site import (
+    CRASH_SECONDS,
+    REDUCTION_NOTICE_SECONDS,
+    SERVICE,
+    Capacity,
+    RunnerStandIn,
+)
 
 TASK = "job1.0.0.0"
 OTHER_TASK = "job1.0.0.1"
 RETRIES = 3
+CPU, MEMORY, ACCELERATORS = 8000, 2000, 2
+# Half of a worker with that capacity.
+HALF = Step(tasks=4, cpu=4000, memory=1000, accelerators=1)
 ALLOWED_STARTS = MAX_CRASHES + MAX_STARTS_AFTER_CRASHES - 1
 SECONDS_UNTIL_CRASH = 1.5
 
@@ -194,3 +205,108 @@
     runner.finish(TASK, "done")
     ledger.check_state("job1", "complete")
     assert ledger.problems
+
+
+@pytest.fixture
+def small_runner(ledger, runner):
+    """Return a worker that is full with two of the tasks."""
+    record_job(ledger, HALF)
+    runner.capacity = Capacity(CPU, MEMORY, ACCELERATORS)
+    return runner
+
+
+@pytest.mark.parametrize(
+    "surplus", [{"cpu": 4001}, {"memory": 1001}, {"accelerators": 2}]
+)
+def test_start_over_any_part_of_the_capacity_is_reported(ledger, small_runner, surplus):
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    assert ledger.problems == []
+    record_job(ledger, replace(HALF, **surplus))
+    small_runner.finish(TASK, "failed")
+    start(small_runner, 2)
+    assert len(ledger.problems) == 1
+
+
+@pytest.mark.parametrize(
+    ("seconds", "is_reported"),
+    [(REDUCTION_NOTICE_SECONDS - 0.1, False), (REDUCTION_NOTICE_SECONDS, True)],
+)
+@pytest.mark.parametrize(
+    "reduction", [{"cpu": 7999}, {"memory": 1999}, {"accelerators": 1}]
+)
+def test_start_over_a_reduced_capacity_is_reported_once_it_can_be_known(
+    clock, ledger, small_runner, seconds, is_reported, reduction
+):
+    start(small_runner, 1)
+    small_runner.resize(**reduction)
+    clock.advance(seconds)
+    start(small_runner, 1, OTHER_TASK)
+    assert bool(ledger.problems) == is_reported
+
+
+def test_each_of_several_reductions_counts_from_its_own_moment(
+    clock, ledger, small_runner
+):
+    small_runner.resize(cpu=4000)
+    clock.advance(REDUCTION_NOTICE_SECONDS - 0.1)
+    small_runner.resize(cpu=1000)
+    clock.advance(0.1)
+    start(small_runner, 1)
+    assert ledger.problems == []
+    start(small_runner, 1, OTHER_TASK)
+    assert len(ledger.problems) == 1
+
+
+def test_capacity_that_grew_again_may_be_used_at_once(clock, ledger, small_runner):
+    start(small_runner, 1)
+    small_runner.resize(cpu=4000)
+    clock.advance(2 * REDUCTION_NOTICE_SECONDS)
+    small_runner.resize(cpu=CPU)
+    start(small_runner, 1, OTHER_TASK)
+    assert ledger.problems == []
+
+
+def test_runs_that_keep_running_on_a_reduced_worker_are_allowed(
+    clock, ledger, small_runner
+):
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    small_runner.resize(cpu=1000, memory=500, accelerators=0)
+    clock.advance(REDUCTION_NOTICE_SECONDS)
+    small_runner.update()
+    assert ledger.problems == []
+
+
+def test_best_effort_task_uses_memory_but_no_processors(ledger, small_runner):
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    record_job(ledger, Step(tasks=3, cpu=4000, is_filling=True))
+    start(small_runner, 1, "job1.0.0.2")
+    assert ledger.problems == []
+    record_job(ledger, replace(HALF, is_filling=True, accelerators=0))
+    start(small_runner, 1, "job1.0.0.3")
+    assert len(ledger.problems) == 1
+
+
+def test_run_that_is_being_stopped_uses_capacity(clock, ledger, small_runner):
+    small_runner.stop_seconds = 0.5
+    for task in (TASK, OTHER_TASK):
+        start(small_runner, 1, task)
+    small_runner.stop(TASK, 1, 1)
+    clock.advance(0.4)
+    start(small_runner, 1, "job1.0.0.2")
+    assert ledger.problems
+    ledger.problems.clear()
+    small_runner.finish("job1.0.0.2", "failed")
+    clock.advance(0.1)
+    start(small_runner, 2, "job1.0.0.2")
+    assert ledger.problems == []
+
+
+def test_capacity_of_a_new_incarnation_counts_at_once(ledger, small_runner):
+    small_runner.resize(cpu=4000)
+    small_runner.restart()
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    assert len(ledger.problems) == 1
