--- a/soak/servers.py
+++ b/soak/servers.py
@@ -280,7 +280,10 @@
                 "state": "draining" if report.is_draining else "ready",
                 "born": report.incarnation.started_ms,
                 "seq": self._sequence,
-                "capacity": {"cpu": self.runner.cpu, "mem_mb": self.runner.memory},
+                "capacity": {
+                    "cpu": self.runner.capacity.cpu,
+                    "mem_mb": self.runner.capacity.memory,
+                },
                 "labels": list(report.labels),
             }
             self._send(f"/instances/{report.incarnation.worker}", json.dumps(body))
--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,183 @@
+"""History of the runs on all simulated workers, checked against the guarantees."""
+
+from collections import Counter
+
+# A task may be given up once this many workers have crashed under it.
+CRASHES_TO_GIVE_UP = 2
+# After this many crashes, a task that crashes workers may be started fewer than
+# ``MAX_STARTS_AFTER_CRASHES`` times more.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
+# Names of the state of a finished job, to callers and within the system.
+COMPLETE_STATES = ("complete", "done")
+# Field of ``Capacity`` that limits each field of ``Step``.
+LIMITED_BY_STEP_FIELD = {
+    "reserved_cpu": "cpu",
+    "memory": "memory",
+    "accelerators": "accelerators",
+}
+
+
+class Ledger:
+    """History of all workers' runs; ``problems`` lists violated guarantees."""
+
+    def __init__(self):
+        self.spec_by_job = {}
+        self.live = {}
+        self.done = set()
+        self.acknowledged_done = set()
+        self.failed_ends_by_task = {}
+        self.failed_runs_by_task = {}
+        self.crash_delay_by_name = {}
+        self.crashes_by_task = {}
+        self.starts_after_crashes_by_task = Counter()
+        self.starts = []
+        self.problems = []
+
+    def record_job(self, spec):
+        """Record a submitted job."""
+        self.spec_by_job[spec.job_id] = spec
+
+    def get_step(self, task):
+        """Return the ``Step`` of a task."""
+        job, _, step, _ = task.split(".")
+        return self.spec_by_job[job].steps[int(step)]
+
+    def record_start(self, runner, task, number):
+        """Record the start of a run and check the scheduling guarantees."""
+        self.starts.append((task, number, runner.name))
+        others = [key for key in self.live if key[1] == task]
+        if len(others) >= (2 if self.get_step(task).is_speculative else 1):
+            self.problems.append(f"{task} runs twice: {others} and {runner.name}")
+        if task in self.acknowledged_done:
+            self.problems.append(f"{task} started after its end was acknowledged")
+        self._check_step_order(task)
+        self._check_retry_limit(task)
+        self._check_crash_limit(task)
+        self.live[(runner.name, task)] = number
+        self._check_capacity(runner, self.get_step(task))
+
+    def _check_capacity(self, runner, started_step):
+        """Check the capacity of a worker, which runs being stopped use as well."""
+        limit = runner.get_start_limit()
+        steps = [self.get_step(task) for name, task in self.live if name == runner.name]
+        for field, limited in LIMITED_BY_STEP_FIELD.items():
+            used = sum(getattr(step, field) for step in steps)
+            available = getattr(limit, limited)
+            if getattr(started_step, field) and used > available:
+                self.problems.append(
+                    f"{runner.name} holds {used} of {available} {limited}"
+                )
+
+    def _check_step_order(self, task):
+        job, occurrence, step, _ = task.split(".")
+        steps = self.spec_by_job[job].steps
+        for earlier in steps[int(step)].after:
+            names = [
+                f"{job}.{occurrence}.{earlier}.{index}"
+                for index in range(steps[earlier].tasks)
+            ]
+            ended = [name in self.done for name in names]
+            is_done = any(ended) if steps[earlier].is_gang else all(ended)
+            if not is_done:
+                self.problems.append(f"{task} started before step {earlier} was done")
+
+    def _check_retry_limit(self, task):
+        """Check the retry limit, counting acknowledged failures only."""
+        failed = self.failed_runs_by_task.get(task, set())
+        retries = self.spec_by_job[task.split(".")[0]].retries
+        if len(failed) >= retries and not self.get_step(task).is_lasting:
+            self.problems.append(f"{task} started after it failed {len(failed)} times")
+
+    def record_crashing(self, name, delay=0.0):
+        """Record that a task, or all tasks of a job, crash the workers they run on.
+
+        :param name: Name of the task, or identifier of the job.
+        :param delay: Time of work after which the worker crashes, in seconds.
+        """
+        self.crash_delay_by_name[name] = delay
+
+    def get_crash_delay(self, task):
+        """Return the crash delay of a task, in seconds; None for a harmless task."""
+        job = task.split(".")[0]
+        return self.crash_delay_by_name.get(task, self.crash_delay_by_name.get(job))
+
+    def record_crash(self, runner):
+        """Record that a worker crashed under all its runs."""
+        for name, task in self.live:
+            if name == runner.name:
+                crashes = self.crashes_by_task.setdefault(task, set())
+                crashes.add((runner.name, runner.born))
+
+    def _check_crash_limit(self, task):
+        crashes = len(self.crashes_by_task.get(task, ()))
+        if self.get_crash_delay(task) is None or crashes < MAX_CRASHES:
+            return
+        self.starts_after_crashes_by_task[task] += 1
+        if self.starts_after_crashes_by_task[task] >= MAX_STARTS_AFTER_CRASHES:
+            self.problems.append(f"{task} started after it crashed {crashes} workers")
+
+    def could_fail(self, job):
+        """Return whether a task of a job may have been given up.
+
+        Either its retries are used up, or workers crashed under it. A gang fails
+        whenever one of its members does.
+        """
+        failed_ends_by_name = {}
+        for task, runs in self.failed_ends_by_task.items():
+            is_gang = self.get_step(task).is_gang
+            name = task.rsplit(".", 1)[0] if is_gang else task
+            failed_ends_by_name.setdefault(name, set()).update(runs)
+        retries = self.spec_by_job[job].retries
+        return any(
+            len(runs) >= retries
+            for name, runs in failed_ends_by_name.items()
+            if name.split(".")[0] == job
+        ) or any(
+            len(crashes) >= CRASHES_TO_GIVE_UP
+            for task, crashes in self.crashes_by_task.items()
+            if task.split(".")[0] == job
+        )
+
+    def check_state(self, job, state):
+        """Check the state of a job that is shown to callers."""
+        if state == "failed" and not self.could_fail(job):
+            self.problems.append(f"{job} is shown as failed without cause")
+        if state in COMPLETE_STATES and not self.is_complete(job):
+            self.problems.append(f"{job} is shown as complete too early")
+
+    def is_complete(self, job):
+        """Return whether all tasks of a job are done; one of a gang is enough."""
+        spec = self.spec_by_job[job]
+        return all(
+            (any if step.is_gang else all)(
+                f"{job}.{occurrence}.{number}.{index}" in self.done
+                for index in range(step.tasks)
+            )
+            for occurrence in range(max(1, spec.repeats))
+            for number, step in enumerate(spec.steps)
+        )
+
+    def has_disruption_limit(self, task):
+        """Return whether the task's step limits how many tasks may be missing."""
+        return self.get_step(task).may_miss >= 0
+
+    def record_completion(self, runner, task, number, outcome):
+        """Record the end of a run."""
+        self.live.pop((runner.name, task), None)
+        if outcome == "done":
+            self.done.add(task)
+        if outcome == "failed":
+            self.failed_ends_by_task.setdefault(task, set()).add(number)
+
+    def record_acknowledgement(self, end):
+        """Record that a completion was acknowledged."""
+        if end.outcome == "done":
+            self.acknowledged_done.add(end.task)
+        if end.outcome == "failed":
+            self.failed_runs_by_task.setdefault(end.task, set()).add(end.number)
+
+    def forget_worker(self, runner):
+        """Drop all live runs of a worker."""
+        for key in [key for key in self.live if key[0] == runner.name]:
+            del self.live[key]
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,10 +1,11 @@
-"""In-memory row store and worker of the users' platform, with a history checker.
+"""In-memory row store and worker of the users' platform.
 
 They follow the platform's documented rules and use no network; tests call them in one
 thread, the soak serves them over HTTP.
 """
 
 import itertools
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
 
@@ -30,6 +31,25 @@
 LONGEST_HOLD_SECONDS = 6.0
 # The worker's clock runs this much slower than true time.
 WORKER_DRIFT = 0.02
+# Time for which a crashed worker refuses connections, in seconds.
+CRASH_SECONDS = 3.0
+# A reduced capacity limits starts only after this time, in seconds: 3 s of contact and
+# one heartbeat.
+REDUCTION_NOTICE_SECONDS = 3.0 + 1.1
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Capacity of a worker.
+
+    :param cpu: Processors, in thousandths.
+    :param memory: Memory, in MB.
+    :param accelerators: Number of accelerators.
+    """
+
+    cpu: int
+    memory: int
+    accelerators: int = 0
 
 
 class RowsStandIn:
@@ -125,6 +145,12 @@
     ``throttle_faults`` lists those of the next throttle orders. Faults are 'ok' (none),
     'lost' (executed, response lost), 'late' (executed by ``run_late``) and 'silent'
     (not executed, no response).
+
+    ``stop_seconds`` is the time that a stop takes; the run keeps its resources until
+    then.
+
+    A task with a crash delay in the ledger crashes the worker after that time of work;
+    without a delay, the order to start it gets no response.
     """
 
     def __init__(self, clock, name, ledger, cpu=16000, memory=64000):
@@ -132,7 +158,8 @@
         self.name = name
         self.machine = f"vm of {name}"
         self.ledger = ledger
-        self.cpu, self.memory = cpu, memory
+        self.capacity = Capacity(cpu, memory)
+        self.stop_seconds = 0.0
         self.rack = "r1-1"
         self.usage = 1.0
         self.faults = []
@@ -142,12 +169,27 @@
         self.is_cut = False
         self.is_gone = False
         self.is_draining = False
+        self.down_until = 0.0
         self.incarnation_starts = itertools.count(1_000_000 + 1000 * hash(name) % 977)
+        self.begin_incarnation()
+
+    def crash(self, seconds=CRASH_SECONDS):
+        """Lose all state and refuse connections for some seconds."""
         self.restart()
+        self.down_until = self.clock.now() + seconds
 
     def restart(self):
+        """Crash, and start a new incarnation at once."""
+        self.ledger.record_crash(self)
+        self.begin_incarnation()
+
+    def begin_incarnation(self):
         """Start a new incarnation without any state."""
         self.ledger.forget_worker(self)
+        self.down_until = 0.0
+        self.crash_at_by_run = {}
+        self.stopped_at_by_run = {}
+        self.former_capacities = []
         self.born = next(self.incarnation_starts)
         self.started_at = self.clock.now()
         self.fence = 0
@@ -166,6 +208,55 @@
         """Return the time of the worker's clock, in milliseconds."""
         return int((self.clock.now() - self.started_at) * 1000 * (1 - WORKER_DRIFT))
 
+    @property
+    def is_down(self):
+        """Return whether the worker has crashed and is not back yet."""
+        return self.down_until > 0.0
+
+    @property
+    def is_sending_heartbeats(self):
+        """Return whether heartbeats of the worker reach its node."""
+        return not (self.is_cut or self.is_gone or self.is_down)
+
+    def resize(self, **changes):
+        """Change the capacity of the running worker.
+
+        :param changes: New values of fields of ``Capacity``.
+        """
+        self.former_capacities.append((self.clock.now(), self.capacity))
+        self.capacity = replace(self.capacity, **changes)
+
+    def get_start_limit(self):
+        """Return the ``Capacity`` that starts may not exceed.
+
+        Reductions count once the scheduler has had the time to notice them.
+        """
+        noticed_since = self.clock.now() - REDUCTION_NOTICE_SECONDS
+        sizes = [size for at, size in self.former_capacities if at > noticed_since]
+        sizes.append(self.capacity)
+        return Capacity(
+            max(size.cpu for size in sizes),
+            max(size.memory for size in sizes),
+            max(size.accelerators for size in sizes),
+        )
+
+    def update(self):
+        """Apply what is due: return after a crash, expired leases, stops, crashes."""
+        now = self.clock.now()
+        if self.is_down and now >= self.down_until:
+            self.begin_incarnation()
+        self.end_runs_if_expired()
+        for (task, number), stopped_at in list(self.stopped_at_by_run.items()):
+            if now >= stopped_at:
+                del self.stopped_at_by_run[(task, number)]
+                if self.run_by_task.get(task) == number:
+                    self.finish(task, "stopped")
+        if any(
+            self.run_by_task.get(task) == number and now >= crash_at
+            for (task, number), crash_at in self.crash_at_by_run.items()
+        ):
+            self.crash()
+
     def end_runs_if_expired(self):
         """End all runs once the lease has expired.
 
@@ -187,8 +278,8 @@
         self.ledger.record_completion(self, task, number, outcome)
 
     def _check_reachable(self):
-        self.end_runs_if_expired()
-        if self.is_gone:
+        self.update()
+        if self.is_gone or self.is_down:
             return Failure(WorkerFailure("refused", is_certain=True))
         if self.is_cut:
             return Failure(WorkerFailure("silent", is_certain=False))
@@ -218,11 +309,11 @@
         """Execute the delayed calls."""
         late, self.late = self.late, []
         for order, lease_end_ms, fence, born in late:
-            if born == self.born:
+            if born == self.born and not self.is_down:
                 self._start(order, lease_end_ms, fence)
         late_throttles, self.late_throttles = self.late_throttles, []
         for task, number, percent, fence, born in late_throttles:
-            if born == self.born:
+            if born == self.born and not self.is_down:
                 self._throttle(task, number, percent, fence)
 
     def _start(self, order, lease_end_ms, fence):
@@ -240,6 +331,13 @@
         self.run_by_task[order.task] = order.number
         self.started_at_by_run[(order.task, order.number)] = self.clock.now()
         self.ledger.record_start(self, order.task, order.number)
+        delay = self.ledger.get_crash_delay(order.task)
+        if delay is not None:
+            crash_at = self.clock.now() + delay
+            self.crash_at_by_run[(order.task, order.number)] = crash_at
+            self.update()
+        if self.is_down:
+            return Failure(WorkerFailure("silent", is_certain=False))
         return Success(RunAccepted(self.clock_ms))
 
     def stop(self, task, number, fence):
@@ -251,7 +349,9 @@
             number, self.refused_up_to_number.get(task, 0)
         )
         if self.run_by_task.get(task) == number:
-            self.finish(task, "stopped")
+            stopped_at = self.clock.now() + self.stop_seconds
+            self.stopped_at_by_run.setdefault((task, number), stopped_at)
+            self.update()
         return Success(RunAccepted(self.clock_ms))
 
     def throttle(self, task, number, percent, fence):
@@ -311,103 +411,10 @@
             is_draining=self.is_draining,
             remaining=0.0,
             warmup=0.0,
-            size=build_worker_size(self.cpu, self.memory),
+            size=build_worker_size(
+                self.capacity.cpu, self.capacity.memory, self.capacity.accelerators
+            ),
             machine=self.machine,
             labels=("a", self.rack),
             rack=self.rack,
         )
-
-
-class Ledger:
-    """History of all workers' runs; ``problems`` lists violated guarantees."""
-
-    def __init__(self):
-        self.spec_by_job = {}
-        self.live = {}
-        self.done = set()
-        self.acknowledged_done = set()
-        self.failed_ends_by_task = {}
-        self.failed_runs_by_task = {}
-        self.starts = []
-        self.problems = []
-
-    def record_job(self, spec):
-        """Record a submitted job."""
-        self.spec_by_job[spec.job_id] = spec
-
-    def get_step(self, task):
-        """Return the ``Step`` of a task."""
-        job, _, step, _ = task.split(".")
-        return self.spec_by_job[job].steps[int(step)]
-
-    def record_start(self, runner, task, number):
-        """Record the start of a run and check the scheduling guarantees."""
-        self.starts.append((task, number, runner.name))
-        others = [key for key in self.live if key[1] == task]
-        if len(others) >= (2 if self.get_step(task).is_speculative else 1):
-            self.problems.append(f"{task} runs twice: {others} and {runner.name}")
-        if task in self.acknowledged_done:
-            self.problems.append(f"{task} started after its end was acknowledged")
-        self._check_step_order(task)
-        self._check_retry_limit(task)
-        self.live[(runner.name, task)] = number
-        used = sum(
-            self.get_step(task).reserved_cpu
-            for name, task in self.live
-            if name == runner.name
-        )
-        if used > runner.cpu:
-            self.problems.append(f"{runner.name} holds {used} of {runner.cpu}")
-
-    def _check_step_order(self, task):
-        job, occurrence, step, _ = task.split(".")
-        steps = self.spec_by_job[job].steps
-        for earlier in steps[int(step)].after:
-            names = [
-                f"{job}.{occurrence}.{earlier}.{index}"
-                for index in range(steps[earlier].tasks)
-            ]
-            ended = [name in self.done for name in names]
-            is_done = any(ended) if steps[earlier].is_gang else all(ended)
-            if not is_done:
-                self.problems.append(f"{task} started before step {earlier} was done")
-
-    def _check_retry_limit(self, task):
-        """Check the retry limit, counting acknowledged failures only."""
-        failed = self.failed_runs_by_task.get(task, set())
-        retries = self.spec_by_job[task.split(".")[0]].retries
-        if len(failed) >= retries and not self.get_step(task).is_lasting:
-            self.problems.append(f"{task} started after it failed {len(failed)} times")
-
-    def could_fail(self, job):
-        """Return whether a task of a job has used up its retries."""
-        retries = self.spec_by_job[job].retries
-        return any(
-            len(runs) >= retries
-            for task, runs in self.failed_ends_by_task.items()
-            if task.split(".")[0] == job
-        )
-
-    def has_disruption_limit(self, task):
-        """Return whether the task's step limits how many tasks may be missing."""
-        return self.get_step(task).may_miss >= 0
-
-    def record_completion(self, runner, task, number, outcome):
-        """Record the end of a run."""
-        self.live.pop((runner.name, task), None)
-        if outcome == "done":
-            self.done.add(task)
-        if outcome == "failed":
-            self.failed_ends_by_task.setdefault(task, set()).add(number)
-
-    def record_acknowledgement(self, end):
-        """Record that a completion was acknowledged."""
-        if end.outcome == "done":
-            self.acknowledged_done.add(end.task)
-        if end.outcome == "failed":
-            self.failed_runs_by_task.setdefault(end.task, set()).add(end.number)
-
-    def forget_worker(self, runner):
-        """Drop all live runs of a worker."""
-        for key in [key for key in self.live if key[0] == runner.name]:
-            del self.live[key]
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -38,11 +38,11 @@
     Expect,
 )
 from bergamotshore.utils.eventlog import EventLog
+from standins.ledger import Ledger
 from standins.machines import MachinesStandIn
 from standins.site import (
     LONGEST_HOLD_SECONDS,
     SERVICE,
-    Ledger,
     RowsStandIn,
     RunnerStandIn,
 )
@@ -266,8 +266,7 @@
         self.peers = set()
         self.runner = runner
         self.is_receiving_heartbeats = lambda: (
-            not (runner.is_cut or runner.is_gone)
-            and name not in simulation.without_heartbeats
+            runner.is_sending_heartbeats and name not in simulation.without_heartbeats
         )
         self.run_manager = RunManager(
             runner,
@@ -397,7 +396,7 @@
                 process.step()
         self._deliver()
         for runner in self.runner_by_node.values():
-            runner.end_runs_if_expired()
+            runner.update()
 
     def _list_unpaused(self):
         processes = [*self.entry_by_name.values(), *self.node_by_name.values()]
@@ -445,7 +444,9 @@
 
     def get_state(self, job_id, queue="queue"):
         """Return the job state that is shown to callers."""
-        return self.rows.get_state(queue, job_id).unwrap()
+        state = self.rows.get_state(queue, job_id).unwrap()
+        self.ledger.check_state(job_id, state)
+        return state
 
     def settle(self):
         """Remove all faults and run until the processes have recovered."""
--- a/tests/site/test_worker_size.py
+++ b/tests/site/test_worker_size.py
@@ -83,7 +83,7 @@
 # Guards against an entry that ends by a worker that has no processors left.
 def test_a_worker_that_shrank_to_nothing_keeps_its_runs_and_gets_no_others(colocated):
     node = find_shared_node(colocated)
-    colocated.runner_by_node[node].cpu = 0
+    colocated.runner_by_node[node].resize(cpu=0)
     running = colocated.running
     colocated.advance(1.0)
     colocated.submit("other", (SHORT,))
