Release claims that no longer fit when their orders are due

What callers could see: LIMIT, a start that brings a worker over its capacity.

Cause: a claim was checked against the size of the worker when it was made, and its order was sent once the claim was written, which takes as long as the store makes it: a partition of the store may be away for seconds while the lease of the scheduling entry is renewed in another one. A size that shrank meanwhile was not looked at again.

Change: when the order is due, the worker must have room for all that is allocated on it. Claims are released one by one until it has (no-room), and all of them while the worker lists runs that nobody knows (unknown-runs).

Runs that have started go on, also on a worker that has become too small.

--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -201,6 +201,16 @@
             self.used_accelerators + step.accelerators,
         )
 
+    @property
+    def is_overcommitted(self):
+        """Return whether its runs reserve more than it has; its size is known.
+
+        A worker may shrink while tasks run on it. They run on, but none is started.
+        """
+        return not self.size.covers(
+            self.used_cpu, self.used_memory, self.used_accelerators
+        )
+
     def could_fit(self, step):
         """Return whether the worker could run a task of a step if it were empty."""
         return (
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -73,6 +73,10 @@
         progress = self._board.job_by_key.get(allocation.ref.job)
         if worker.size is None:
             return "size-unknown"
+        if worker.unknown_runs:
+            return "unknown-runs"
+        if worker.is_overcommitted:
+            return "no-room"
         if worker.stream is None or worker.incarnation.started_ms != allocation.born:
             return "node-away"
         if worker.is_draining:
--- a/tests/site/test_worker_size.py
+++ b/tests/site/test_worker_size.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bergamotshore.core.work.cluster import ClusterState
-from bergamotshore.core.work.model import JobSpec, Step, TaskRef
+from bergamotshore.core.work.model import JobSpec, Step, TaskRef, WorkerSize
 from bergamotshore.core.work.site import SiteState
 from bergamotshore.entry.orders import OrderSender
 from bergamotshore.utils.eventlog import EventLog
@@ -135,3 +135,38 @@
     assert worker.stream.orders == []
     assert [item.outcome for item in cluster.pop_new_outcomes()] == ["size-unknown"]
     assert worker.best_effort_tasks == 0
+
+
+# Guards against starts that exceed a worker which shrank while their claims waited to
+# be written, such as during an outage of one partition of the store.
+@pytest.mark.parametrize("size", [WorkerSize(2900, 64000), WorkerSize(16000, 99)])
+def test_claims_that_no_longer_fit_are_released(claimed, size):
+    cluster, worker, sender = claimed
+    worker.size = size
+    sender.send_claims(lambda key, revision: True, "", 2.0)
+    assert worker.stream.orders == []
+    assert [item.outcome for item in cluster.pop_new_outcomes()] == ["no-room"]
+
+
+# Guards against a release of all claims on a worker that has room for some of them.
+def test_only_as_many_claims_are_released_as_do_not_fit(claimed):
+    cluster, worker, sender = claimed
+    progress = cluster.add_job(
+        JobSpec("queue", "more", SERVICE, "p", (Step(tasks=4, cpu=4000),), 3)
+    )
+    progress.open_due_occurrences(1.0)
+    for index in range(3):
+        cluster.claim(TaskRef(progress.key, 0, 0, index), worker, 1.0)
+    worker.size = WorkerSize(11000, 64000)
+    sender.send_claims(lambda key, revision: True, "", 2.0)
+    (order,) = worker.stream.orders
+    assert [name for name, *_ in order.starts] == ["more.0.0.1", "more.0.0.2"]
+    assert worker.used_cpu == 11000
+
+
+# Guards against starts beside runs whose resources nobody knows.
+def test_claims_on_a_worker_with_unknown_runs_are_released(claimed):
+    cluster, worker, sender = claimed
+    worker.unknown_runs = {("other.0.0.0", 1)}
+    sender.send_claims(lambda key, revision: True, "", 2.0)
+    assert worker.stream.orders == []
