Let a node refuse starts that its worker may have no room for

What callers could see: LIMIT, a start that brings a worker over its capacity.

A new size takes this way: the worker says it with a heartbeat each 1.1 s, the node passed it on with the next list of runs (0.4 s), the scheduling entry plans by it. An order takes the way back: up to 1.5 s old when the node reads it, queued behind calls without an answer, 1.5 s for the call itself.

- an order that waits at its node was checked for its age, its life and the right, not for room;
- a node went on with the last heartbeat however old it was: a heartbeat that is lost, or one that was delayed and arrives after the freeze of its node.

Change: orders say what all runs of the worker reserve, the ordered ones included, as far as the scheduling entry knows; that counts runs that are being stopped and orders without an answer. The node compares it with the last report, at the order and again right before the call, and refuses, truly not run (no-room; size-unknown). A size is known for 3 s after it was reported, counted by the worker's own clock in the report; afterwards the node reports none and nothing is planned there. A change of size is reported at once.

What stays open: a start that a worker carries out later than its node waits for an answer (the fence makes it void with the next call), and a worker that restarts smaller in the moment between the check and the call under its name.

--- a/src/bergamotshore/core/work/suspicion.py
+++ b/src/bergamotshore/core/work/suspicion.py
@@ -12,9 +12,9 @@
 FAILED = "failed"
 STUCK = "stuck"
 SUCCESSFUL = {"done"}
-# Refusals by which a worker reports itself unhealthy or full; they lead to a short
-# quarantine.
-REFUSALS = {"busy", "room"}
+# Refusals by which a worker reports itself unhealthy or full, or its node finds it too
+# small; they lead to a short quarantine.
+REFUSALS = {"busy", "room", "no-room"}
 REFUSAL_QUARANTINE_SECONDS = 0.5
 
 
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -109,6 +109,11 @@
                 echo=worker.stream.peer_clock,
                 born=worker.incarnation.started_ms,
                 starts=starts,
+                reserved=(
+                    worker.used_cpu,
+                    worker.used_memory,
+                    worker.used_accelerators,
+                ),
                 payload_by_job=payload_by_job,
                 stops=orders.stops,
                 paces=orders.paces,
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -9,6 +9,7 @@
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
+from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
 from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
 
@@ -71,6 +72,7 @@
         self.registry = registry
         self.log = log
         self.worker_report = None
+        self._reported_size = ReportedSize()
         self.incarnation = 0
         self.is_answering = False
         self.running = []
@@ -110,13 +112,23 @@
             if is_other_incarnation or is_out_of_order:
                 return
             previous, self.worker_report = self.worker_report, report
-        if previous is None or previous.is_draining != report.is_draining:
+            self._reported_size.record(report, self.clock.now())
+        is_new = previous is None or previous.is_draining != report.is_draining
+        has_new_size = previous is None or previous.size != report.size
+        if has_new_size:
+            self.log.write(
+                "worker-sized",
+                report.incarnation.worker,
+                size=_encode_size(report.size),
+            )
+        if is_new:
             self.log.write(
                 "worker-reported",
                 report.incarnation.worker,
                 born=report.incarnation.started_ms,
                 draining=report.is_draining,
             )
+        if is_new or has_new_size:
             self.on_change()
 
     def accept_orders(self, orders):
@@ -196,7 +208,17 @@
             return "other-life"
         if self.grant.get_remaining(now) < MIN_LEASE_SECONDS:
             return "no-right"
-        return ""
+        return self._find_lack_of_room(orders.reserved, now)
+
+    def _find_lack_of_room(self, reserved, now):
+        """Return why the worker may lack room for all its runs; empty if it has it.
+
+        :param reserved: Processors, memory and accelerators of all its runs.
+        """
+        size = self._reported_size.get(now)
+        if size is None:
+            return "size-unknown"
+        return "" if size.covers(*reserved) else "no-room"
 
     def _report_outcome(self, task, number, outcome):
         self.registry.count("run_orders_total", outcome=outcome)
@@ -324,6 +346,7 @@
             if not self.is_answering:
                 self.log.write("worker-answers", "worker", born=listing.started_ms)
             self._worker_clock_reading = (now, listing.clock_ms)
+            self._reported_size.record_clock(sent_at, listing.clock_ms)
             self._refused_connections, self._is_worker_down = 0, False
             self.is_answering = True
             listed_keys = {(run.task, run.number) for run in listing.running}
@@ -384,6 +407,7 @@
                     and self.worker_report.incarnation.started_ms != self.incarnation
                 ):
                     self.worker_report = None
+                    self._reported_size = ReportedSize()
                 self.log.write("worker-life", "worker", born=self.incarnation)
                 return True
             self._candidate_incarnation = (listing.started_ms, True)
@@ -421,7 +445,7 @@
             is_lapsed=is_lapsed,
             has_right=self.grant.get_remaining(now) > MIN_LEASE_SECONDS,
             service=report.service if report is not None else "",
-            size=_encode_size(report.size) if report is not None else None,
+            size=_encode_size(self._reported_size.get(now)),
             labels=list(report.labels) if report is not None else [],
             rack=report.rack if report is not None else "",
             machine=report.machine if report is not None else "",
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -64,7 +64,7 @@
     ``warmup_left_ms`` counts down to 0 after a start. ``remaining_ms`` is the minimum
     time left while draining. ``labels`` are the worker's kind and its rack, in this
     order. ``born`` is the start time of its incarnation, ``seq`` the number of the
-    report.
+    report, ``clock_ms`` the worker's clock.
     """
 
     service: str
@@ -75,6 +75,7 @@
     version: str = ""
     machine: str = ""
     seq: int = 0
+    clock_ms: int | None = None
     slots: int = 0
     warmup_left_ms: float = 0
     remaining_ms: float = 0
@@ -250,6 +251,7 @@
             rack=report.labels[1] if len(report.labels) > 1 else "",
             machine=report.machine,
             sequence=report.seq,
+            clock_ms=report.clock_ms,
         )
     )
 
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -146,6 +146,8 @@
     :param rack: Rack of the worker; empty when not reported.
     :param machine: VM that the worker runs on; empty when not reported.
     :param sequence: Sequence number among its reports.
+    :param clock_ms: Clock of the worker when it made the report, in milliseconds; None
+        when not reported.
     """
 
     incarnation: WorkerIncarnation
@@ -160,6 +162,7 @@
     rack: str = ""
     machine: str = ""
     sequence: int = 0
+    clock_ms: int | None = None
 
 
 class Runner(Protocol):
--- a/standins/site.py
+++ b/standins/site.py
@@ -417,4 +417,5 @@
             machine=self.machine,
             labels=("a", self.rack),
             rack=self.rack,
+            clock_ms=self.clock_ms,
         )
--- a/tests/site/test_speed_limits.py
+++ b/tests/site/test_speed_limits.py
@@ -64,6 +64,7 @@
         echo=node.clock.now(),
         born=node.runner.born,
         starts=[],
+        reserved=(0, 0, 0),
         payload_by_job={},
         stops=[],
         paces=[(*RUN, percent)],
