Validate what a worker lists and reports, its size included

What callers could see: a node that ends by one odd row in the list of its worker's runs (ValueError, IndexError or TypeError in _decode_run, in the thread that renews the lease); a worker that counts as empty of processors after a report without capacity from another writer; a negative size, which no entry takes and which closes the stream of the node each time.

Change: rows of runs are decoded by type, counts and amounts are bounded. A list with an odd row counts as no answer of the worker: dropping the row would show its run as absent. A report without a capacity, or with one that isn't an amount, is refused, and the former one holds; fractions are cut.

--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -1,7 +1,7 @@
 """Client of the platform's workers, and the format of their heartbeats."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Success
@@ -21,6 +21,9 @@
 
 HEARTBEAT_PATH = "/instances/"
 REASON_BY_STATUS = {400: "invalid", 421: "other-life", 429: "busy", 503: "busy"}
+# Numbers from outside are bounded, so that they can be passed on in messages.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 STATE_DRAINING = "draining"
 WORKER_STATES = {"ready", STATE_DRAINING}
 
@@ -36,26 +39,35 @@
     born: int = 0
 
 
+class WireRun(msgspec.Struct, frozen=True, array_like=True):
+    """Row of a run; ``usage`` is its tail latency or the processors in use."""
+
+    task: str
+    run: Count
+    checkpoint: str | None
+    percent: Amount
+    usage: Amount | None = None
+
+
 class WireListing(msgspec.Struct, frozen=True):
-    """Answer to ``/hold``; rows are arrays.
+    """Answer to ``/hold``.
 
-    ``running``: task, run, checkpoint, percent, and tail latency or processors in use.
-    ``finished``: sequence number, task, run, outcome, checkpoint.
+    Rows of ``finished``: sequence number, task, run, outcome, checkpoint.
     ``born`` is the start time of the worker's incarnation.
     """
 
-    clock_ms: int
-    running: list[list[Any]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
-    born: int = 0
+    clock_ms: Count
+    running: list[WireRun] = []
+    finished: list[tuple[Count, str, Count, str, str]] = []
+    born: Count = 0
 
 
 class WireCapacity(msgspec.Struct, frozen=True):
     """Resources of a worker; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class WireReport(msgspec.Struct, frozen=True):
@@ -70,16 +82,16 @@
     service: str
     zone: str
     state: str
-    born: int = 0
+    capacity: WireCapacity
+    born: Count = 0
     addr: str = ""
     version: str = ""
     machine: str = ""
-    seq: int = 0
-    clock_ms: int | None = None
+    seq: Count = 0
+    clock_ms: float | None = None
     slots: int = 0
     warmup_left_ms: float = 0
     remaining_ms: float = 0
-    capacity: WireCapacity = WireCapacity()
     labels: list[str] = []
 
 
@@ -217,8 +229,9 @@
 
 
 def _decode_run(row):
-    usage = row[4] if len(row) > 4 and row[4] is not None else 0
-    return ListedRun(str(row[0]), int(row[1]), row[2] or "", int(row[3]), float(usage))
+    return ListedRun(
+        row.task, row.run, row.checkpoint or "", int(row.percent), row.usage or 0.0
+    )
 
 
 def decode_report(worker, body):
@@ -245,7 +258,9 @@
             remaining=report.remaining_ms / 1000,
             warmup=report.warmup_left_ms / 1000,
             size=build_worker_size(
-                report.capacity.cpu, report.capacity.mem_mb, report.capacity.gpu
+                int(report.capacity.cpu),
+                int(report.capacity.mem_mb),
+                int(report.capacity.gpu),
             ),
             labels=tuple(report.labels),
             rack=report.labels[1] if len(report.labels) > 1 else "",
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -162,7 +162,7 @@
     rack: str = ""
     machine: str = ""
     sequence: int = 0
-    clock_ms: int | None = None
+    clock_ms: float | None = None
 
 
 class Runner(Protocol):
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.platform.runner import PlatformRunner
-from bergamotshore.ports.runner import Acknowledgement
+from bergamotshore.ports.runner import Acknowledgement, ListedRun
 
 TIMEOUT_SECONDS = 2.0
 FORMER_MS = 1_000
@@ -26,6 +26,7 @@
         super().__init__(("127.0.0.1", 0), Handler)
         self.started_ms = FORMER_MS
         self.acknowledged_by_incarnation = {FORMER_MS: [], CURRENT_MS: []}
+        self.running = []
         self._sockets = []
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
@@ -46,7 +47,7 @@
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
-    """Answer each call with an empty listing."""
+    """Answer each call with the listing of the server."""
 
     protocol_version = "HTTP/1.1"
 
@@ -56,7 +57,9 @@
         acknowledged = self.server.acknowledged_by_incarnation[started_ms]
         acknowledged.append(request["ack_cursor"])
         listing = {"clock_ms": 1, "born": started_ms}
-        body = json.dumps({**listing, "running": [], "finished": []}).encode()
+        body = json.dumps(
+            {**listing, "running": self.server.running, "finished": []}
+        ).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -115,3 +118,40 @@
             assert failure.is_certain
         case _:
             pytest.fail("a worker that is gone cannot answer")
+
+
+TASK = "0123456789abcdef.0.1.17"
+
+
+@pytest.mark.parametrize(
+    ("row", "listed"),
+    [
+        ([TASK, 1, "c", 41], ListedRun(TASK, 1, "c", 41, 0.0)),
+        ([TASK, 1, None, 41.0, 2500], ListedRun(TASK, 1, "", 41, 2500.0)),
+        ([TASK, 1, "", 41, None, "more"], ListedRun(TASK, 1, "", 41, 0.0)),
+    ],
+)
+def test_row_of_a_listing_is_decoded(runner, worker, row, listed):
+    worker.running = [row]
+    assert renew(runner, Acknowledgement()).unwrap().running == [listed]
+
+
+# Guards against a node that ends by one row that its worker lists.
+@pytest.mark.parametrize(
+    "row",
+    [
+        [],
+        [TASK],
+        [TASK, "one", "", 41],
+        [TASK, 1, "", None],
+        [TASK, 1, "", 41, "much"],
+        [TASK, 1, ["c"], 41],
+        [TASK, -1, "", 41],
+        [TASK, 2**70, "", 41],
+        {"task": TASK},
+        None,
+    ],
+)
+def test_odd_row_of_a_listing_is_a_failure_of_the_worker(runner, worker, row):
+    worker.running = [row]
+    assert not renew(runner, Acknowledgement()).failure().is_certain
--- a/tests/site/test_borders.py
+++ b/tests/site/test_borders.py
@@ -73,6 +73,12 @@
     [
         REPORT_BODY.replace(b'"ready"', b'"odd"'),
         REPORT_BODY.replace(b'"s"', b"7"),
+        REPORT_BODY.replace(b'"capacity":', b'"other":'),
+        REPORT_BODY.replace(b"16000", b"null"),
+        REPORT_BODY.replace(b"16000", b'"16000"'),
+        REPORT_BODY.replace(b"16000", b"-1"),
+        REPORT_BODY.replace(b"32768", b"1e300"),
+        REPORT_BODY.replace(b'"cpu":16000,', b""),
         b"\xff",
         b"",
     ],
@@ -81,6 +87,20 @@
     assert isinstance(decode_report("i-1", body), Failure)
 
 
+@pytest.mark.parametrize(
+    ("cpu", "size"),
+    [
+        (b"9000", WorkerSize(9000, 32768)),
+        (b"9000.7", WorkerSize(9000, 32768)),
+        (b"0", None),
+        (b"0.4", None),
+    ],
+)
+def test_size_of_a_worker_is_whole_and_absent_without_processors(cpu, size):
+    body = REPORT_BODY.replace(b"16000", cpu)
+    assert decode_report("i-1", body).unwrap().size == size
+
+
 @pytest.mark.parametrize(
     ("outcome", "failure"),
     [
