Stop the members of a gang whose other members can't run

What callers could see: GANG, runs that end alone after 3 s without any impairment; the gang waits that long and its workers stand idle.

Change: claims of a gang are sent together or not at all; members of a run that lacks another one are stopped with the next check (0.2 s) and the gang is placed again.

Both tests failed before: one member of three started with the run number 1 and nothing followed; two members of a gang started though the third had been released.

--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -160,6 +160,16 @@
         tasks = self.tasks_by_occurrence[occurrence][step]
         return 1 + max(task.last_run for task in tasks)
 
+    def is_gang_incomplete(self, ref, number):
+        """Return whether a member of a gang run isn't running and never will be.
+
+        All members of a run are claimed at once, so that none may be missing later.
+        """
+        return any(
+            not task.is_done and all(run.number != number for run in task.runs)
+            for task in self.tasks_by_occurrence[ref.occurrence][ref.step]
+        )
+
     def rebind(self, ref, number, incarnation):
         """Move a run to another incarnation of its worker."""
         task = self.get_task(ref)
--- a/src/bergamotshore/core/work/stops.py
+++ b/src/bergamotshore/core/work/stops.py
@@ -30,8 +30,8 @@
     """Return a ``StopRun`` for each run that should be stopped.
 
     These are runs of cancelled, failed and closed jobs, redundant runs of finished
-    tasks, runs that belong to no job, and runs that are stuck or would finish earlier
-    on another worker.
+    tasks, runs that belong to no job, members of a gang that lacks another one, and
+    runs that are stuck or would finish earlier on another worker.
     """
     stops = []
     for worker in view.cluster.worker_by_node.values():
@@ -64,6 +64,8 @@
     task = progress.get_task(run.ref)
     if task is None or task.is_done:
         return "done-elsewhere"
+    if run.step.is_gang and progress.is_gang_incomplete(run.ref, run.number):
+        return "gang-incomplete"
     if is_stuck(run, worker):
         view.cluster.record_stuck(worker, run, view.now)
         return "stuck"
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -42,20 +42,24 @@
             job is written up to that revision.
         :param blocking_reason: Why no order may be sent at all; empty if allowed.
         """
+        due = [
+            (worker, allocation)
+            for worker in self._board.worker_by_node.values()
+            for allocation in worker.allocation_by_key.values()
+            if not allocation.sent_at
+            and is_written(allocation.ref.job, allocation.revision)
+        ]
+        due = self._release_blocked(due, blocking_reason, now)
+        # A gang that lost a member in the first pass loses the others in the second.
+        self._release_blocked(due, blocking_reason, now)
         for worker in self._board.worker_by_node.values():
             limit_new_runs(worker, self._board.interference, now)
             orders = OrderBatch()
-            for allocation in list(worker.allocation_by_key.values()):
+            for allocation in worker.allocation_by_key.values():
                 if allocation.sent_at or not is_written(
                     allocation.ref.job, allocation.revision
                 ):
                     continue
-                reason = blocking_reason or self._find_blocking_reason(
-                    worker, allocation
-                )
-                if reason:
-                    self._board.release(worker, allocation, reason, now)
-                    continue
                 allocation.sent_at, allocation.stream = now, worker.stream
                 orders.starts.append(allocation)
                 if allocation.throttle_percent != FULL_SPEED:
@@ -69,6 +73,20 @@
             if orders.starts:
                 self.send(worker, orders)
 
+    def _release_blocked(self, due, blocking_reason, now):
+        """Release the claims whose orders may not be sent; return the others.
+
+        :param due: Pairs of worker and ``Allocation``.
+        """
+        left = []
+        for worker, allocation in due:
+            reason = blocking_reason or self._find_blocking_reason(worker, allocation)
+            if reason:
+                self._board.release(worker, allocation, reason, now)
+            else:
+                left.append((worker, allocation))
+        return left
+
     def _find_blocking_reason(self, worker, allocation):
         progress = self._board.job_by_key.get(allocation.ref.job)
         if worker.size is None:
@@ -87,6 +105,10 @@
             return "job-over"
         if progress.get_task(allocation.ref).is_done:
             return "done-elsewhere"
+        if allocation.step.is_gang and progress.is_gang_incomplete(
+            allocation.ref, allocation.number
+        ):
+            return "gang-incomplete"
         return ""
 
     def send(self, worker, orders):
--- a/tests/site/test_gangs.py
+++ b/tests/site/test_gangs.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotshore.core.work.model import Step
+from tests.fakes import ManualExecutor
 
 GANG = Step(tasks=3, cpu=4000, memory=100, is_gang=True, is_tight=True)
 
@@ -82,3 +83,30 @@
     racked_world.advance(0.5)
     assert racked_world.get_state("job1") == "failed"
     assert len(racked_world.ledger.starts) == 3 * 3
+
+
+# Guards against members that wait alone until their time runs out, because the start of
+# another one was refused or lost.
+def test_a_gang_that_lacks_a_member_is_stopped_and_started_again(racked_world):
+    racked_world.runner_by_node["node-1"].faults = ["silent"]
+    racked_world.submit("job1", (GANG,))
+    racked_world.advance(2.0)
+    assert len(racked_world.running) == 3
+    numbers = {number for _, number, _ in racked_world.ledger.starts[-3:]}
+    assert numbers == {2}
+    assert racked_world.ledger.problems == []
+
+
+# Guards against starting the other members of a gang although one can't be started.
+def test_no_member_of_a_gang_is_ordered_if_one_can_not_be(racked_world):
+    leader = racked_world.leader
+    racked_world.advance(0.5)
+    racked_world.submit("job1", (Step(tasks=3, cpu=9000, is_gang=True),))
+    leader.dispatcher.executor = ManualExecutor()
+    racked_world.advance(0.1)
+    assert leader.dispatcher.executor.pending_calls
+    racked_world.runner_by_node["node-2"].is_draining = True
+    racked_world.advance(0.2)
+    leader.dispatcher.executor.run_all()
+    racked_world.advance(1.0)
+    assert racked_world.ledger.starts == []
