--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -40,8 +40,39 @@
     "wide": (Step(tasks=1, cpu=14000, memory=100),),
     "spread": (Step(tasks=3, cpu=1000, memory=100, per_worker=1),),
     "saving": (Step(tasks=4, cpu=3000, memory=100, has_checkpoints=True),),
+    "critical": (
+        Step(
+            tasks=3,
+            cpu=3000,
+            memory=100,
+            is_lasting=True,
+            image="web",
+            goal_ms=40.0,
+            per_worker=1,
+        ),
+    ),
+    "filling": (
+        Step(
+            tasks=4,
+            cpu=2000,
+            memory=100,
+            is_filling=True,
+            image="crunch",
+            has_checkpoints=True,
+            per_worker=1,
+        ),
+    ),
 }
-LONG_RUNNING = {"lasting", "bound"}
+LONG_RUNNING = {"lasting", "bound", "critical"}
+# Sizes of workers. The smallest have room for none of the tasks.
+SIZES = [
+    {"cpu": 0},
+    {"cpu": 1000},
+    {"cpu": 5000},
+    {"cpu": 16000},
+    {"memory": 50},
+    {"memory": 64000},
+]
 # Maximum number of long-running jobs; more would leave no capacity for other jobs.
 MAX_LONG_RUNNING = 4
 QUEUES = ["queue", "batch"]
@@ -58,6 +89,9 @@
         self.simulation = Simulation(FakeClock(), entries=ENTRIES, nodes=NODES)
         for index, runner in enumerate(self.simulation.runner_by_node.values()):
             runner.rack = f"r{index % 2}"
+            # The latency at which some best-effort tasks are throttled.
+            runner.usage = 18.0 if index % 2 else 1.0
+        self.original_capacity = runner.capacity
         self.kind_by_job = {}
         self.cancelled = set()
         self.maybe_cancelled = set()
@@ -206,6 +240,31 @@
             runner.restart()
         self.simulation.advance(then)
 
+    @rule(node=NODE, size=st.sampled_from(SIZES), then=SECONDS)
+    def resize_worker(self, node, size, then):
+        self.simulation.runner_by_node[node].resize(**size)
+        self.simulation.advance(then)
+
+    @rule(node=NODE, size=st.sampled_from(SIZES), then=SECONDS)
+    def restart_worker_with_another_size(self, node, size, then):
+        runner = self.simulation.runner_by_node[node]
+        if not runner.is_gone:
+            runner.resize(**size)
+            runner.restart()
+        self.simulation.advance(then)
+
+    @rule(node=NODE, then=SECONDS)
+    def restart_node_without_heartbeats(self, node, then):
+        """Restart a node; its worker lists its runs but does not tell its size."""
+        self.simulation.without_heartbeats.add(node)
+        self.simulation.start_node(node)
+        self.simulation.advance(then)
+
+    @rule(node=NODE, then=SECONDS)
+    def lose_or_regain_heartbeats(self, node, then):
+        self.simulation.without_heartbeats.symmetric_difference_update({node})
+        self.simulation.advance(then)
+
     @rule(node=NODE, then=SECONDS)
     def disconnect_or_reconnect_worker(self, node, then):
         runner = self.simulation.runner_by_node[node]
@@ -278,6 +337,8 @@
         cancelled, so that wide tasks find a worker as well.
         """
         simulation = self.simulation
+        for runner in simulation.runner_by_node.values():
+            runner.capacity = self.original_capacity
         simulation.settle()
         self._announce_wave_again()
         for runner in simulation.runner_by_node.values():
