Leave out the job, worker or row that causes an unexpected error

The same could go round all entries: a stored job or the row of its runs that raises an exception, or a worker that lists the end of a task by an odd name, does so on each of them.

Cause: the loop of the scheduling entry had no border between one decision and the process. Every exception ended the thread and with it the process.

Changes of the cluster state are marked (changes_state): an error within one, or one without a known cause, discards the state and ends the term, not the process; the lease lapses and the entry stands back for 4 s. Services of the entry survive an error: what they keep up to date ages, and decisions go by the age. Placeholders of gangs are removed whatever happens.

Tests would not notice what is contained, so planning without a collector raises as before, and the simulation fails on each such line of the log unless a test provokes it.

test_entry_parts: the writer takes a collector, no check changed.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from bergamotshore.core.work.advice import AdviceTracker
+from bergamotshore.core.work.containment import changes_state
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.progress import JobProgress
@@ -134,10 +135,15 @@
         progress = self.job_by_key.get(spec.key)
         if progress is None:
             progress = JobProgress(spec)
-            self.job_by_key[spec.key] = progress
-            self.key_by_id[spec.job_id] = spec.key
+            self.add_progress(progress)
         return progress
 
+    def add_progress(self, progress):
+        """Add a job with its ``JobProgress``."""
+        self.job_by_key[progress.key] = progress
+        self.key_by_id[progress.spec.job_id] = progress.key
+
+    @changes_state
     def allocate_restored(self, progress, now):
         """Allocate resources for the runs of a job that was read from its row.
 
@@ -186,6 +192,7 @@
         queue = self.get_queue(spec.queue)
         return queue.service if queue is not None else spec.service
 
+    @changes_state
     def claim(self, ref, worker, now, number=0):
         """Claim a task for a new run on a worker.
 
@@ -209,6 +216,7 @@
             revision=progress.revision,
         )
 
+    @changes_state
     def release(self, worker, allocation, outcome, now):
         """Release a run that is not running and never will be."""
         worker.free(allocation.key)
@@ -221,6 +229,7 @@
                 )
         self._record_outcome(worker, allocation, outcome, now)
 
+    @changes_state
     def release_all(self, worker, outcome, now):
         """Release all runs of a worker that restarted or whose lease has expired."""
         for allocation in list(worker.allocation_by_key.values()):
@@ -233,6 +242,7 @@
         self.recent_outcomes.append(run_outcome)
         self.new_outcomes.append(run_outcome)
 
+    @changes_state
     def record_stuck(self, worker, allocation, now):
         """Record that a run makes no progress; the stop that follows ends it."""
         self._record_outcome(worker, allocation, STUCK, now)
@@ -242,6 +252,7 @@
         outcomes, self.new_outcomes = self.new_outcomes, []
         return outcomes
 
+    @changes_state
     def record_incarnation(self, worker, incarnation, present, now):
         """Record which incarnation of the worker its node reports.
 
@@ -276,6 +287,7 @@
         if progress is not None:
             progress.rebind(allocation.ref, allocation.number, incarnation)
 
+    @changes_state
     def record_running(self, worker, reported, now):
         """Update a run that the worker reports as running."""
         allocation = worker.allocation_by_key.get((reported.task, reported.number))
@@ -303,15 +315,15 @@
                     allocation.ref, allocation.number, allocation.checkpoint
                 )
 
+    @changes_state
     def record_completion(self, worker, reported, now):
         """Record a completion; repeated reports of the same one have no effect."""
         pending = self._pending_by_node.setdefault(worker.node, {})
         if reported.sequence <= worker.acknowledged or reported.sequence in pending:
             return
         allocation = worker.free((reported.task, reported.number))
-        job_id = reported.task.split(".", 1)[0]
-        progress = self.job_by_key.get(self.key_by_id.get(job_id, ""))
-        pending[reported.sequence] = self._apply_completion(progress, reported)
+        progress, ref = self._find_task(reported.task)
+        pending[reported.sequence] = self._apply_completion(progress, ref, reported)
         worker.last_recorded_sequence = max(
             worker.last_recorded_sequence, reported.sequence
         )
@@ -328,10 +340,23 @@
         completions, self._unclaimed_completions = self._unclaimed_completions, []
         return completions
 
-    def _apply_completion(self, progress, reported):
+    def _find_task(self, name):
+        """Return the ``JobProgress`` and ``TaskRef`` of a task; None twice if unknown.
+
+        :param name: Name of the task, as listed by a worker.
+        """
+        job_id = name.split(".", 1)[0]
+        progress = self.job_by_key.get(self.key_by_id.get(job_id, ""))
+        if progress is None:
+            return None, None
+        try:
+            return progress, parse_task_name(progress.key, name)
+        except ValueError:
+            return None, None
+
+    def _apply_completion(self, progress, ref, reported):
         if progress is None:
             return PendingCompletion(reported.sequence, "", 0)
-        ref = parse_task_name(progress.key, reported.task)
         retries = self.get_retries(progress.spec)
         progress.end(
             ref, reported.number, reported.outcome, reported.checkpoint, retries
@@ -355,6 +380,7 @@
             if not has_pending_start:
                 self.release(worker, allocation, "absent", now)
 
+    @changes_state
     def record_order_result(self, worker, key, outcome, now):
         """Apply the node's result of a start order."""
         allocation = worker.allocation_by_key.get(key)
@@ -367,6 +393,7 @@
         else:
             self.release(worker, allocation, outcome, now)
 
+    @changes_state
     def advance_acknowledged(self, worker, is_written):
         """Advance the acknowledged sequence past completions that are persisted.
 
@@ -391,6 +418,7 @@
     """Return the ``TaskRef`` for a task name.
 
     :param job: Key of its job.
+    :raises ValueError: if it is not the name of a task.
     """
     _, occurrence, step, index = name.rsplit(".", 3)
     return TaskRef(job, int(occurrence), int(step), int(index))
--- a/src/bergamotshore/core/work/copies.py
+++ b/src/bergamotshore/core/work/copies.py
@@ -45,20 +45,30 @@
     late = []
     for worker in view.cluster.worker_by_node.values():
         for run in worker.allocation_by_key.values():
-            if not _allows_copies(run.step):
+            try:
+                found = _find_late_run(view, worker, run)
+            except Exception as error:
+                view.collector.record("copies", run.ref.job, error)
                 continue
-            progress = view.cluster.job_by_key.get(run.ref.job)
-            if progress is None or progress.is_cancelled or progress.outcome:
-                continue
-            task = progress.get_task(run.ref)
-            if task is None or task.is_done or len(task.runs) >= MAX_RUNS_PER_TASK:
-                continue
-            sign = find_late_sign(run, worker, view)
-            if sign:
-                late.append(LateRun(worker, run, progress, sign))
+            if found is not None:
+                late.append(found)
     return late
 
 
+def _find_late_run(view, worker, run):
+    """Return the ``LateRun`` of a run that may have a copy, or None."""
+    if not _allows_copies(run.step):
+        return None
+    progress = view.cluster.job_by_key.get(run.ref.job)
+    if progress is None or progress.is_cancelled or progress.outcome:
+        return None
+    task = progress.get_task(run.ref)
+    if task is None or task.is_done or len(task.runs) >= MAX_RUNS_PER_TASK:
+        return None
+    sign = find_late_sign(run, worker, view)
+    return LateRun(worker, run, progress, sign) if sign else None
+
+
 def _allows_copies(step):
     return step.is_speculative and not (step.is_lasting or step.is_gang)
 
--- a/src/bergamotshore/core/work/evictions.py
+++ b/src/bergamotshore/core/work/evictions.py
@@ -26,11 +26,13 @@
         if worker is None or worker.stream is None:
             continue
         for run in worker.allocation_by_key.values():
-            if not run.is_started or is_stopping(run, view.now):
+            try:
+                is_due = _is_eviction_due(view, run, worker, is_urgent)
+                is_allowed = is_due and _may_evict(view, run, evictions_by_step)
+            except Exception as error:
+                view.collector.record("evictions", run.ref.job, error)
                 continue
-            if not (is_urgent or fits_elsewhere(view, run, worker)):
-                continue
-            if not _may_evict(view, run, evictions_by_step):
+            if not is_allowed:
                 continue
             key = run.ref.step_key
             evictions_by_step[key] = evictions_by_step.get(key, 0) + 1
@@ -39,6 +41,12 @@
     return stops
 
 
+def _is_eviction_due(view, run, worker, is_urgent):
+    if not run.is_started or is_stopping(run, view.now):
+        return False
+    return is_urgent or fits_elsewhere(view, run, worker)
+
+
 def _may_evict(view, run, evictions_by_step):
     """Return whether a run may be stopped now.
 
--- a/src/bergamotshore/core/work/gangs.py
+++ b/src/bergamotshore/core/work/gangs.py
@@ -57,20 +57,30 @@
 
     Chosen workers are filled with placeholders, which are removed before returning.
     """
-    counts = count_runs_by_node(item)
     chosen = []
+    try:
+        _fill_with_placeholders(view, item, workers, chosen)
+    finally:
+        for worker, placeholder in chosen:
+            worker.free(placeholder.key)
+    if len(chosen) < len(item.refs):
+        return None
+    return [worker for worker, _ in chosen]
+
+
+def _fill_with_placeholders(view, item, workers, chosen):
+    """Allocate a placeholder for each member until one finds no worker.
+
+    :param chosen: List to which each worker and its placeholder is added.
+    """
+    counts = count_runs_by_node(item)
     for ref in item.refs:
         worker = choose_worker(item.step, workers, counts, view.cluster.interference)
         if worker is None:
-            break
+            return
         placeholder = Allocation(
             ref, "", ref.index, item.step, worker.incarnation.started_ms
         )
         worker.allocate(placeholder)
         chosen.append((worker, placeholder))
         counts[worker.node] = counts.get(worker.node, 0) + 1
-    for worker, placeholder in chosen:
-        worker.free(placeholder.key)
-    if len(chosen) < len(item.refs):
-        return None
-    return [worker for worker, _ in chosen]
--- a/src/bergamotshore/core/work/pacing.py
+++ b/src/bergamotshore/core/work/pacing.py
@@ -44,8 +44,9 @@
         is_reachable = worker.stream is not None and worker.is_answering
         if worker.is_throttle_stale and is_reachable:
             worker.is_throttle_stale = False
-            if worker.best_effort_tasks:
-                orders += _plan_worker(worker, view.cluster.interference, view.now)
+            with view.containing("throttling", worker.node):
+                if worker.best_effort_tasks:
+                    orders += _plan_worker(worker, view.cluster.interference, view.now)
     return orders
 
 
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -3,8 +3,11 @@
 The functions do no I/O; they record claims in the cluster state.
 """
 
+from dataclasses import dataclass, field
+
 from bergamotshore.core.work.copies import list_late_runs
 from bergamotshore.core.work.gangs import place_gang
+from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.placing import choose_least_disturbed_worker, choose_worker
 from bergamotshore.core.work.waiting import (
     WaitingStep,
@@ -17,6 +20,12 @@
 # Starvation limit of best-effort jobs, in seconds: a job without any run gets one task
 # started after this wait, on the worker where it causes the least interference.
 BEST_EFFORT_STARVATION_SECONDS = 1.5
+# Steps of no job, one of each kind that is placed in its own way.
+PROBE_STEPS = (
+    Step(tasks=1, cpu=1, label="probe", rack="probe"),
+    Step(tasks=1, cpu=1, image="probe", is_filling=True),
+    Step(tasks=1, cpu=1, image="probe", goal_ms=1.0),
+)
 
 
 def plan_starts(view):
@@ -25,34 +34,92 @@
     :returns: Pair of a list of claims, each as worker and ``Allocation``, and a list of
         ``AdviceQuery`` for the advice service.
     """
-    claimed = []
-    questions = []
-    workers_by_service = group_workers(view)
     waiting = list_waiting(view)
     view.cluster.record_waiting(waiting, view.now)
-    unplaceable = UnplaceableSizes()
+    starts = StartPlan(group_workers(view))
     for item in waiting:
-        if unplaceable.covers(item, view.cluster) and not _is_starving(view, item):
-            continue
-        workers = _list_open(view, item, workers_by_service)
-        if _needs_advice(item, view.cluster):
-            question = _plan_question(view, item, workers)
-            questions += [question] if question is not None else []
-            workers = _list_permitted(view, item, workers)
-        if not workers:
-            continue
-        if item.step.is_gang:
-            placed = place_gang(view, item, workers)
-        else:
-            placed = _place_tasks(view, item, workers)
-            if len(placed) < len(item.refs):
-                unplaceable.record(item, view.cluster)
+        try:
+            _plan_item(view, item, starts)
+        except Exception as error:
+            _leave_out(view, item, starts, error)
+    return starts.claimed, starts.questions
+
+
+@dataclass(slots=True)
+class StartPlan:
+    """Starts planned so far in a pass.
+
+    :param workers_by_service: ``WorkerState`` objects by service.
+    :param claimed: Pairs of worker and ``Allocation``.
+    :param questions: ``AdviceQuery`` objects.
+    :param unplaceable: ``UnplaceableSizes``.
+    """
+
+    workers_by_service: dict
+    claimed: list = field(default_factory=list)
+    questions: list = field(default_factory=list)
+    unplaceable: object = field(default_factory=lambda: UnplaceableSizes())
+
+
+def _plan_item(view, item, starts):
+    """Claim workers for the tasks of one step."""
+    if starts.unplaceable.covers(item, view.cluster) and not _is_starving(view, item):
+        return
+    workers = _list_open(view, item, starts.workers_by_service)
+    if _needs_advice(item, view.cluster):
+        question = _plan_question(view, item, workers)
+        starts.questions += [question] if question is not None else []
+        workers = _list_permitted(view, item, workers)
+    if not workers:
+        return
+    if item.step.is_gang:
+        placed = place_gang(view, item, workers)
         for worker, allocation in placed:
-            allocation.ticket = view.cluster.advice.get_ticket(
-                item.key, worker.incarnation, view.now
-            )
-        claimed += placed
-    return claimed, questions
+            allocation.ticket = _get_ticket(view, item, worker)
+    else:
+        placed = _place_tasks(view, item, workers)
+        if len(placed) < len(item.refs):
+            starts.unplaceable.record(item, view.cluster)
+    starts.claimed += placed
+
+
+def _get_ticket(view, item, worker):
+    return view.cluster.advice.get_ticket(item.key, worker.incarnation, view.now)
+
+
+def _leave_out(view, item, starts, error):
+    """Plan a step again without the workers that raise errors, or leave it out.
+
+    Whether a worker raises errors is tested with steps that belong to no job: the
+    values of the step itself may raise on some workers and not on others.
+    """
+    view.collector.check(error)
+    unsound_workers = [
+        worker
+        for workers in starts.workers_by_service.values()
+        for worker in workers
+        if not _is_sound(view, worker)
+    ]
+    for worker in unsound_workers:
+        view.collector.record("starts", worker.node, error)
+    if not unsound_workers:
+        view.collector.record("starts", item.progress.key, error)
+        return
+    starts.workers_by_service = group_workers(view)
+    with view.containing("starts", item.progress.key):
+        _plan_item(view, item.refresh(), starts)
+
+
+def _is_sound(view, worker):
+    """Return whether a worker can be compared with others for steps of each kind."""
+    try:
+        for step in PROBE_STEPS:
+            choose_worker(step, [worker], {}, view.cluster.interference)
+            choose_least_disturbed_worker(step, [worker], view.cluster.interference)
+            worker.could_fit(step)
+    except Exception:
+        return False
+    return True
 
 
 class UnplaceableSizes:
@@ -108,23 +175,29 @@
     workers_by_service = group_workers(view) if late else {}
     claimed = []
     for run in late:
-        ref = run.allocation.ref
-        item = WaitingStep(run.progress, ref.occurrence, ref.step, [ref], ())
-        workers = _list_open(view, item, workers_by_service)
-        if _needs_advice(item, view.cluster):
-            workers = _list_permitted(view, item, workers)
-        others = [worker for worker in workers if worker is not run.worker]
-        counts = count_runs_by_node(item)
-        worker = choose_worker(item.step, others, counts, view.cluster.interference)
-        if worker is not None:
-            allocation = view.cluster.claim(ref, worker, view.now)
-            allocation.ticket = view.cluster.advice.get_ticket(
-                item.key, worker.incarnation, view.now
-            )
-            claimed.append((run, worker, allocation))
+        with view.containing("copies", run.progress.key):
+            claimed += _plan_copy(view, run, workers_by_service)
     return claimed
 
 
+def _plan_copy(view, run, workers_by_service):
+    """Claim a worker for the copy of a late run; return the triple in a list."""
+    ref = run.allocation.ref
+    item = WaitingStep(run.progress, ref.occurrence, ref.step, [ref], ())
+    workers = _list_open(view, item, workers_by_service)
+    if _needs_advice(item, view.cluster):
+        workers = _list_permitted(view, item, workers)
+    others = [worker for worker in workers if worker is not run.worker]
+    counts = count_runs_by_node(item)
+    worker = choose_worker(item.step, others, counts, view.cluster.interference)
+    if worker is None:
+        return []
+    ticket = _get_ticket(view, item, worker)
+    allocation = view.cluster.claim(ref, worker, view.now)
+    allocation.ticket = ticket
+    return [(run, worker, allocation)]
+
+
 def _list_open(view, item, workers_by_service):
     """Return the eligible workers of a step that are not reserved for another."""
     workers = list_eligible_workers(view, item, workers_by_service)
@@ -169,7 +242,9 @@
             )
         if worker is None:
             break
+        ticket = _get_ticket(view, item, worker)
         allocation = view.cluster.claim(ref, worker, view.now)
+        allocation.ticket = ticket
         claimed.append((worker, allocation))
         counts[worker.node] = counts.get(worker.node, 0) + 1
     return claimed
--- a/src/bergamotshore/core/work/preemption.py
+++ b/src/bergamotshore/core/work/preemption.py
@@ -59,7 +59,9 @@
             continue
         if view.cluster.has_reservation(item.key, view.now):
             continue
-        chosen = _choose_victims(view, item, workers_by_service)
+        chosen = None
+        with view.containing("preemption", item.progress.key):
+            chosen = _choose_victims(view, item, workers_by_service)
         if chosen is None:
             continue
         worker, victims = chosen
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -294,10 +294,16 @@
     """Load an encoded state into a new ``JobProgress``.
 
     :raises msgspec.MsgspecError: if the content is not an encoded state.
+    :raises ValueError: if it is not the state of this job.
+    :raises TypeError: if it is not the state of a job.
     """
     finished, outcome, occurrences = msgspec.msgpack.decode(
         content, type=tuple[int, str, dict[int, list[list[list]]]]
     )
+    sizes = [step.tasks for step in progress.spec.steps]
+    for steps in occurrences.values():
+        if [len(tasks) for tasks in steps] != sizes:
+            raise ValueError(f"the job has steps of {sizes} tasks")
     progress.finished_occurrences = finished
     progress.outcome = outcome
     progress.tasks_by_occurrence = {
--- a/src/bergamotshore/core/work/relocation.py
+++ b/src/bergamotshore/core/work/relocation.py
@@ -53,12 +53,11 @@
     Must be called after ``plan_starts``, so that the room found is room that no waiting
     task can use.
     """
-    slow_runs = [
-        item
-        for worker in view.cluster.list_sized_workers()
-        if worker.best_effort_tasks and worker.latency_critical_tasks
-        for item in _list_slow_runs(view, worker)
-    ]
+    slow_runs = []
+    for worker in view.cluster.list_sized_workers():
+        with view.containing("relocation", worker.node):
+            if worker.best_effort_tasks and worker.latency_critical_tasks:
+                slow_runs += _list_slow_runs(view, worker)
     slow_runs.sort(key=lambda item: item.speed)
     workers_by_service = group_workers(view) if slow_runs else {}
     workers = len(view.cluster.worker_by_node)
@@ -71,7 +70,9 @@
         shape = (run.step.image, run.step.cpu, run.step.label, run.ref.job)
         if shape in shapes_without_target:
             continue
-        target = _find_target(view, item, workers_by_service, taken_nodes)
+        target = None
+        with view.containing("relocation", run.ref.job):
+            target = _find_target(view, item, workers_by_service, taken_nodes)
         if target is None:
             shapes_without_target.add(shape)
             continue
--- a/src/bergamotshore/core/work/stops.py
+++ b/src/bergamotshore/core/work/stops.py
@@ -40,7 +40,11 @@
         for name, number in worker.unknown_runs:
             stops.append(StopRun(worker.node, name, number, "unknown"))
         for run in worker.allocation_by_key.values():
-            reason = _find_stop_reason(view, run, worker)
+            try:
+                reason = _find_stop_reason(view, run, worker)
+            except Exception as error:
+                view.collector.record("stops", run.ref.job, error)
+                continue
             is_already_stopping = is_stopping(run, view.now)
             if reason and not is_already_stopping and run.sent_at:
                 run.stop_sent_at = view.now
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -1,6 +1,8 @@
 """Steps that wait for placement in scheduling order, and the workers open to them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+from bergamotshore.core.work.containment import ErrorCollector
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +18,8 @@
     :param is_urgent_by_draining_node: Whether the drain is urgent, by node that is
         being drained for maintenance.
     :param slow_keys: Keys of runs that would finish earlier on another worker.
+    :param collector: ``ErrorCollector`` of the errors that are contained in the pass;
+        the default raises them.
     """
 
     cluster: object
@@ -25,6 +29,18 @@
     is_excluded: object
     is_urgent_by_draining_node: dict = field(default_factory=dict)
     slow_keys: frozenset = frozenset()
+    collector: ErrorCollector = field(
+        default_factory=lambda: ErrorCollector(is_strict=True)
+    )
+
+    @property
+    def errors(self):
+        """Return the ``ContainedError`` objects of the pass."""
+        return self.collector.errors
+
+    def containing(self, part, subject):
+        """Return a context manager that leaves out a job or worker that raises."""
+        return self.collector.containing(part, subject)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,21 +70,37 @@
         """Return the ``Step``."""
         return self.progress.spec.steps[self.number]
 
+    def refresh(self):
+        """Return it with the tasks that still wait, after some were claimed."""
+        refs = self.progress.list_waiting(self.occurrence, self.number)
+        return replace(self, refs=refs)
+
 
 def list_waiting(view):
     """Return all ``WaitingStep`` in scheduling order."""
     waiting = []
     for progress in view.cluster.job_by_key.values():
-        progress.open_due_occurrences(view.wall)
-        for occurrence, number in progress.list_ready_steps():
-            refs = progress.list_waiting(occurrence, number)
-            if refs:
-                rank = _get_rank(view, progress, occurrence, number)
-                waiting.append(WaitingStep(progress, occurrence, number, refs, rank))
+        if progress.key in view.collector.left_out:
+            continue
+        try:
+            waiting += _list_waiting_of_job(view, progress)
+        except Exception as error:
+            view.collector.record("waiting", progress.key, error)
     waiting.sort(key=lambda item: item.rank)
     return waiting
 
 
+def _list_waiting_of_job(view, progress):
+    progress.open_due_occurrences(view.wall)
+    waiting = []
+    for occurrence, number in progress.list_ready_steps():
+        refs = progress.list_waiting(occurrence, number)
+        if refs:
+            rank = _get_rank(view, progress, occurrence, number)
+            waiting.append(WaitingStep(progress, occurrence, number, refs, rank))
+    return waiting
+
+
 def _get_rank(view, progress, occurrence, number):
     spec = progress.spec
     queue = view.cluster.get_queue(spec.queue)
@@ -95,16 +127,22 @@
     """Return lists of the workers that may receive new work, by service."""
     groups = {}
     for worker in view.cluster.worker_by_node.values():
-        is_open = worker.zone not in view.site.closed_zones
-        is_excluded = (
-            worker.node in view.is_urgent_by_draining_node
-            or view.is_excluded(worker.node, view.now)
-        )
-        if worker.is_schedulable and is_open and not is_excluded:
-            groups.setdefault(worker.service, []).append(worker)
+        if worker.node in view.collector.left_out:
+            continue
+        with view.containing("workers", worker.node):
+            if _is_open(view, worker):
+                groups.setdefault(worker.service, []).append(worker)
     return groups
 
 
+def _is_open(view, worker):
+    is_excluded = worker.node in view.is_urgent_by_draining_node or view.is_excluded(
+        worker.node, view.now
+    )
+    is_in_open_zone = worker.zone not in view.site.closed_zones
+    return worker.is_schedulable and is_in_open_zone and not is_excluded
+
+
 def count_runs_by_node(item):
     """Return the number of possibly active runs of a step by node."""
     counts = {}
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from bergamotshore.core.work.containment import changes_state
 from bergamotshore.core.work.model import Step, TaskRef, WorkerSize
 
 # Share of its requested processors that a latency-critical task leaves idle on average.
@@ -85,6 +86,7 @@
     :param is_reachable: Whether a heartbeat of its node arrived recently.
     :param is_answering: Whether the worker answers its node.
     :param has_right: Whether its node may extend the worker's lease.
+    :param has_failed_report: Whether its last report could not be applied as a whole.
     :param reported_at: When the worker last reported its runs, in seconds.
     :param allocation_by_key: ``Allocation`` by name and number.
     :param unknown_runs: Keys of reported runs that no job has claimed.
@@ -116,6 +118,7 @@
     is_reachable: bool = False
     is_answering: bool = False
     has_right: bool = False
+    has_failed_report: bool = False
     reported_at: float = 0.0
     allocation_by_key: dict = field(default_factory=dict)
     unknown_runs: set = field(default_factory=set)
@@ -132,6 +135,7 @@
     ended_best_effort: list = field(default_factory=list)
     is_throttle_stale: bool = True
 
+    @changes_state
     def allocate(self, allocation):
         """Allocate resources to a run."""
         self.allocation_by_key[allocation.key] = allocation
@@ -183,6 +187,7 @@
         used = self.used_cpu - self.latency_critical_cpu * LATENCY_CRITICAL_IDLE_SHARE
         return self.size.cpu - used - self.best_effort_cpu
 
+    @changes_state
     def free(self, key):
         """Free the resources of a run; return its ``Allocation``, or None."""
         allocation = self.allocation_by_key.pop(key, None)
@@ -230,6 +235,7 @@
             and self.size is not None
             and not self.is_draining
             and not self.unknown_runs
+            and not self.has_failed_report
         )
 
     @property
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -12,8 +12,10 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.cluster import ClusterState
+from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
+from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
@@ -35,7 +37,9 @@
 from bergamotshore.entry.orders import OrderBatch, OrderSender
 from bergamotshore.entry.reports import apply_report
 from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs, write_fences
+from bergamotshore.exceptions import StateError
 from bergamotshore.generated.messages import RunReport, RunResults
+from bergamotshore.utils.eventlog import describe_error
 
 # Longest wait for an event before the next scheduling pass, in seconds.
 TICK_SECONDS = 0.05
@@ -51,6 +55,12 @@
 # Interval of the checks for slow workers and for steps that lack capacity, in seconds.
 # Workers list their progress every 0.4 s; checking twice as often misses no list.
 CHECK_INTERVAL_SECONDS = 0.2
+# A job or worker that caused an unexpected error is left out of planning for this time,
+# in seconds. It bounds the repeated work and the log.
+LEFT_OUT_SECONDS = 1.0
+# An entry whose term ended by an unexpected error leaves the next one to others for
+# this time, in seconds.
+STAND_BACK_SECONDS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,8 +173,13 @@
             lambda name: self.site.configuration.get_queue(name)
         )
         self.suspicion = WorkerQuarantine()
-        self.writer = JobWriter(self.cluster, self.epoch, self.clock)
-        self.sender = OrderSender(self.cluster, self.site, self.epoch, self.log)
+        self.collector = ErrorCollector()
+        self._left_out_until_by_subject = {}
+        self.unreadable_jobs = set()
+        self.writer = JobWriter(self.cluster, self.epoch, self.clock, self.collector)
+        self.sender = OrderSender(
+            self.cluster, self.site, self.epoch, self.log, self.collector
+        )
         self.maintenance = self._build_maintenance(0)
         self.in_flight = set()
         self._retry_at_by_part = {}
@@ -198,16 +213,33 @@
     def step(self, wait=TICK_SECONDS):
         """Wait for events, handle them, decide, write rows and send orders.
 
+        An unexpected error ends the term, not the process: the state is discarded, and
+        the next term begins with what is stored and what nodes report.
+
         :param wait: Longest wait for the first event, in seconds.
         """
         events = self._collect_events(wait)
+        try:
+            self._step(events)
+        except Exception as error:
+            self._abandon_term(error)
+
+    def _abandon_term(self, error):
+        self.log.write("term-abandoned", self.epoch, why=describe_error(error))
+        self.registry.count("terms_abandoned_total")
+        self.election.stand_back(STAND_BACK_SECONDS)
+        self.epoch = 0
+        self._reset()
+
+    def _step(self, events):
         held_epoch = self.election.lease.epoch
         if held_epoch != self.epoch:
             self._change_term(held_epoch)
         if not self.epoch:
             return
         for event in events:
-            self._handle_event(event)
+            with self.collector.containing("events", type(event).__name__):
+                self._handle_event(event)
         now = self.clock.now()
         if not self.election.lease.is_valid(now):
             return
@@ -219,6 +251,32 @@
         self._counts_row.step()
         self._interference_row.step()
         self.retention.sweep_if_due(now)
+        self._record_errors(self.collector, now)
+
+    def _record_errors(self, collector, now):
+        """Log contained errors and leave out their subjects for a while."""
+        errors, collector.errors = collector.errors, []
+        collector.left_out.clear()
+        for contained in errors:
+            self.registry.count("contained_errors_total", part=contained.part)
+            if now < self._left_out_until_by_subject.get(contained.subject, 0.0):
+                continue
+            self._left_out_until_by_subject[contained.subject] = now + LEFT_OUT_SECONDS
+            self.log.write(
+                "left-out",
+                contained.subject,
+                part=contained.part,
+                why=describe_error(contained.error),
+            )
+
+    def _list_left_out(self, now):
+        """Return the subjects that are left out at present."""
+        self._left_out_until_by_subject = {
+            subject: until
+            for subject, until in self._left_out_until_by_subject.items()
+            if now < until
+        }
+        return set(self._left_out_until_by_subject)
 
     def _collect_events(self, wait):
         events = []
@@ -270,14 +328,29 @@
         if open_jobs.interference_state is not None:
             self.cluster.interference.restore(open_jobs.interference_state)
         for spec in open_jobs.specs:
-            progress = self.cluster.add_job(spec)
-            if spec.key in open_jobs.progress_by_key:
-                version, restore = open_jobs.progress_by_key[spec.key]
-                restore(progress)
-                self.writer.record_restored(spec.key, version)
-            if spec.key in open_jobs.cancelled:
-                progress.cancel()
-            self.cluster.allocate_restored(progress, now)
+            try:
+                self._restore_job(open_jobs, spec, now)
+            except StateError:
+                raise
+            except Exception as error:
+                self._set_aside(spec.key, error)
+
+    def _restore_job(self, open_jobs, spec, now):
+        progress = JobProgress(spec)
+        version, restore = open_jobs.progress_by_key.get(spec.key, (0, None))
+        if restore is not None:
+            restore(progress)
+            self.writer.record_restored(spec.key, version)
+        if spec.key in open_jobs.cancelled:
+            progress.cancel()
+        self.cluster.add_progress(progress)
+        self.cluster.allocate_restored(progress, now)
+
+    def _set_aside(self, key, error):
+        """Leave out a job of which it can't be read what runs, for the whole term."""
+        self.unreadable_jobs.add(key)
+        self.registry.count("job_rows_invalid_total")
+        self.log.write("job-row-invalid", key, why=describe_error(error))
 
     def _handle_event(self, event):
         now = self.clock.now()
@@ -298,7 +371,8 @@
                     self.log.write("node-lost", worker.node, reason=stream.close_reason)
             case RowsChanged(rows=rows, requested_at=requested_at, epoch=epoch):
                 for row in rows:
-                    self._handle_row(row)
+                    with self.collector.containing("rows", row.id.key):
+                        self._handle_row(row)
                 if epoch == self.epoch:
                     self.freshness.jobs_confirmed_at = requested_at
             case WriteFinished():
@@ -322,6 +396,8 @@
             return
         if key in self.cluster.job_by_key or self.writer.is_closed(key):
             return
+        if key in self.unreadable_jobs:
+            return
         spec = decode_job_row(row)
         if spec is None:
             self.registry.count("job_rows_invalid_total")
@@ -335,7 +411,8 @@
             worker.stream = stream
             worker.forget_limits()
             self.log.write("node-seen", worker.node, born=report.born)
-        apply_report(self.cluster, worker, report, now)
+        with self.collector.containing("reports", worker.node):
+            self.collector.errors += apply_report(self.cluster, worker, report, now)
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
 
@@ -361,9 +438,10 @@
 
     def _decide(self, now):
         for completion in self.cluster.pop_new_outcomes():
-            self.suspicion.record_fact(completion)
-            self.cluster.step_durations.record_fact(completion)
-            self._log_completion(completion)
+            with self.collector.containing("outcomes", completion.node):
+                self.suspicion.record_fact(completion)
+                self.cluster.step_durations.record_fact(completion)
+                self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
                 "end-unclaimed",
@@ -375,8 +453,10 @@
         is_check_due = now - self._checked_at >= CHECK_INTERVAL_SECONDS
         if is_check_due:
             self._checked_at = now
-            self._update_slow_workers(now)
-            self.maintenance.step(self.cluster, self.site.wave_by_number, now)
+            with self.collector.containing("speed", "workers"):
+                self._update_slow_workers(now)
+            with self.collector.containing("maintenance", "waves"):
+                self.maintenance.step(self.cluster, self.site.wave_by_number, now)
         view = PlanView(
             self.cluster,
             self.site,
@@ -387,10 +467,12 @@
                 self.cluster, now
             ),
             slow_keys=self._slow_keys,
+            collector=ErrorCollector(left_out=self._list_left_out(now)),
         )
         orders_by_node = {}
         may_start = self._may_start(now) and not self.is_shutting_down
         plan = make_plan(view, may_start, is_check_due)
+        self._record_errors(view.collector, now)
         self._log_plan(plan)
         for question in plan.questions:
             self.questions.ask(self.cluster, question, self.epoch, now)
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -80,6 +80,8 @@
         self._candidacy_delay = candidacy_delay
         self._can_schedule = can_schedule
         self._free_since = None
+        self._stands_back_until = 0.0
+        self._abandoned_epoch = 0
         self._version = 0
         self._observation = LeaseObservation()
 
@@ -110,6 +112,8 @@
         if not (has_lapsed or self._is_free()):
             self._free_since = None
             return True
+        if now < self._stands_back_until:
+            return True
         if self._free_since is None:
             self._free_since = now
         if self._can_schedule() and now - self._free_since >= self._candidacy_delay:
@@ -187,12 +191,24 @@
                 return False
 
     def _record_term(self, row, version, sent_at, reason):
+        if row.epoch <= self._abandoned_epoch:
+            # A renewal that was in flight.
+            return
         if self.lease.epoch != row.epoch:
             self._log.write("term-taken", self.name, epoch=row.epoch, reason=reason)
         self._version = version
         self.row = row
         self.lease.extend(row.epoch, sent_at)
 
+    def stand_back(self, seconds):
+        """Abandon the term and leave the next one to other entries for some time.
+
+        The lease lapses, as after the end of the process.
+        """
+        self._stands_back_until = self._clock.now() + seconds
+        self._abandoned_epoch = max(self._abandoned_epoch, self.lease.epoch)
+        self.lease.resign()
+
     def resign(self):
         """Release the lease, so that another entry can acquire it without waiting."""
         if not self.lease.epoch:
--- a/src/bergamotshore/entry/jobwriter.py
+++ b/src/bergamotshore/entry/jobwriter.py
@@ -50,10 +50,12 @@
     :param cluster: ``ClusterState``.
     :param epoch: Current term of this entry.
     :param clock: ``Clock``.
+    :param collector: ``ErrorCollector``: jobs that can't be written are left out.
     """
 
-    def __init__(self, cluster, epoch, clock):
+    def __init__(self, cluster, epoch, clock, collector):
         self._clock = clock
+        self._collector = collector
         self._board = cluster
         self._epoch = epoch
         self._fence_version_by_part = {}
@@ -87,10 +89,11 @@
         for key, progress in self._board.job_by_key.items():
             if not self._is_dirty(key, progress) or get_part(key) != part:
                 continue
-            if progress.outcome or progress.is_cancelled:
-                self._add_closing(batch, key, progress)
-            else:
-                size += self._add_progress(batch, key, progress)
+            with self._collector.containing("writing", key):
+                if progress.outcome or progress.is_cancelled:
+                    self._add_closing(batch, key, progress)
+                else:
+                    size += self._add_progress(batch, key, progress)
             entries = len(batch.expects) + len(batch.puts) + len(batch.deletes)
             if entries >= MAX_BATCH_ENTRIES or size >= MAX_BATCH_BYTES:
                 break
@@ -114,9 +117,9 @@
     def _add_closing(self, batch, key, progress):
         row_id = get_row_id(RUNS, key)
         version = self._row_version_by_key.get(key, 0)
+        closed = encode_closed(ClosedJob(progress.state, self._clock.wall()))
         batch.expects.append(Expect(row_id, version))
-        closed = ClosedJob(progress.state, self._clock.wall())
-        batch.puts.append(Put(get_row_id(CLOSED, key), encode_closed(closed)))
+        batch.puts.append(Put(get_row_id(CLOSED, key), closed))
         batch.deletes.append(get_row_id(JOBS, key))
         if version:
             batch.deletes.append(row_id)
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -10,7 +10,8 @@
 class OrderBatch:
     """Orders to one node that are sent in one message.
 
-    :param starts: List of ``Allocation`` to start.
+    :param starts: Task, run number, checkpoint and ticket of each run to start.
+    :param payload_by_job: Payload of the tasks to start, by job identifier.
     :param stops: Task and run number of each run to stop.
     :param paces: Task, run number and percent of full speed of each run to throttle.
     """
@@ -18,6 +19,22 @@
     starts: list = field(default_factory=list)
     stops: list = field(default_factory=list)
     paces: list = field(default_factory=list)
+    payload_by_job: dict = field(default_factory=dict)
+
+    def add_start(self, cluster, allocation):
+        """Add the start of a claimed run, with its speed limit.
+
+        :param cluster: ``ClusterState``.
+        :param allocation: ``Allocation``.
+        """
+        progress = cluster.job_by_key[allocation.ref.job]
+        name, number = allocation.key
+        task = progress.get_task(allocation.ref)
+        start = (name, number, task.checkpoint, allocation.ticket)
+        self.payload_by_job[progress.spec.job_id] = progress.spec.payload
+        self.starts.append(start)
+        if allocation.throttle_percent != FULL_SPEED:
+            self.paces.append((name, number, allocation.throttle_percent))
 
 
 class OrderSender:
@@ -27,9 +44,11 @@
     :param site: ``SiteState``.
     :param epoch: Number of the term.
     :param log: ``EventLog``.
+    :param collector: ``ErrorCollector``: claims that can't be ordered are released.
     """
 
-    def __init__(self, cluster, site, epoch, log):
+    def __init__(self, cluster, site, epoch, log, collector):
+        self._collector = collector
         self._board = cluster
         self._site = site
         self._epoch = epoch
@@ -53,25 +72,41 @@
         # A gang that lost a member in the first pass loses the others in the second.
         self._release_blocked(due, blocking_reason, now)
         for worker in self._board.worker_by_node.values():
+            starts = [
+                allocation
+                for allocation in worker.allocation_by_key.values()
+                if not allocation.sent_at
+                and is_written(allocation.ref.job, allocation.revision)
+            ]
+            if starts:
+                self._send_starts(worker, starts, now)
+
+    def _send_starts(self, worker, starts, now):
+        """Order starts in one message; release those for which it can't be built."""
+        orders = OrderBatch()
+        try:
             limit_new_runs(worker, self._board.interference, now)
-            orders = OrderBatch()
-            for allocation in worker.allocation_by_key.values():
-                if allocation.sent_at or not is_written(
-                    allocation.ref.job, allocation.revision
-                ):
-                    continue
-                allocation.sent_at, allocation.stream = now, worker.stream
-                orders.starts.append(allocation)
-                if allocation.throttle_percent != FULL_SPEED:
-                    orders.paces.append(
-                        (
-                            allocation.name,
-                            allocation.number,
-                            allocation.throttle_percent,
-                        )
-                    )
-            if orders.starts:
-                self.send(worker, orders)
+        except Exception as error:
+            self._collector.record("orders", worker.node, error)
+            self._release_all(worker, starts, now)
+            return
+        for allocation in starts:
+            try:
+                orders.add_start(self._board, allocation)
+            except Exception as error:
+                self._collector.record("orders", allocation.ref.job, error)
+                self._release_all(worker, [allocation], now)
+                continue
+            allocation.sent_at, allocation.stream = now, worker.stream
+            self._log.write(
+                "run-ordered", allocation.name, run=allocation.number, node=worker.node
+            )
+        if orders.starts:
+            self.send(worker, orders)
+
+    def _release_all(self, worker, allocations, now):
+        for allocation in allocations:
+            self._board.release(worker, allocation, "order-failed", now)
 
     def _release_blocked(self, due, blocking_reason, now):
         """Release the claims whose orders may not be sent; return the others.
@@ -80,7 +115,11 @@
         """
         left = []
         for worker, allocation in due:
-            reason = blocking_reason or self._find_blocking_reason(worker, allocation)
+            reason = blocking_reason or "order-failed"
+            with self._collector.containing("orders", allocation.ref.job):
+                reason = blocking_reason or self._find_blocking_reason(
+                    worker, allocation
+                )
             if reason:
                 self._board.release(worker, allocation, reason, now)
             else:
@@ -113,30 +152,18 @@
 
     def send(self, worker, orders):
         """Send an ``OrderBatch`` to the node of a worker."""
-        payload_by_job = {}
-        starts = []
-        for allocation in orders.starts:
-            progress = self._board.job_by_key[allocation.ref.job]
-            task = progress.get_task(allocation.ref)
-            starts.append(
-                (allocation.name, allocation.number, task.checkpoint, allocation.ticket)
-            )
-            payload_by_job[progress.spec.job_id] = progress.spec.payload
-            self._log.write(
-                "run-ordered", allocation.name, run=allocation.number, node=worker.node
-            )
         worker.stream.send(
             RunOrders(
                 epoch=self._epoch,
                 echo=worker.stream.peer_clock,
                 born=worker.incarnation.started_ms,
-                starts=starts,
+                starts=orders.starts,
                 reserved=(
                     worker.used_cpu,
                     worker.used_memory,
                     worker.used_accelerators,
                 ),
-                payload_by_job=payload_by_job,
+                payload_by_job=orders.payload_by_job,
                 stops=orders.stops,
                 paces=orders.paces,
                 acknowledged=worker.acknowledged,
--- a/src/bergamotshore/entry/reports.py
+++ b/src/bergamotshore/entry/reports.py
@@ -1,6 +1,7 @@
 """Applies the reports of nodes to the cluster state."""
 
-from bergamotshore.core.work.model import WorkerSize
+from bergamotshore.core.work.containment import ErrorCollector
+from bergamotshore.core.work.model import build_worker_size
 from bergamotshore.ports.runner import ListedCompletion, ListedRun, WorkerIncarnation
 
 
@@ -12,7 +13,10 @@
         which the report was received.
     :param report: ``RunReport``.
     :param now: Current time, in seconds.
+    :returns: List of ``ContainedError``.
     """
+    collector = ErrorCollector()
+    worker.has_failed_report = True
     running = [ListedRun(*row) for row in report.running]
     ended = [ListedCompletion(*row) for row in report.ended]
     present = {(item.task, item.number) for item in (*running, *ended)}
@@ -22,7 +26,8 @@
     )
     _update_worker(worker, report, now)
     if report.is_lapsed or not report.is_answering:
-        return
+        worker.has_failed_report = False
+        return collector.errors
     worker.reported_at = now
     worker.is_throttle_stale = True
     worker.unknown_runs = set()
@@ -34,12 +39,15 @@
     for listed in ended:
         cluster.record_completion(worker, listed, now)
     cluster.release_absent(worker, present, worker.stream, now)
-    cluster.interference.record_report(worker, now)
+    worker.has_failed_report = False
+    with collector.containing("interference", worker.node):
+        cluster.interference.record_report(worker, now)
+    return collector.errors
 
 
 def _update_worker(worker, report, now):
     worker.service = report.service
-    worker.size = WorkerSize(*report.size) if report.size is not None else None
+    worker.size = None if report.size is None else build_worker_size(*report.size)
     worker.labels = tuple(report.labels)
     worker.rack = report.rack
     worker.machine = report.machine
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -1,5 +1,6 @@
 """The entry process for submitted jobs: wiring, threads and graceful shutdown."""
 
+import contextlib
 import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor
@@ -55,7 +56,7 @@
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
 from bergamotshore.utils.addresses import split_address
-from bergamotshore.utils.eventlog import EventLog
+from bergamotshore.utils.eventlog import EventLog, describe_error
 from bergamotshore.utils.services import run_services
 
 CALLER_THREADS = 24
@@ -103,6 +104,7 @@
         self.is_draining = False
         self.address = self.entry.nodes_advertised or self.entry.nodes
         self.peers = [self.address]
+        self._next_peers_at = 0.0
         self.loop = Loop(self.clock)
         self.executor = ThreadPoolExecutor(WRITER_THREADS, "writer")
         self.advice_executor = ThreadPoolExecutor(1, "advice")
@@ -245,7 +247,7 @@
             self.caller_server.run,
             self.ready_server.run,
             self.metrics_server.run,
-            lambda: self.follower.run(self.finished),
+            self._run_follower,
             self._run_election,
             self._run_feed,
             self._run_dispatcher,
@@ -359,32 +361,47 @@
     def _send_heartbeat(self, stream):
         stream.send(self.build_heartbeat(stream))
 
+    def _run_follower(self):
+        while not self.finished.is_set():
+            with self._surviving("operator-rows"):
+                self.follower.run(self.finished)
+
     def _run_election(self):
-        next_peers_at = 0.0
         while not self.finished.is_set():
-            self.watcher.step()
-            self.election.step()
-            if self.clock.now() >= next_peers_at and self._send_peers():
-                next_peers_at = self.clock.now() + PEERS_INTERVAL_SECONDS
+            for step in (self.watcher.step, self.election.step, self._send_peers):
+                with self._surviving("election"):
+                    step()
             self.stopping.wait(RENEW_SECONDS)
             if self.stopping.is_set():
                 return
 
-    def _send_peers(self):
-        """Send the addresses of all entries to the nodes and the relay.
+    @contextlib.contextmanager
+    def _surviving(self, service):
+        """Log an unexpected error of a service instead of ending the process.
 
-        :returns: Whether the store answered.
+        What the service keeps up to date then ages, and others decide by its age.
         """
+        try:
+            yield
+        except Exception as error:
+            self.registry.count("service_errors_total", service=service)
+            self.log.write("service-error", service, why=describe_error(error))
+            self.finished.wait(POLL_SECONDS)
+
+    def _send_peers(self):
+        """Send the addresses of all entries to the nodes and the relay, when due."""
+        if self.clock.now() < self._next_peers_at:
+            return
         peers = self.entries.read()
         if peers is None:
-            return False
+            return
+        self._next_peers_at = self.clock.now() + PEERS_INTERVAL_SECONDS
         peer_addresses = [address for address in peers if address != self.address]
         self.loop.call(self.relay.set_peer_addresses, peer_addresses)
         if peers != self.peers:
             self.peers = peers
             for stream in self.directory.list_streams():
                 stream.send(Peers(addresses=peers))
-        return True
 
     def _run_feed(self):
         """Follow the jobs table while this entry is the scheduling entry."""
@@ -397,7 +414,8 @@
                 continue
             if current_epoch != epoch:
                 epoch, version = current_epoch, self.dispatcher.feed_version
-            version = self._follow_jobs(version, epoch)
+            with self._surviving("job-feed"):
+                version = self._follow_jobs(version, epoch)
 
     def _follow_jobs(self, version, epoch):
         """Follow or read the jobs table once.
@@ -431,4 +449,5 @@
 
     def _run_dispatcher(self):
         while not self.finished.is_set():
-            self.dispatcher.step()
+            with self._surviving("dispatcher"):
+                self.dispatcher.step()
--- a/src/bergamotshore/entry/sitefollower.py
+++ b/src/bergamotshore/entry/sitefollower.py
@@ -7,6 +7,7 @@
 from bergamotshore.exceptions import OperatorRowInvalid
 from bergamotshore.platform import operator
 from bergamotshore.ports.rows import HistoryLost
+from bergamotshore.utils.eventlog import describe_error
 
 # Time from the start of a failed poll to the next poll, in seconds.
 RETRY_SECONDS = 0.3
@@ -83,7 +84,13 @@
         if self._version is None:
             self._remove_absent(page)
         for row in page.rows:
-            self._apply_row(row)
+            try:
+                self._apply_row(row)
+            except Exception as error:
+                self._registry.count("operator_rows_invalid_total")
+                self._log.write(
+                    "operator-row-invalid", row.id.key, why=describe_error(error)
+                )
         self._version = page.version
 
     def _remove_absent(self, page):
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -16,6 +16,15 @@
     code = "error"
 
 
+class StateError(BergamotshoreError):
+    """The state of the cluster was changed in part and can't be relied on any more.
+
+    It is discarded as a whole; what is stored, and what nodes report, replaces it.
+    """
+
+    code = "state-error"
+
+
 class MetricUndeclaredError(BergamotshoreError):
     """A metric was used differently from its declaration in ``schema/metrics.yaml``."""
 
--- a/src/bergamotshore/utils/eventlog.py
+++ b/src/bergamotshore/utils/eventlog.py
@@ -7,6 +7,7 @@
 import collections
 import sys
 import threading
+import traceback
 
 from loguru import logger
 
@@ -113,6 +114,15 @@
     return repr(text) if " " in text or not text else text
 
 
+def describe_error(error):
+    """Return an exception and the place where it was raised, in one line."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return repr(error)
+    name = frames[-1].filename.rsplit("/", 1)[-1]
+    return f"{error!r} in {frames[-1].name} at {name}:{frames[-1].lineno}"
+
+
 def start_line_writer(stream=None):
     """Start the writer thread and return its ``LineWriter``."""
     writer = LineWriter(stream or sys.stdout)
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -55,6 +55,8 @@
 CANCEL_SECONDS = 3.0
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
+# Kinds of log lines about unexpected errors.
+ERROR_KINDS = ("left-out", "order-error", "service-error", "term-abandoned")
 # Lower than the priority of all other queues in the tests.
 BATCH_PRIORITY = 9
 
@@ -295,6 +297,8 @@
         self.clock = clock
         self.random = random.Random(seed)
         self.lines = []
+        self.allows_errors = False
+        self._checked_lines = 0
         self.store = RowsStandIn()
         self.ledger = Ledger()
         self.configuration = build_configuration()
@@ -397,6 +401,15 @@
         self._deliver()
         for runner in self.runner_by_node.values():
             runner.update()
+        self._check_errors()
+
+    def _check_errors(self):
+        """Raise an error that a process contained, unless the test provokes it."""
+        new_lines = self.lines[self._checked_lines :]
+        self._checked_lines = len(self.lines)
+        for line in new_lines:
+            is_error = line.startswith(tuple(f"event={kind} " for kind in ERROR_KINDS))
+            assert self.allows_errors or not is_error, line
 
     def _list_unpaused(self):
         processes = [*self.entry_by_name.values(), *self.node_by_name.values()]
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -8,6 +8,7 @@
 
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
 from bergamotshore.core.work.cluster import ClusterState
+from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.model import JobSpec, Step, TaskRef
 from bergamotshore.core.work.site import Queue, SiteConfiguration, SiteState, Wave
 from bergamotshore.entry.jobrows import LATENCY_WINDOW_SECONDS, JobRows, get_part
@@ -446,7 +447,7 @@
         return [function(value) for value in values]
 
     cluster = ClusterState(build_configuration().get_queue)
-    writer = JobWriter(cluster, 1, clock)
+    writer = JobWriter(cluster, 1, clock, ErrorCollector())
     for part, version in write_fences(store, 1, run).items():
         writer.set_fence(part, version)
     progress = cluster.add_job(JobSpec("queue", "job", SERVICE, "p", (Step(tasks=1),)))
--- a/tests/site/test_worker_size.py
+++ b/tests/site/test_worker_size.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bergamotshore.core.work.cluster import ClusterState
+from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.leases import RenewalGrant, get_grant_seconds
 from bergamotshore.core.work.model import JobSpec, Step, TaskRef, WorkerSize
 from bergamotshore.core.work.site import SiteState
@@ -259,7 +260,13 @@
     return (
         cluster,
         worker,
-        OrderSender(cluster, SiteState(), 1, EventLog(clock, emit=lambda line: None)),
+        OrderSender(
+            cluster,
+            SiteState(),
+            1,
+            EventLog(clock, emit=lambda line: None),
+            ErrorCollector(),
+        ),
     )
 
 
