Settle orders and survive lists that raise an error in a node

What callers could see: a node that ends by one answer of its worker; a task that never runs again because its order raised an exception in a thread of the node, which reported it as in doubt for ever and so kept its place.

Change: a list of runs that raises an error counts as no answer of the worker; an order that raises one is in doubt and settled by the fence like one without an answer; a start without its payload is refused, the others of its message are carried out. The thread that renews the lease goes on after an error, such as a limit sent while the threads for calls shut down.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -12,6 +12,7 @@
 from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
 from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
+from bergamotshore.utils.eventlog import describe_error
 
 # The worker reports the tail latency of a latency-critical task over the last half
 # second; polling slightly more often reads each figure once.
@@ -149,7 +150,10 @@
             if reason:
                 self._report_outcome(task, number, reason)
                 continue
-            payload = orders.payload_by_job[task.split(".", 1)[0]]
+            payload = orders.payload_by_job.get(task.split(".", 1)[0])
+            if payload is None:
+                self._report_outcome(task, number, "no-payload")
+                continue
             order = RunOrder(task, number, payload, checkpoint, ticket)
             with self._lock:
                 self._unresolved_by_key[(task, number)] = UnresolvedOrder(self._fence)
@@ -240,6 +244,14 @@
         return clock_ms + int((lease_end - read_at) * 1000 * (1.0 - CLOCK_DRIFT_RATIO))
 
     def _call_start(self, order, orders):
+        try:
+            self._start(order, orders)
+        except Exception as error:
+            self.registry.count("order_errors_total")
+            self.log.write("order-error", order.task, why=describe_error(error))
+            self._mark_in_doubt((order.task, order.number), self._fence)
+
+    def _start(self, order, orders):
         key = (order.task, order.number)
         now = self.clock.now()
         # Calls without an answer may have delayed this one, so it is checked again.
@@ -274,11 +286,16 @@
                 self.log.write(
                     "start-in-doubt", order.task, run=order.number, why=failure.detail
                 )
-                with self._lock:
-                    self._unresolved_by_key[key] = UnresolvedOrder(
-                        fence, is_in_flight=False
-                    )
-                self._void_fence(fence)
+                self._mark_in_doubt(key, fence)
+
+    def _mark_in_doubt(self, key, fence):
+        """Let the next list of runs show whether an order was carried out."""
+        with self._lock:
+            if key in self._unresolved_by_key:
+                self._unresolved_by_key[key] = UnresolvedOrder(
+                    fence, is_in_flight=False
+                )
+        self._void_fence(fence)
 
     def _void_fence(self, fence):
         """Make the worker reject a call that it may carry out late."""
@@ -302,8 +319,19 @@
     def hold(self):
         """Renew the worker's lease and apply the list of runs in its answer.
 
+        An answer that raises an error counts as none.
+
         :returns: Seconds to wait before the next call.
         """
+        try:
+            return self._hold()
+        except Exception as error:
+            self.registry.count("service_errors_total", service="hold")
+            self.log.write("service-error", "hold", why=describe_error(error))
+            self._record_failure(WorkerFailure("unexpected error", is_certain=False))
+            return RETRY_SECONDS
+
+    def _hold(self):
         sent_at = self.clock.now()
         with self._lock:
             fence = self._fence
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -26,7 +26,7 @@
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.transport.loop import Loop
 from bergamotshore.utils.addresses import split_address
-from bergamotshore.utils.eventlog import EventLog
+from bergamotshore.utils.eventlog import EventLog, describe_error
 from bergamotshore.utils.services import run_services
 
 # A start without an answer blocks a thread for 1.5 s; a worker runs up to about 30
@@ -39,6 +39,8 @@
 MAX_HEARTBEAT_BYTES = 4 * 1024 * 1024
 # Pause between two lease renewals while completed runs are not acknowledged yet.
 UNACKNOWLEDGED_POLL_SECONDS = 0.05
+# Pause after an unexpected error in the thread that renews the lease, in seconds.
+ERROR_PAUSE_SECONDS = 0.25
 # Time for calls in flight at shutdown; the streams close after a tenth of it.
 SHUTDOWN_SECONDS = 1.0
 
@@ -128,8 +130,13 @@
 
     def _run_lease_renewal(self):
         while not self.stopping.is_set():
-            self.watcher.step()
-            pause = self._renew_lease()
+            try:
+                self.watcher.step()
+                pause = self._renew_lease()
+            except Exception as error:
+                self.registry.count("service_errors_total", service="lease")
+                self.log.write("service-error", "lease", why=describe_error(error))
+                pause = ERROR_PAUSE_SECONDS
             if self.run_manager.ended:
                 pause = max(pause, UNACKNOWLEDGED_POLL_SECONDS)
             if pause:
