--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -19,6 +19,7 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
+from standins.site import REDUCTION_NOTICE_SECONDS
 from tests.fakes import FakeClock
 from tests.site.simulation import Simulation
 
@@ -260,6 +261,15 @@
         self.simulation.start_node(node)
         self.simulation.advance(then)
 
+    @rule(nodes=st.sets(NODE, min_size=1), kind=st.sampled_from(["plain", "wide"]))
+    def shrink_workers_unheard(self, nodes, kind):
+        """Submit a job once the workers have been smaller for so long that it counts."""
+        for node in nodes:
+            self.simulation.without_heartbeats.add(node)
+            self.simulation.runner_by_node[node].resize(cpu=1000)
+        self.simulation.advance(REDUCTION_NOTICE_SECONDS + 0.1)
+        self.submit(kind, "queue", 0.4)
+
     @rule(node=NODE, then=SECONDS)
     def lose_or_regain_heartbeats(self, node, then):
         self.simulation.without_heartbeats.symmetric_difference_update({node})
