--- a/src/bergamotshore/core/work/preemption.py
+++ b/src/bergamotshore/core/work/preemption.py
@@ -59,7 +59,9 @@
             continue
         if view.cluster.has_reservation(item.key, view.now):
             continue
-        chosen = _choose_victims(view, item, workers_by_service)
+        chosen = None
+        with view.containing("preemption", item.progress.key):
+            chosen = _choose_victims(view, item, workers_by_service)
         if chosen is None:
             continue
         worker, victims = chosen
@@ -159,8 +161,8 @@
     accelerators = worker.used_accelerators - sum(
         run.step.accelerators for run in removed
     )
-    return (
-        cpu + step.reserved_cpu <= worker.cpu
-        and memory + step.memory <= worker.memory
-        and accelerators + step.accelerators <= worker.accelerators
+    return worker.size.covers(
+        cpu + step.reserved_cpu,
+        memory + step.memory,
+        accelerators + step.accelerators,
     )
--- a/src/bergamotshore/core/work/stops.py
+++ b/src/bergamotshore/core/work/stops.py
@@ -30,8 +30,8 @@
     """Return a ``StopRun`` for each run that should be stopped.
 
     These are runs of cancelled, failed and closed jobs, redundant runs of finished
-    tasks, runs that belong to no job, and runs that are stuck or would finish earlier
-    on another worker.
+    tasks, runs that belong to no job, members of a gang that lacks another one, and
+    runs that are stuck or would finish earlier on another worker.
     """
     stops = []
     for worker in view.cluster.worker_by_node.values():
@@ -40,7 +40,11 @@
         for name, number in worker.unknown_runs:
             stops.append(StopRun(worker.node, name, number, "unknown"))
         for run in worker.allocation_by_key.values():
-            reason = _find_stop_reason(view, run, worker)
+            try:
+                reason = _find_stop_reason(view, run, worker)
+            except Exception as error:
+                view.collector.record("stops", run.ref.job, error)
+                continue
             is_already_stopping = is_stopping(run, view.now)
             if reason and not is_already_stopping and run.sent_at:
                 run.stop_sent_at = view.now
@@ -64,6 +68,8 @@
     task = progress.get_task(run.ref)
     if task is None or task.is_done:
         return "done-elsewhere"
+    if run.step.is_gang and progress.is_gang_incomplete(run.ref, run.number):
+        return "gang-incomplete"
     if is_stuck(run, worker):
         view.cluster.record_stuck(worker, run, view.now)
         return "stuck"
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from bergamotshore.core.work.model import Step, TaskRef
+from bergamotshore.core.work.containment import changes_state
+from bergamotshore.core.work.model import Step, TaskRef, WorkerSize
 
 # Share of its requested processors that a latency-critical task leaves idle on average.
 LATENCY_CRITICAL_IDLE_SHARE = 0.58
@@ -75,9 +76,8 @@
     :param stream: Stream to the node; None while disconnected.
     :param incarnation: ``WorkerIncarnation``; None before the first report.
     :param service: Service that it belongs to.
-    :param cpu: Processors, in thousandths.
-    :param memory: Memory, in MB.
-    :param accelerators: Number of accelerators.
+    :param size: ``WorkerSize``; None while it is unknown. Such a worker gets no new
+        runs, and what it runs is left as it is.
     :param labels: Tuple of labels.
     :param rack: Rack; empty when unknown.
     :param machine: VM that it runs on; empty when unknown.
@@ -86,6 +86,7 @@
     :param is_reachable: Whether a heartbeat of its node arrived recently.
     :param is_answering: Whether the worker answers its node.
     :param has_right: Whether its node may extend the worker's lease.
+    :param has_failed_report: Whether its last report could not be applied as a whole.
     :param reported_at: When the worker last reported its runs, in seconds.
     :param allocation_by_key: ``Allocation`` by name and number.
     :param unknown_runs: Keys of reported runs that no job has claimed.
@@ -108,9 +109,7 @@
     stream: object = None
     incarnation: object = None
     service: str = ""
-    cpu: int = 0
-    memory: int = 0
-    accelerators: int = 0
+    size: WorkerSize | None = None
     labels: tuple = ()
     rack: str = ""
     machine: str = ""
@@ -119,6 +118,7 @@
     is_reachable: bool = False
     is_answering: bool = False
     has_right: bool = False
+    has_failed_report: bool = False
     reported_at: float = 0.0
     allocation_by_key: dict = field(default_factory=dict)
     unknown_runs: set = field(default_factory=set)
@@ -135,6 +135,7 @@
     ended_best_effort: list = field(default_factory=list)
     is_throttle_stale: bool = True
 
+    @changes_state
     def allocate(self, allocation):
         """Allocate resources to a run."""
         self.allocation_by_key[allocation.key] = allocation
@@ -180,11 +181,13 @@
     def get_best_effort_cpu(self):
         """Return the processors left for further best-effort tasks, in thousandths.
 
-        Latency-critical tasks leave part of the processors that they request idle.
+        The size of the worker has to be known. Latency-critical tasks leave part of the
+        processors that they request idle.
         """
         used = self.used_cpu - self.latency_critical_cpu * LATENCY_CRITICAL_IDLE_SHARE
-        return self.cpu - used - self.best_effort_cpu
+        return self.size.cpu - used - self.best_effort_cpu
 
+    @changes_state
     def free(self, key):
         """Free the resources of a run; return its ``Allocation``, or None."""
         allocation = self.allocation_by_key.pop(key, None)
@@ -197,35 +200,45 @@
 
     def fits(self, step):
         """Return whether the free resources suffice for a task of a step."""
-        return (
-            self.used_cpu + step.reserved_cpu <= self.cpu
-            and self.used_memory + step.memory <= self.memory
-            and self.used_accelerators + step.accelerators <= self.accelerators
+        return self.size is not None and self.size.covers(
+            self.used_cpu + step.reserved_cpu,
+            self.used_memory + step.memory,
+            self.used_accelerators + step.accelerators,
+        )
+
+    @property
+    def is_overcommitted(self):
+        """Return whether its runs reserve more than it has; its size is known.
+
+        A worker may shrink while tasks run on it. They run on, but none is started.
+        """
+        return not self.size.covers(
+            self.used_cpu, self.used_memory, self.used_accelerators
         )
 
     def could_fit(self, step):
         """Return whether the worker could run a task of a step if it were empty."""
         return (
-            step.cpu <= self.cpu
-            and step.memory <= self.memory
-            and step.accelerators <= self.accelerators
+            self.size is not None
+            and self.size.covers(step.cpu, step.memory, step.accelerators)
             and (not step.label or step.label in self.labels)
         )
 
     @property
     def is_schedulable(self):
-        """Return whether it can take new runs: reachable, with all its runs known."""
+        """Return whether it can take new runs: reachable, of known size and runs."""
         return (
             self.stream is not None
             and self.is_reachable
             and self.is_answering
             and self.has_right
-            and self.cpu > 0
+            and self.size is not None
             and not self.is_draining
             and not self.unknown_runs
+            and not self.has_failed_report
         )
 
     @property
     def cpu_share(self):
-        """Return the share of its processors that is allocated."""
-        return self.used_cpu / self.cpu if self.cpu else 1.0
+        """Return the share of its processors that is allocated; 1 if unknown."""
+        return 1.0 if self.size is None else self.size.get_share(self.used_cpu)
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -16,6 +16,15 @@
     code = "error"
 
 
+class StateError(BergamotshoreError):
+    """The state of the cluster was changed in part and can't be relied on any more.
+
+    It is discarded as a whole; what is stored, and what nodes report, replaces it.
+    """
+
+    code = "state-error"
+
+
 class MetricUndeclaredError(BergamotshoreError):
     """A metric was used differently from its declaration in ``schema/metrics.yaml``."""
 
@@ -296,3 +305,14 @@
     key: str
     detail: str
     code: str = "operator-row-invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class UnexpectedFailure:
+    """A call raised an exception; it may have had an effect.
+
+    :param detail: Description of the exception.
+    """
+
+    detail: str
+    code: str = "unexpected-error"
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -10,8 +10,10 @@
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
+from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
 from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
+from bergamotshore.utils.eventlog import describe_error
 
 # The worker reports the tail latency of a latency-critical task over the last half
 # second; polling slightly more often reads each figure once.
@@ -72,6 +74,7 @@
         self.registry = registry
         self.log = log
         self.worker_report = None
+        self._reported_size = ReportedSize()
         self.incarnation = 0
         self.is_answering = False
         self.running = []
@@ -112,13 +115,23 @@
             if is_other_incarnation or is_out_of_order:
                 return
             previous, self.worker_report = self.worker_report, report
-        if previous is None or previous.is_draining != report.is_draining:
+            self._reported_size.record(report, self.clock.now())
+        is_new = previous is None or previous.is_draining != report.is_draining
+        has_new_size = previous is None or previous.size != report.size
+        if has_new_size:
+            self.log.write(
+                "worker-sized",
+                report.incarnation.worker,
+                size=_encode_size(report.size),
+            )
+        if is_new:
             self.log.write(
                 "worker-reported",
                 report.incarnation.worker,
                 born=report.incarnation.started_ms,
                 draining=report.is_draining,
             )
+        if is_new or has_new_size:
             self.on_change()
 
     def accept_orders(self, orders):
@@ -139,7 +152,10 @@
             if reason:
                 self._report_outcome(task, number, reason)
                 continue
-            payload = orders.payload_by_job[task.split(".", 1)[0]]
+            payload = orders.payload_by_job.get(task.split(".", 1)[0])
+            if payload is None:
+                self._report_outcome(task, number, "no-payload")
+                continue
             order = RunOrder(task, number, payload, checkpoint, ticket)
             with self._lock:
                 self._unresolved_by_key[(task, number)] = UnresolvedOrder(self._fence)
@@ -198,7 +214,17 @@
             return "other-life"
         if self.grant.get_remaining(now) < MIN_LEASE_SECONDS:
             return "no-right"
-        return ""
+        return self._find_lack_of_room(orders.reserved, now)
+
+    def _find_lack_of_room(self, reserved, now):
+        """Return why the worker may lack room for all its runs; empty if it has it.
+
+        :param reserved: Processors, memory and accelerators of all its runs.
+        """
+        size = self._reported_size.get(now)
+        if size is None:
+            return "size-unknown"
+        return "" if size.covers(*reserved) else "no-room"
 
     def _report_outcome(self, task, number, outcome):
         self.registry.count("run_orders_total", outcome=outcome)
@@ -220,6 +246,14 @@
         return clock_ms + int((lease_end - read_at) * 1000 * (1.0 - CLOCK_DRIFT_RATIO))
 
     def _call_start(self, order, orders):
+        try:
+            self._start(order, orders)
+        except Exception as error:
+            self.registry.count("order_errors_total")
+            self.log.write("order-error", order.task, why=describe_error(error))
+            self._mark_in_doubt((order.task, order.number), self._fence)
+
+    def _start(self, order, orders):
         key = (order.task, order.number)
         now = self.clock.now()
         # Calls without an answer may have delayed this one, so it is checked again.
@@ -254,11 +288,16 @@
                 self.log.write(
                     "start-in-doubt", order.task, run=order.number, why=failure.detail
                 )
-                with self._lock:
-                    self._unresolved_by_key[key] = UnresolvedOrder(
-                        fence, is_in_flight=False
-                    )
-                self._void_fence(fence)
+                self._mark_in_doubt(key, fence)
+
+    def _mark_in_doubt(self, key, fence):
+        """Let the next list of runs show whether an order was carried out."""
+        with self._lock:
+            if key in self._unresolved_by_key:
+                self._unresolved_by_key[key] = UnresolvedOrder(
+                    fence, is_in_flight=False
+                )
+        self._void_fence(fence)
 
     def _void_fence(self, fence):
         """Make the worker reject a call that it may carry out late."""
@@ -282,8 +321,19 @@
     def hold(self):
         """Renew the worker's lease and apply the list of runs in its answer.
 
+        An answer that raises an error counts as none.
+
         :returns: Seconds to wait before the next call.
         """
+        try:
+            return self._hold()
+        except Exception as error:
+            self.registry.count("service_errors_total", service="hold")
+            self.log.write("service-error", "hold", why=describe_error(error))
+            self._record_failure(WorkerFailure("unexpected error", is_certain=False))
+            return RETRY_SECONDS
+
+    def _hold(self):
         sent_at = self.clock.now()
         with self._lock:
             fence = self._fence
@@ -326,6 +376,7 @@
             if not self.is_answering:
                 self.log.write("worker-answers", "worker", born=listing.started_ms)
             self._worker_clock_reading = (now, listing.clock_ms)
+            self._reported_size.record_clock(sent_at, listing.clock_ms)
             self._refused_connections, self._is_worker_down = 0, False
             self.is_answering = True
             listed_keys = {(run.task, run.number) for run in listing.running}
@@ -385,6 +436,7 @@
                     and self.worker_report.incarnation.started_ms != self.incarnation
                 ):
                     self.worker_report = None
+                    self._reported_size = ReportedSize()
                 self.log.write("worker-life", "worker", born=self.incarnation)
                 return True
             self._candidate_incarnation = (listing.started_ms, True)
@@ -434,9 +486,7 @@
             is_lapsed=self._is_lapsed(now),
             has_right=self.grant.get_remaining(now) > MIN_LEASE_SECONDS,
             service=report.service if report is not None else "",
-            cpu=report.cpu if report is not None else 0,
-            memory=report.memory if report is not None else 0,
-            accelerators=report.accelerators if report is not None else 0,
+            size=_encode_size(self._reported_size.get(now)),
             labels=list(report.labels) if report is not None else [],
             rack=report.rack if report is not None else "",
             machine=report.machine if report is not None else "",
@@ -461,3 +511,7 @@
             doubtful=list(self._unresolved_by_key),
             is_gone=bool(self.ended_incarnation),
         )
+
+
+def _encode_size(size):
+    return None if size is None else (size.cpu, size.memory, size.accelerators)
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from bergamotshore.core.work.model import WorkerSize
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerIncarnation:
@@ -139,13 +141,13 @@
     :param is_draining: Whether the worker is draining before it shuts down.
     :param remaining: Minimum time left while draining, in seconds.
     :param warmup: Remaining time of reduced speed after its start, in seconds.
-    :param cpu: Processor capacity, in thousandths of a processor.
-    :param memory: Memory, in MB.
-    :param accelerators: Number of accelerators.
+    :param size: ``WorkerSize``; None when not reported.
     :param labels: Labels, including its kind and its rack.
     :param rack: Rack of the worker; empty when not reported.
     :param machine: VM that the worker runs on; empty when not reported.
     :param sequence: Sequence number among its reports.
+    :param clock_ms: Clock of the worker when it made the report, in milliseconds; None
+        when not reported.
     """
 
     incarnation: WorkerIncarnation
@@ -155,13 +157,12 @@
     is_draining: bool
     remaining: float
     warmup: float
-    cpu: int
-    memory: int
-    accelerators: int
+    size: WorkerSize | None
     labels: tuple = field(default=())
     rack: str = ""
     machine: str = ""
     sequence: int = 0
+    clock_ms: float | None = None
 
 
 class Runner(Protocol):
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -38,11 +38,11 @@
     Expect,
 )
 from bergamotshore.utils.eventlog import EventLog
+from standins.ledger import Ledger
 from standins.machines import MachinesStandIn
 from standins.site import (
     LONGEST_HOLD_SECONDS,
     SERVICE,
-    Ledger,
     RowsStandIn,
     RunnerStandIn,
 )
@@ -55,6 +55,8 @@
 CANCEL_SECONDS = 3.0
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
+# Kinds of log lines about unexpected errors.
+ERROR_KINDS = ("left-out", "order-error", "service-error", "term-abandoned")
 # Lower than the priority of all other queues in the tests.
 BATCH_PRIORITY = 9
 
@@ -277,6 +279,9 @@
         self._announced_end = 0
         self.peers = set()
         self.runner = runner
+        self.is_receiving_heartbeats = lambda: (
+            runner.is_sending_heartbeats and name not in simulation.without_heartbeats
+        )
         self.run_manager = RunManager(
             runner,
             self.grant,
@@ -292,7 +297,7 @@
         """Do nothing; the simulation opens the streams."""
 
     def step(self):
-        if not (self.runner.is_cut or self.runner.is_gone):
+        if self.is_receiving_heartbeats():
             self.run_manager.record_heartbeat(self.runner.build_report(self.zone))
         self._renew_lease()
 
@@ -304,6 +309,8 @@
         self.clock = clock
         self.random = random.Random(seed)
         self.lines = []
+        self.allows_errors = False
+        self._checked_lines = 0
         self.store = RowsStandIn()
         self.ledger = Ledger()
         self.configuration = build_configuration()
@@ -316,6 +323,7 @@
         self.disconnected_pairs = set()
         self.without_store = set()
         self.without_feeds = set()
+        self.without_heartbeats = set()
         self.paused = set()
         self.entry_by_name = {}
         self.node_by_name = {}
@@ -404,7 +412,16 @@
                 process.step()
         self._deliver()
         for runner in self.runner_by_node.values():
-            runner.end_runs_if_expired()
+            runner.update()
+        self._check_errors()
+
+    def _check_errors(self):
+        """Raise an error that a process contained, unless the test provokes it."""
+        new_lines = self.lines[self._checked_lines :]
+        self._checked_lines = len(self.lines)
+        for line in new_lines:
+            is_error = line.startswith(tuple(f"event={kind} " for kind in ERROR_KINDS))
+            assert self.allows_errors or not is_error, line
 
     def _list_unpaused(self):
         processes = [*self.entry_by_name.values(), *self.node_by_name.values()]
@@ -475,12 +492,15 @@
 
     def get_state(self, job_id, queue="queue"):
         """Return the job state that is shown to callers."""
-        return self.rows.get_state(queue, job_id).unwrap()
+        state = self.rows.get_state(queue, job_id).unwrap()
+        self.ledger.check_state(job_id, state)
+        return state
 
     def settle(self):
         """Remove all faults and run until the processes have recovered."""
         self.heal()
         self.paused.clear()
+        self.without_heartbeats.clear()
         self.without_store.clear()
         self.without_feeds.clear()
         self.store.is_down = self.machines.is_down = False
--- a/tests/site/test_downtime.py
+++ b/tests/site/test_downtime.py
@@ -66,7 +66,7 @@
 
 def close_by_size(simulation):
     for runner in simulation.runner_by_node.values():
-        runner.cpu = 100
+        runner.resize(cpu=100)
     simulation.advance(0.5)
 
 
--- /dev/null
+++ b/tests/site/test_ledger_checks.py
@@ -0,0 +1,312 @@
+"""The checks of the ledger: each one fires on a violation and on nothing else."""
+
+from dataclasses import replace
+
+import pytest
+from returns.result import Failure, Success
+
+from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.exceptions import WorkerFailure
+from bergamotshore.ports.runner import RunOrder
+from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES, Ledger
+from standins.site import (
+    CRASH_SECONDS,
+    REDUCTION_NOTICE_SECONDS,
+    SERVICE,
+    Capacity,
+    RunnerStandIn,
+)
+
+TASK = "job1.0.0.0"
+OTHER_TASK = "job1.0.0.1"
+RETRIES = 3
+CPU, MEMORY, ACCELERATORS = 8000, 2000, 2
+# Half of a worker with that capacity.
+HALF = Step(tasks=4, cpu=4000, memory=1000, accelerators=1)
+ALLOWED_STARTS = MAX_CRASHES + MAX_STARTS_AFTER_CRASHES - 1
+SECONDS_UNTIL_CRASH = 1.5
+
+
+@pytest.fixture
+def ledger():
+    ledger = Ledger()
+    record_job(ledger)
+    return ledger
+
+
+@pytest.fixture
+def runner(clock, ledger):
+    return RunnerStandIn(clock, "worker-0", ledger)
+
+
+def record_job(ledger, step=None, **fields):
+    step = step or Step(tasks=2, cpu=4000, memory=100)
+    ledger.record_job(JobSpec("queue", "job1", SERVICE, "", (step,), RETRIES, **fields))
+
+
+def start(runner, number, task=TASK):
+    order = RunOrder(task, number, "", "", "")
+    return runner.start(order, runner.clock_ms + 5000, 1, runner.name)
+
+
+def is_refused(outcome):
+    """Return whether the worker refused the connection."""
+    return isinstance(outcome, Failure) and outcome.failure().is_certain
+
+
+def crash_repeatedly(clock, runner, starts):
+    for number in range(1, starts + 1):
+        start(runner, number)
+        clock.advance(CRASH_SECONDS)
+
+
+def test_worker_is_down_after_a_crash_and_returns_as_a_new_incarnation(
+    clock, ledger, runner
+):
+    """A stand-in that answers while it is down would hide faults of the node."""
+    ledger.record_crashing("job1")
+    born = runner.born
+    assert start(runner, 1) == Failure(WorkerFailure("silent", is_certain=False))
+    assert ledger.live == {}
+    assert not runner.is_sending_heartbeats
+    clock.advance(CRASH_SECONDS - 0.1)
+    assert is_refused(start(runner, 2, OTHER_TASK))
+    clock.advance(0.1)
+    runner.update()
+    assert runner.is_sending_heartbeats
+    assert runner.born > born
+    assert runner.name == "worker-0"
+    assert runner.clock_ms == 0
+
+
+def test_worker_crashes_after_the_given_time_of_work(clock, ledger, runner):
+    ledger.record_crashing(TASK, SECONDS_UNTIL_CRASH)
+    assert isinstance(start(runner, 1), Success)
+    assert isinstance(start(runner, 1, OTHER_TASK), Success)
+    clock.advance(SECONDS_UNTIL_CRASH - 0.1)
+    runner.update()
+    assert len(ledger.live) == 2
+    clock.advance(0.1)
+    runner.update()
+    assert ledger.live == {}
+    assert is_refused(start(runner, 2, OTHER_TASK))
+
+
+def test_worker_survives_a_crashing_task_that_ended_before(clock, ledger, runner):
+    ledger.record_crashing(TASK, SECONDS_UNTIL_CRASH)
+    start(runner, 1)
+    runner.stop(TASK, 1, 1)
+    clock.advance(SECONDS_UNTIL_CRASH)
+    runner.update()
+    assert not runner.is_down
+
+
+def test_late_order_is_not_executed_by_a_crashed_worker(clock, ledger, runner):
+    ledger.record_crashing(TASK)
+    runner.faults = ["late"]
+    start(runner, 1, OTHER_TASK)
+    start(runner, 1)
+    runner.run_late()
+    clock.advance(CRASH_SECONDS)
+    runner.run_late()
+    assert [task for task, _, _ in ledger.starts] == [TASK]
+
+
+@pytest.mark.parametrize("surplus", [0, 1])
+def test_task_that_crashes_worker_after_worker_is_reported(
+    clock, ledger, runner, surplus
+):
+    ledger.record_crashing("job1")
+    crash_repeatedly(clock, runner, ALLOWED_STARTS + surplus)
+    assert len(ledger.problems) == surplus
+
+
+def test_crashes_are_counted_across_workers(clock, ledger):
+    ledger.record_crashing("job1")
+    for index in range(ALLOWED_STARTS + 1):
+        start(RunnerStandIn(clock, f"worker-{index}", ledger), 1)
+    assert len(ledger.problems) == 1
+
+
+def test_harmless_task_beside_a_crashing_one_may_start_again(clock, ledger, runner):
+    ledger.record_crashing(OTHER_TASK)
+    for number in range(1, ALLOWED_STARTS + 2):
+        start(runner, number)
+        start(RunnerStandIn(clock, "worker-0", ledger), 1, OTHER_TASK)
+    assert [text for text in ledger.problems if text.startswith(TASK)] == []
+
+
+@pytest.mark.parametrize(("crashes", "is_reported"), [(0, True), (1, True), (2, False)])
+def test_failed_job_is_reported_unless_two_workers_crashed_under_a_task(
+    clock, ledger, runner, crashes, is_reported
+):
+    for number in range(1, crashes + 1):
+        start(runner, number)
+        runner.crash()
+        clock.advance(CRASH_SECONDS)
+    ledger.check_state("job1", "failed")
+    assert bool(ledger.problems) == is_reported
+
+
+def test_crashes_under_different_tasks_give_no_cause_to_fail(clock, ledger, runner):
+    for task in (TASK, OTHER_TASK):
+        start(runner, 1, task)
+        runner.crash()
+        clock.advance(CRASH_SECONDS)
+    ledger.check_state("job1", "failed")
+    assert ledger.problems
+
+
+def test_maintenance_is_no_crash(clock, ledger, runner):
+    for number in (1, 2):
+        start(runner, number)
+        runner.begin_incarnation()
+    ledger.check_state("job1", "failed")
+    assert ledger.problems
+
+
+@pytest.mark.parametrize("outcome", ["failed", "stopped", "lapsed", "broken", "alone"])
+def test_only_failed_runs_give_cause_to_fail(clock, ledger, runner, outcome):
+    for number in range(1, RETRIES + 1):
+        ledger.check_state("job1", "active")
+        start(runner, number)
+        runner.finish(TASK, outcome)
+    ledger.check_state("job1", "failed")
+    assert bool(ledger.problems) == (outcome != "failed")
+
+
+def test_failed_runs_of_different_members_fail_a_gang(ledger, runner):
+    record_job(ledger, Step(tasks=2, cpu=100, is_gang=True))
+    for number in range(1, RETRIES + 1):
+        task = (TASK, OTHER_TASK)[number % 2]
+        start(runner, number, task)
+        runner.finish(task, "failed")
+    ledger.check_state("job1", "failed")
+    assert ledger.problems == []
+
+
+@pytest.mark.parametrize("state", ["done", "complete"])
+def test_complete_job_is_reported_while_a_task_is_not_done(ledger, runner, state):
+    for task in (TASK, OTHER_TASK):
+        ledger.check_state("job1", "active")
+        assert ledger.problems == []
+        ledger.check_state("job1", state)
+        assert len(ledger.problems) == 1
+        ledger.problems.clear()
+        start(runner, 1, task)
+        runner.finish(task, "done")
+    ledger.check_state("job1", state)
+    assert ledger.problems == []
+
+
+def test_complete_job_is_reported_while_an_occurrence_is_not_done(ledger, runner):
+    record_job(ledger, Step(tasks=1, cpu=100), repeats=2)
+    start(runner, 1)
+    runner.finish(TASK, "done")
+    ledger.check_state("job1", "complete")
+    assert ledger.problems
+
+
+@pytest.fixture
+def small_runner(ledger, runner):
+    """Return a worker that is full with two of the tasks."""
+    record_job(ledger, HALF)
+    runner.capacity = Capacity(CPU, MEMORY, ACCELERATORS)
+    return runner
+
+
+@pytest.mark.parametrize(
+    "surplus", [{"cpu": 4001}, {"memory": 1001}, {"accelerators": 2}]
+)
+def test_start_over_any_part_of_the_capacity_is_reported(ledger, small_runner, surplus):
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    assert ledger.problems == []
+    record_job(ledger, replace(HALF, **surplus))
+    small_runner.finish(TASK, "failed")
+    start(small_runner, 2)
+    assert len(ledger.problems) == 1
+
+
+@pytest.mark.parametrize(
+    ("seconds", "is_reported"),
+    [(REDUCTION_NOTICE_SECONDS - 0.1, False), (REDUCTION_NOTICE_SECONDS, True)],
+)
+@pytest.mark.parametrize(
+    "reduction", [{"cpu": 7999}, {"memory": 1999}, {"accelerators": 1}]
+)
+def test_start_over_a_reduced_capacity_is_reported_once_it_can_be_known(
+    clock, ledger, small_runner, seconds, is_reported, reduction
+):
+    start(small_runner, 1)
+    small_runner.resize(**reduction)
+    clock.advance(seconds)
+    start(small_runner, 1, OTHER_TASK)
+    assert bool(ledger.problems) == is_reported
+
+
+def test_each_of_several_reductions_counts_from_its_own_moment(
+    clock, ledger, small_runner
+):
+    small_runner.resize(cpu=4000)
+    clock.advance(REDUCTION_NOTICE_SECONDS - 0.1)
+    small_runner.resize(cpu=1000)
+    clock.advance(0.1)
+    start(small_runner, 1)
+    assert ledger.problems == []
+    start(small_runner, 1, OTHER_TASK)
+    assert len(ledger.problems) == 1
+
+
+def test_capacity_that_grew_again_may_be_used_at_once(clock, ledger, small_runner):
+    start(small_runner, 1)
+    small_runner.resize(cpu=4000)
+    clock.advance(2 * REDUCTION_NOTICE_SECONDS)
+    small_runner.resize(cpu=CPU)
+    start(small_runner, 1, OTHER_TASK)
+    assert ledger.problems == []
+
+
+def test_runs_that_keep_running_on_a_reduced_worker_are_allowed(
+    clock, ledger, small_runner
+):
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    small_runner.resize(cpu=1000, memory=500, accelerators=0)
+    clock.advance(REDUCTION_NOTICE_SECONDS)
+    small_runner.update()
+    assert ledger.problems == []
+
+
+def test_best_effort_task_uses_memory_but_no_processors(ledger, small_runner):
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    record_job(ledger, Step(tasks=3, cpu=4000, is_filling=True))
+    start(small_runner, 1, "job1.0.0.2")
+    assert ledger.problems == []
+    record_job(ledger, replace(HALF, is_filling=True, accelerators=0))
+    start(small_runner, 1, "job1.0.0.3")
+    assert len(ledger.problems) == 1
+
+
+def test_run_that_is_being_stopped_uses_capacity(clock, ledger, small_runner):
+    small_runner.stop_seconds = 0.5
+    for task in (TASK, OTHER_TASK):
+        start(small_runner, 1, task)
+    small_runner.stop(TASK, 1, 1)
+    clock.advance(0.4)
+    start(small_runner, 1, "job1.0.0.2")
+    assert ledger.problems
+    ledger.problems.clear()
+    small_runner.finish("job1.0.0.2", "failed")
+    clock.advance(0.1)
+    start(small_runner, 2, "job1.0.0.2")
+    assert ledger.problems == []
+
+
+def test_capacity_of_a_new_incarnation_counts_at_once(ledger, small_runner):
+    small_runner.resize(cpu=4000)
+    small_runner.restart()
+    start(small_runner, 1)
+    start(small_runner, 1, OTHER_TASK)
+    assert len(ledger.problems) == 1
--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -19,6 +19,7 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
+from standins.site import REDUCTION_NOTICE_SECONDS
 from tests.fakes import FakeClock
 from tests.site.simulation import Simulation
 
@@ -40,8 +41,39 @@
     "wide": (Step(tasks=1, cpu=14000, memory=100),),
     "spread": (Step(tasks=3, cpu=1000, memory=100, per_worker=1),),
     "saving": (Step(tasks=4, cpu=3000, memory=100, has_checkpoints=True),),
+    "critical": (
+        Step(
+            tasks=3,
+            cpu=3000,
+            memory=100,
+            is_lasting=True,
+            image="web",
+            goal_ms=40.0,
+            per_worker=1,
+        ),
+    ),
+    "filling": (
+        Step(
+            tasks=4,
+            cpu=2000,
+            memory=100,
+            is_filling=True,
+            image="crunch",
+            has_checkpoints=True,
+            per_worker=1,
+        ),
+    ),
 }
-LONG_RUNNING = {"lasting", "bound"}
+LONG_RUNNING = {"lasting", "bound", "critical"}
+# Sizes of workers. The smallest have room for none of the tasks.
+SIZES = [
+    {"cpu": 0},
+    {"cpu": 1000},
+    {"cpu": 5000},
+    {"cpu": 16000},
+    {"memory": 50},
+    {"memory": 64000},
+]
 # Maximum number of long-running jobs; more would leave no capacity for other jobs.
 MAX_LONG_RUNNING = 4
 QUEUES = ["queue", "batch"]
@@ -58,6 +90,9 @@
         self.simulation = Simulation(FakeClock(), entries=ENTRIES, nodes=NODES)
         for index, runner in enumerate(self.simulation.runner_by_node.values()):
             runner.rack = f"r{index % 2}"
+            # The latency at which some best-effort tasks are throttled.
+            runner.usage = 18.0 if index % 2 else 1.0
+        self.original_capacity = runner.capacity
         self.kind_by_job = {}
         self.cancelled = set()
         self.maybe_cancelled = set()
@@ -206,6 +241,40 @@
             runner.restart()
         self.simulation.advance(then)
 
+    @rule(node=NODE, size=st.sampled_from(SIZES), then=SECONDS)
+    def resize_worker(self, node, size, then):
+        self.simulation.runner_by_node[node].resize(**size)
+        self.simulation.advance(then)
+
+    @rule(node=NODE, size=st.sampled_from(SIZES), then=SECONDS)
+    def restart_worker_with_another_size(self, node, size, then):
+        runner = self.simulation.runner_by_node[node]
+        if not runner.is_gone:
+            runner.resize(**size)
+            runner.restart()
+        self.simulation.advance(then)
+
+    @rule(node=NODE, then=SECONDS)
+    def restart_node_without_heartbeats(self, node, then):
+        """Restart a node; its worker lists its runs but does not tell its size."""
+        self.simulation.without_heartbeats.add(node)
+        self.simulation.start_node(node)
+        self.simulation.advance(then)
+
+    @rule(nodes=st.sets(NODE, min_size=1), kind=st.sampled_from(["plain", "wide"]))
+    def shrink_workers_unheard(self, nodes, kind):
+        """Submit a job once smaller sizes of workers have counted for some time."""
+        for node in nodes:
+            self.simulation.without_heartbeats.add(node)
+            self.simulation.runner_by_node[node].resize(cpu=1000)
+        self.simulation.advance(REDUCTION_NOTICE_SECONDS + 0.1)
+        self.submit(kind, "queue", 0.4)
+
+    @rule(node=NODE, then=SECONDS)
+    def lose_or_regain_heartbeats(self, node, then):
+        self.simulation.without_heartbeats.symmetric_difference_update({node})
+        self.simulation.advance(then)
+
     @rule(node=NODE, then=SECONDS)
     def disconnect_or_reconnect_worker(self, node, then):
         runner = self.simulation.runner_by_node[node]
@@ -278,6 +347,8 @@
         cancelled, so that wide tasks find a worker as well.
         """
         simulation = self.simulation
+        for runner in simulation.runner_by_node.values():
+            runner.capacity = self.original_capacity
         simulation.settle()
         self._announce_wave_again()
         for runner in simulation.runner_by_node.values():
@@ -304,17 +375,6 @@
                     job_id, kind, self.simulation.get_state(job_id, queue)
                 )
 
-    def _is_complete(self, job_id):
-        """Return whether all tasks of a job are done; one of a gang is enough."""
-        ledger = self.simulation.ledger
-        return all(
-            (any if step.is_gang else all)(
-                f"{job_id}.0.{number}.{index}" in ledger.done
-                for index in range(step.tasks)
-            )
-            for number, step in enumerate(ledger.spec_by_job[job_id].steps)
-        )
-
     def _end_all(self):
         for runner in self.simulation.runner_by_node.values():
             for task in list(runner.run_by_task):
@@ -328,10 +388,7 @@
         elif job_id in self.maybe_cancelled:
             allowed = allowed | {"cancelled"}
         assert state in allowed, (job_id, state)
-        if state == "failed":
-            assert self.simulation.ledger.could_fail(job_id), job_id
-        if state == "done":
-            assert self._is_complete(job_id), job_id
+        assert self.simulation.ledger.problems == []
         running = [
             task for task, _ in self.simulation.running if task.startswith(f"{job_id}.")
         ]
