Stop extending the lease of a worker that answers nothing

What callers saw: tasks of a worker that answers no call of its node never ran again while the node lived and had a right to extend leases, although there was room (LOST).

Cause: a call without an answer may have been carried out, so each attempt moved the time until which the worker may have a lease; the node tried four times a second, and the time never came. If the worker did carry the calls out, its lease never ended either. Only the way in which a client fails to connect hid it: two time-outs of connecting were taken for a worker that is gone.

Change: the lease has a class of its own, WorkerLease. A worker that has answered nothing for 3 s gets no further extension, so that the lease given last bounds its runs.

Class of fault: a belief that is renewed by attempts instead of by answers. The same class as a node that is heard and reports nothing (docs/incidents/lost-watchers.md).

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -7,11 +7,11 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
-from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
 from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
+from bergamotshore.node.workerlease import WorkerLease
 from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
 from bergamotshore.utils.eventlog import describe_error
 
@@ -23,8 +23,6 @@
 MIN_LEASE_SECONDS = 0.8
 # Consecutive refused connections that prove that no worker process is listening.
 REFUSALS_UNTIL_DOWN = 2
-# The worker's clock may run slow by up to this ratio.
-CLOCK_DRIFT_RATIO = 0.02
 # Leases end within 2% of the node's renewal grant, 0.12 s for the longest grant. Runs
 # still listed after this margin are stopped, in time for the scheduler, which waits
 # 0.5 s more.
@@ -85,9 +83,7 @@
         self._unresolved_by_key = {}
         self._stopped_run_by_task = OrderedDict()
         self._started_at_by_key = {}
-        self._worker_clock_reading = None
-        # An earlier process of this node may have extended the lease just before.
-        self._lease_lapses_at = clock.now() + get_lease_expiry_seconds(grant.duration)
+        self._lease = WorkerLease(grant, clock.now())
         self._refused_connections = 0
         self._is_worker_down = False
         self._speed_limits = SpeedLimits(
@@ -232,19 +228,6 @@
             self.log.write("start-refused", task, run=number, reason=outcome)
         self.on_result(task, number, outcome)
 
-    def _get_lease_end(self, now):
-        """Return when the grant ends on the worker's clock in ms; None without one."""
-        remaining = self.grant.get_remaining(now)
-        if remaining <= 0.0 or self._worker_clock_reading is None:
-            return None
-        read_at, clock_ms = self._worker_clock_reading
-        lease_end = now + remaining
-        self._lease_lapses_at = max(
-            self._lease_lapses_at,
-            now + (lease_end - now) * (1.0 + 2 * CLOCK_DRIFT_RATIO),
-        )
-        return clock_ms + int((lease_end - read_at) * 1000 * (1.0 - CLOCK_DRIFT_RATIO))
-
     def _call_start(self, order, orders):
         try:
             self._start(order, orders)
@@ -266,16 +249,16 @@
         with self._lock:
             fence = self._fence
             self._unresolved_by_key[key] = UnresolvedOrder(fence)
-            lease_end = self._get_lease_end(now)
+            extension = self._lease.extend(now)
             worker = (
                 self.worker_report.incarnation.worker
                 if self.worker_report is not None
                 else ""
             )
-        if lease_end is None:
+        if extension.end_ms is None:
             self._resolve(key, "no-right")
             return
-        outcome = self.runner.start(order, lease_end, fence, worker)
+        outcome = self.runner.start(order, extension.end_ms, fence, worker)
         match outcome:
             case Success(_):
                 self._speed_limits.send(key)
@@ -337,10 +320,12 @@
         sent_at = self.clock.now()
         with self._lock:
             fence = self._fence
-            lease_end = self._get_lease_end(sent_at)
+            extension = self._lease.extend(sent_at)
             acknowledgement = self._acknowledgement
         wait_ms = HOLD_WAIT_MS if self.is_answering else 0
-        outcome = self.runner.renew_lease(lease_end, fence, acknowledgement, wait_ms)
+        outcome = self.runner.renew_lease(
+            extension.end_ms, fence, acknowledgement, wait_ms
+        )
         match outcome:
             case Success(listing):
                 self._apply_listing(listing, fence, sent_at)
@@ -350,7 +335,7 @@
                     self._fence = max(self._fence, fence + FENCE_JUMP_MICROSECONDS)
                 self.log.write("fence-raised", "worker", fence=self._fence)
                 if clock_ms:
-                    self._worker_clock_reading = (self.clock.now(), clock_ms)
+                    self._lease.record_clock(self.clock.now(), clock_ms)
                 return 0.0
             case Failure(failure):
                 self._record_failure(failure)
@@ -375,7 +360,7 @@
         with self._lock:
             if not self.is_answering:
                 self.log.write("worker-answers", "worker", born=listing.started_ms)
-            self._worker_clock_reading = (now, listing.clock_ms)
+            self._lease.record_clock(now, listing.clock_ms)
             self._reported_size.record_clock(sent_at, listing.clock_ms)
             self._refused_connections, self._is_worker_down = 0, False
             self.is_answering = True
@@ -429,7 +414,7 @@
                 and fence >= self._incarnation_fence
             ):
                 self.incarnation = listing.started_ms
-                self._worker_clock_reading = None
+                self._lease.forget_clock()
                 self._started_at_by_key.clear()
                 if (
                     self.worker_report is not None
@@ -470,7 +455,7 @@
     def _is_lapsed(self, now):
         """Return whether every lease given to the worker has certainly expired."""
         return self._is_worker_down or (
-            not self.is_answering and now > self._lease_lapses_at
+            not self.is_answering and self._lease.is_over(now)
         )
 
     def _build_report(self, epoch, now):
--- /dev/null
+++ b/src/bergamotshore/node/workerlease.py
@@ -0,0 +1,66 @@
+"""Lease of the worker beside a node: its extensions, and when it is certainly over."""
+
+import math
+from dataclasses import dataclass
+
+from bergamotshore.core.work.leases import DRIFT_SHARE, get_lease_expiry_seconds
+
+# The lease of a worker that has answered no call for this time isn't extended further,
+# in seconds: two calls of 1.5 s each may be lost one after another.
+MAX_SILENT_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Extension:
+    """An extension of the lease that a call carries.
+
+    :param end_ms: End of the lease on the worker's clock, in ms; None to leave it as it
+        is.
+    :param expires_at: Time at which the lease is certainly over if the worker receives
+        the call, on the node's clock, in seconds.
+    """
+
+    end_ms: int | None
+    expires_at: float = -math.inf
+
+
+class WorkerLease:
+    """Bound the lease of a worker, whose clock may run slow.
+
+    A call without an answer may have been carried out, so it counts as received.
+
+    :param grant: ``RenewalGrant`` of the node.
+    :param now: Start of the node's process, in seconds. An earlier process may have
+        extended the lease just before.
+    """
+
+    def __init__(self, grant, now):
+        self._grant = grant
+        self._clock_reading = None
+        self._answered_at = now
+        self._expires_at = now + get_lease_expiry_seconds(grant.duration)
+
+    def record_clock(self, now, clock_ms):
+        """Record a reading of the worker's clock from its answer, in ms."""
+        self._answered_at = now
+        self._clock_reading = (now, clock_ms)
+
+    def forget_clock(self):
+        """Forget the reading of the clock, which another incarnation starts anew."""
+        self._clock_reading = None
+
+    def extend(self, now):
+        """Return the ``Extension`` for a call that is about to be sent."""
+        remaining = self._grant.get_remaining(now)
+        is_silent = now - self._answered_at > MAX_SILENT_SECONDS
+        if remaining <= 0.0 or self._clock_reading is None or is_silent:
+            return Extension(None)
+        read_at, clock_ms = self._clock_reading
+        elapsed_ms = (now + remaining - read_at) * 1000 * (1.0 - DRIFT_SHARE)
+        expires_at = now + remaining * (1.0 + 2 * DRIFT_SHARE)
+        self._expires_at = max(self._expires_at, expires_at)
+        return Extension(clock_ms + int(elapsed_ms), expires_at)
+
+    def is_over(self, now):
+        """Return whether every lease given to the worker has certainly expired."""
+        return now > self._expires_at
