Take a worker for gone only when it refuses connections

What callers could see: a task that ran twice. A worker that accepts no connection in time, because it is busy or frozen, was taken for one whose process is gone: its tasks were started elsewhere some 5.4 s after its last answer (1.9 s, and two connections of 1.5 s with their pauses), while its lease, extended for up to 6 s, and its tasks went on.

Cause: that a call was certainly not sent was taken as proof that no process listens. Both failures to connect, a refusal and a time-out, are certain in that sense; only the first one is a proof.

Change: a failure says whether the connection was refused, and only two refusals in a row count as the end of the process. An extension of the lease in a call that was certainly not received is taken back, so that a worker that crashed silently still has its tasks started anew about 6.5 s after its last call.

Test: tests/site/test_silent_workers.py; failed before (both tasks started on a second worker, "runs twice").

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -38,10 +38,13 @@
 
     :param detail: Description of the error.
     :param was_sent: False when the server cannot have received the request.
+    :param is_refused: Whether the connection was refused: no process listens at the
+        address.
     """
 
     detail: str
     was_sent: bool
+    is_refused: bool = False
     code: str = "http"
 
 
@@ -93,7 +96,8 @@
         try:
             connection = self._connect(timeout, required)
         except OSError as error:
-            return Failure(HttpFailure(repr(error), was_sent=False))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return Failure(HttpFailure(repr(error), False, is_refused))
         remaining = timeout - (time.monotonic() - started_at)
         if remaining <= 0:
             return Failure(
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -178,10 +178,13 @@
     :param detail: Description of the error.
     :param is_certain: Whether the call certainly had no effect; False when it may have
         taken effect.
+    :param is_refused: Whether the connection was refused: no process of the worker
+        listens.
     """
 
     detail: str
     is_certain: bool
+    is_refused: bool = False
     code: str = "worker"
 
 
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -21,7 +21,8 @@
 RETRY_SECONDS = 0.25
 # A run started under a shorter lease than this would lapse before its next renewal.
 MIN_LEASE_SECONDS = 0.8
-# Consecutive refused connections that prove that no worker process is listening.
+# Consecutive refused connections that prove that no worker process is listening. A
+# worker that doesn't accept a connection in time may still work on.
 REFUSALS_UNTIL_DOWN = 2
 # Leases end within 2% of the node's renewal grant, 0.12 s for the longest grant. Runs
 # still listed after this margin are stopped, in time for the scheduler, which waits
@@ -338,11 +339,14 @@
                     self._lease.record_clock(self.clock.now(), clock_ms)
                 return 0.0
             case Failure(failure):
+                if isinstance(failure, WorkerFailure) and failure.is_certain:
+                    with self._lock:
+                        self._lease.withdraw(extension)
                 self._record_failure(failure)
                 return RETRY_SECONDS
 
     def _record_failure(self, failure):
-        is_refused = isinstance(failure, WorkerFailure) and failure.is_certain
+        is_refused = isinstance(failure, WorkerFailure) and failure.is_refused
         self._refused_connections = self._refused_connections + 1 if is_refused else 0
         was_answering, self.is_answering = self.is_answering, False
         self._is_worker_down = self._refused_connections >= REFUSALS_UNTIL_DOWN
--- a/src/bergamotshore/node/workerlease.py
+++ b/src/bergamotshore/node/workerlease.py
@@ -18,10 +18,12 @@
         is.
     :param expires_at: Time at which the lease is certainly over if the worker receives
         the call, on the node's clock, in seconds.
+    :param former_expires_at: The same if it does not receive the call.
     """
 
     end_ms: int | None
     expires_at: float = -math.inf
+    former_expires_at: float = -math.inf
 
 
 class WorkerLease:
@@ -58,8 +60,13 @@
         read_at, clock_ms = self._clock_reading
         elapsed_ms = (now + remaining - read_at) * 1000 * (1.0 - DRIFT_SHARE)
         expires_at = now + remaining * (1.0 + 2 * DRIFT_SHARE)
-        self._expires_at = max(self._expires_at, expires_at)
-        return Extension(clock_ms + int(elapsed_ms), expires_at)
+        former, self._expires_at = self._expires_at, max(self._expires_at, expires_at)
+        return Extension(clock_ms + int(elapsed_ms), expires_at, former)
+
+    def withdraw(self, extension):
+        """Take back an ``Extension`` that the worker has certainly not received."""
+        if self._expires_at == extension.expires_at:
+            self._expires_at = extension.former_expires_at
 
     def is_over(self, now):
         """Return whether every lease given to the worker has certainly expired."""
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -211,8 +211,10 @@
             return Failure(RunRejected(REASON_BY_STATUS[status]))
         case Success(HttpAnswer(status=status)):
             return Failure(WorkerFailure(f"status {status}", is_certain=False))
-        case Failure(HttpFailure(detail=detail, was_sent=was_sent)):
-            return Failure(WorkerFailure(detail, is_certain=not was_sent))
+        case Failure(
+            HttpFailure(detail=detail, was_sent=was_sent, is_refused=is_refused)
+        ):
+            return Failure(WorkerFailure(detail, not was_sent, is_refused))
 
 
 def _decode(body, answer_type):
--- a/standins/site.py
+++ b/standins/site.py
@@ -280,7 +280,7 @@
     def _check_reachable(self):
         self.update()
         if self.is_gone or self.is_down:
-            return Failure(WorkerFailure("refused", is_certain=True))
+            return Failure(WorkerFailure("refused", True, is_refused=True))
         if self.is_cut:
             return Failure(WorkerFailure("silent", is_certain=False))
         return Success(None)
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -115,7 +115,7 @@
     renew(runner, Acknowledgement(FORMER_MS, 1))
     match renew(runner, Acknowledgement(FORMER_MS, 1)):
         case Failure(failure):
-            assert failure.is_certain
+            assert failure.is_certain and failure.is_refused
         case _:
             pytest.fail("a worker that is gone cannot answer")
 
--- a/tests/site/test_silent_workers.py
+++ b/tests/site/test_silent_workers.py
@@ -27,6 +27,33 @@
     runner.renew_lease = renew_without_answer
 
 
+def accept_no_connection(runner):
+    """Let connecting to a worker take too long; its tasks go on."""
+    runner.renew_lease = lambda *_: Failure(
+        WorkerFailure("timed out connecting to the server", is_certain=True)
+    )
+
+
+# Guards against taking a worker whose connections are not accepted in time for one that
+# is gone: its tasks were started elsewhere while they went on there.
+def test_tasks_of_a_worker_that_accepts_no_connection_wait_for_the_end_of_its_lease(
+    simulation,
+):
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    node = next(n for n, r in simulation.runner_by_node.items() if r.run_by_task)
+    starts = len(simulation.ledger.starts)
+    accept_no_connection(simulation.runner_by_node[node])
+    simulation.advance(LONGEST_HOLD_SECONDS - 2.0)
+    assert len(simulation.ledger.starts) == starts
+    simulation.advance(LONGEST_HOLD_SECONDS * 0.06 + 3.0)
+    assert simulation.ledger.problems == []
+    assert sorted(task for _, task in simulation.ledger.live) == [
+        "job.0.0.0",
+        "job.0.0.1",
+    ]
+
+
 # Guards against calls without an answer that extend the lease of a worker, or the time
 # for which it may have one, for as long as its node makes them: its tasks never ran
 # again elsewhere.
