Count a background call that ends with an unexpected error as failed

An exception in a call that runs on an executor was kept in a future that nobody reads. Its caller waited for ever: a partition of the jobs was not written any more, so that no task of an eighth of all jobs started; the row of the queue backlogs, the calls about VMs and the questions of a step to the advice service stood still in the same way.

Such an exception is now logged and counts as a failure without a known outcome, which is repeated.

--- a/src/bergamotshore/entry/advice.py
+++ b/src/bergamotshore/entry/advice.py
@@ -4,6 +4,8 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.entry.background import run_background_call
+
 
 @dataclass(frozen=True, slots=True)
 class AdviceReceived:
@@ -47,7 +49,9 @@
 
     def _run(self, question, epoch, requested_at):
         workers = [life.worker for life in question.incarnation_by_node.values()]
-        outcome = self.advisor.ask(question.name, workers)
+        outcome = run_background_call(
+            lambda: self.advisor.ask(question.name, workers), question.name, self._log
+        )
         self._post(AdviceReceived(epoch, question, requested_at, outcome))
 
     def handle_answer(self, cluster, received):
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -18,6 +18,7 @@
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
+from bergamotshore.entry.background import run_background_call
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
     COUNTS_ROW,
@@ -525,7 +526,11 @@
             self.executor.submit(self._run_write, part, batch, self.epoch)
 
     def _run_write(self, part, batch, epoch):
-        outcome = self.store.transact(batch.expects, batch.puts, batch.deletes)
+        outcome = run_background_call(
+            lambda: self.store.transact(batch.expects, batch.puts, batch.deletes),
+            part,
+            self.log,
+        )
         if epoch == self.epoch:
             self.post(WriteFinished(part, batch, outcome))
 
--- a/src/bergamotshore/entry/latestrow.py
+++ b/src/bergamotshore/entry/latestrow.py
@@ -2,6 +2,7 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.entry.background import run_background_call
 from bergamotshore.ports.rows import Expect, Put, RowsConflict
 
 # Delay after a failed write, in seconds.
@@ -53,7 +54,12 @@
 
     def _write(self, value):
         expects = [Expect(self._row_id, self._version)]
-        match self._store.transact(expects, [Put(self._row_id, value)], []):
+        outcome = run_background_call(
+            lambda: self._store.transact(expects, [Put(self._row_id, value)], []),
+            self._row_id.table,
+            self._log,
+        )
+        match outcome:
             case Success(version):
                 self._version, self._written_value = version, value
             case Failure(RowsConflict(rows=rows)):
--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -24,6 +24,7 @@
     record_order_accepted,
     record_order_failed,
 )
+from bergamotshore.entry.background import run_background_call
 from bergamotshore.entry.jobrows import PARTS, get_fence_id
 from bergamotshore.exceptions import PlatformAnswerInvalid
 from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
@@ -204,9 +205,8 @@
         self._calls.submit(self._run, kind, subject, function, now)
 
     def _run(self, kind, subject, function, requested_at):
-        self._post(
-            MaintenanceEvent(self._epoch, kind, subject, requested_at, function())
-        )
+        outcome = run_background_call(function, kind, self._log)
+        self._post(MaintenanceEvent(self._epoch, kind, subject, requested_at, outcome))
 
     def _read_rows(self):
         return self._store.read(WAVES, WAVES_PART).bind(_decode_rows)
