Follow the feed of jobs from the version of the present term only

A term set its number before the version that its feed starts from. The thread that follows the feed looks each 50 ms and could take the version of a former term of the same process in between, while the jobs were restored; rows that were read in a former term were applied as well. A job that was closed meanwhile was then added again, and its tasks were started although their ends had been acknowledged.

The version is set first, and rows of another term are not applied: the present term reads all of them anew.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -254,6 +254,8 @@
                 self.election.lease.resign()
             self.pause(TAKEOVER_RETRY_SECONDS)
             return
+        # The thread that follows the feed reads the version once it sees the epoch.
+        self.feed_version = open_jobs.version
         self.epoch = epoch
         self.term_started_at = self.clock.now()
         self.freshness.jobs_confirmed_at = takeover_started_at
@@ -262,7 +264,6 @@
             self.writer.set_fence(part, version)
         self.maintenance = self._build_maintenance(fences[WAVES_PART])
         self._restore(open_jobs)
-        self.feed_version = open_jobs.version
         self.log.write(
             "takeover",
             epoch,
@@ -303,9 +304,9 @@
                     worker.stream = None
                     self.log.write("node-lost", worker.node, reason=stream.close_reason)
             case RowsChanged(rows=rows, requested_at=requested_at, epoch=epoch):
-                for row in rows:
-                    self._handle_row(row)
                 if epoch == self.epoch:
+                    for row in rows:
+                        self._handle_row(row)
                     self.freshness.jobs_confirmed_at = requested_at
             case WriteFinished():
                 self._handle_write_result(event, now)
