Resolve an order that ended with an unexpected error at its node

An exception while a worker was called to start a run left the order in flight for ever: the node reported it as doubtful in each report, so that the task was taken for started and, after a takeover, the worker for one with unknown runs, which gets no task. No run has shown such an exception; it was found by reading.

The order now counts as one without an answer: the fence is raised, and the next list of the worker tells whether the run is there. The test of an order that was not carried out fails without the change; the one of an order that was carried out passed before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -241,8 +241,15 @@
         if lease_end is None:
             self._resolve(key, "no-right")
             return
-        outcome = self.runner.start(order, lease_end, fence, worker)
-        match outcome:
+        try:
+            self._send_start(order, lease_end, fence, worker)
+        finally:
+            # An unexpected error leaves it open whether the worker has the run.
+            self._doubt_if_in_flight(key, fence)
+
+    def _send_start(self, order, lease_end, fence, worker):
+        key = (order.task, order.number)
+        match self.runner.start(order, lease_end, fence, worker):
             case Success(_):
                 self._speed_limits.send(key)
                 self._resolve(key, "started")
@@ -254,11 +261,14 @@
                 self.log.write(
                     "start-in-doubt", order.task, run=order.number, why=failure.detail
                 )
-                with self._lock:
-                    self._unresolved_by_key[key] = UnresolvedOrder(
-                        fence, is_in_flight=False
-                    )
-                self._void_fence(fence)
+
+    def _doubt_if_in_flight(self, key, fence):
+        """Record that a call has returned and has not told the outcome of its order."""
+        with self._lock:
+            if key not in self._unresolved_by_key:
+                return
+            self._unresolved_by_key[key] = UnresolvedOrder(fence, is_in_flight=False)
+        self._void_fence(fence)
 
     def _void_fence(self, fence):
         """Make the worker reject a call that it may carry out late."""
