Preempt for a step that may not use the worker with room

plan_preemptions gave up a step as soon as any worker had room for it, also when that worker already ran as many tasks of the step as it may. The remaining tasks of the step then waited until one of the other workers had room by itself, whatever their priority.

Workers that are at the limit of the step are passed over first. The test fails without the change.

--- a/src/bergamotshore/core/work/preemption.py
+++ b/src/bergamotshore/core/work/preemption.py
@@ -94,10 +94,10 @@
     counts = count_runs_by_node(item)
     best = None
     for worker in workers:
-        if worker.fits(item.step):
-            return None
         if item.step.per_worker and counts.get(worker.node, 0) >= item.step.per_worker:
             continue
+        if worker.fits(item.step):
+            return None
         victims = list_victims(view, item, worker)
         if victims is None:
             continue
--- a/tests/site/test_preemption.py
+++ b/tests/site/test_preemption.py
@@ -175,3 +175,19 @@
     overload.advance(2 * PREEMPTION_DELAY_SECONDS)
     assert overload.get_start_time("quick") is not None
     assert overload.stops == []
+
+
+# Guards against a task that waits for ever: the only worker with room runs as many
+# tasks of its step as it may, and the others are full of tasks of lower priority.
+def test_a_worker_with_room_that_a_step_may_not_use_does_not_prevent_preemption():
+    overload = OverloadSimulation()
+    free_worker = overload.cluster.worker_by_node["node-0"]
+    free_worker.is_draining = True
+    for number in range((NODES - 1) * CPU // 2000):
+        overload.add_job("batch", f"batch{number}")
+    overload.advance(1.0)
+    free_worker.is_draining = False
+    overload.add_job("quick", "apart", tasks=2, cpu=4000, per_worker=1)
+    overload.advance(2.0)
+    assert len([name for _, name, _ in overload.started if "apart" in name]) == 2
+    assert {stop.reason for stop in overload.stops} == {"preempted"}
