Start an overdue long-running task in quarantine if nobody else has room

A worker in quarantine gets no task for up to 12 s. When all other workers were full of tasks that may not be preempted, a long-running task waited for the end of the quarantine, while a worker had room.

After a wait of 3 s a long-running task may use workers in quarantine, if no other one has room; runs of lower priority have been preempted by then. Other tasks still wait.

--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -3,6 +3,8 @@
 The functions do no I/O; they record claims in the cluster state.
 """
 
+from dataclasses import replace
+
 from bergamotshore.core.work.copies import list_late_runs
 from bergamotshore.core.work.gangs import place_gang
 from bergamotshore.core.work.placing import choose_least_disturbed_worker, choose_worker
@@ -17,6 +19,10 @@
 # Starvation limit of best-effort jobs, in seconds: a job without any run gets one task
 # started after this wait, on the worker where it causes the least interference.
 BEST_EFFORT_STARVATION_SECONDS = 1.5
+# A long-running task has to run again within 6 s. After this wait it is started on a
+# worker in quarantine if no other one has capacity, in seconds; runs of lower priority
+# have been preempted by then where that is possible.
+QUARANTINE_LIMIT_SECONDS = 3.0
 
 
 def plan_starts(view):
@@ -47,14 +53,41 @@
             placed = _place_tasks(view, item, workers)
             if len(placed) < len(item.refs):
                 unplaceable.record(item, view.cluster)
-        for worker, allocation in placed:
-            allocation.ticket = view.cluster.advice.get_ticket(
-                item.key, worker.incarnation, view.now
-            )
-        claimed += placed
+        claimed += _add_tickets(view, item, placed)
+    claimed += _place_overdue_tasks(view, waiting)
     return claimed, questions
 
 
+def _add_tickets(view, item, placed):
+    """Set the tickets of claims that need one; return the claims."""
+    for worker, allocation in placed:
+        allocation.ticket = view.cluster.advice.get_ticket(
+            item.key, worker.incarnation, view.now
+        )
+    return placed
+
+
+def _place_overdue_tasks(view, waiting):
+    """Claim workers in quarantine for long-running tasks that have waited too long."""
+    overdue = [
+        item
+        for item in waiting
+        if item.step.is_lasting
+        and not item.step.is_gang
+        and view.now - view.cluster.get_waiting_since(item) > QUARANTINE_LIMIT_SECONDS
+    ]
+    workers_by_service = group_workers(view, has_quarantine=False) if overdue else {}
+    claimed = []
+    for item in overdue:
+        workers = _list_open(view, item, workers_by_service)
+        if _needs_advice(item, view.cluster):
+            workers = _list_permitted(view, item, workers)
+        refs = item.progress.list_waiting(item.occurrence, item.number)
+        placed = _place_tasks(view, replace(item, refs=refs), workers)
+        claimed += _add_tickets(view, item, placed)
+    return claimed
+
+
 class UnplaceableSizes:
     """Cache of task sizes for which no worker has capacity, within one planning pass.
 
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -91,14 +91,16 @@
     return max(finish_times)
 
 
-def group_workers(view):
-    """Return lists of the workers that may receive new work, by service."""
+def group_workers(view, has_quarantine=True):
+    """Return lists of the workers that may receive new work, by service.
+
+    :param has_quarantine: Whether workers in quarantine are left out.
+    """
     groups = {}
     for worker in view.cluster.worker_by_node.values():
         is_open = worker.zone not in view.site.closed_zones
-        is_excluded = (
-            worker.node in view.is_urgent_by_draining_node
-            or view.is_excluded(worker.node, view.now)
+        is_excluded = worker.node in view.is_urgent_by_draining_node or (
+            has_quarantine and view.is_excluded(worker.node, view.now)
         )
         if worker.is_schedulable and is_open and not is_excluded:
             groups.setdefault(worker.service, []).append(worker)
