Repeat any stop until the run has ended

A stop of a stuck run, or of one to preempt, to move or to evict, was sent once. When the call of the worker was lost, the run stayed: a stuck long-running task was neither stopped nor started elsewhere, because a run whose stop was sent does not count as stuck any more, and a run to evict counted as unavailable as long as it ran, so that no other task of its step could be evicted.

Every stop is now repeated each second, like those of cancelled jobs were.

--- a/src/bergamotshore/core/work/stops.py
+++ b/src/bergamotshore/core/work/stops.py
@@ -31,7 +31,8 @@
 
     These are runs of cancelled, failed and closed jobs, redundant runs of finished
     tasks, runs that belong to no job, and runs that are stuck or would finish earlier
-    on another worker.
+    on another worker. Any stop is repeated until the run has ended, since the call of
+    the worker may have been lost.
     """
     stops = []
     for worker in view.cluster.worker_by_node.values():
@@ -64,6 +65,8 @@
     task = progress.get_task(run.ref)
     if task is None or task.is_done:
         return "done-elsewhere"
+    if run.stop_sent_at:
+        return "repeated"
     if is_stuck(run, worker):
         view.cluster.record_stuck(worker, run, view.now)
         return "stuck"
