--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -26,6 +26,10 @@
     Step(tasks=1, cpu=1, image="probe", is_filling=True),
     Step(tasks=1, cpu=1, image="probe", goal_ms=1.0),
 )
+# A long-running task has to run again within 6 s. After this wait it is started on a
+# worker in quarantine if no other one has capacity, in seconds; runs of lower priority
+# have been preempted by then where that is possible.
+QUARANTINE_LIMIT_SECONDS = 3.0
 
 
 def plan_starts(view):
@@ -42,6 +46,7 @@
             _plan_item(view, item, starts)
         except Exception as error:
             _leave_out(view, item, starts, error)
+    starts.claimed += _place_overdue_tasks(view, waiting)
     return starts.claimed, starts.questions
 
 
@@ -122,6 +127,26 @@
     return True
 
 
+def _place_overdue_tasks(view, waiting):
+    """Claim workers in quarantine for long-running tasks that have waited too long."""
+    overdue = [
+        item
+        for item in waiting
+        if item.step.is_lasting
+        and not item.step.is_gang
+        and view.now - view.cluster.get_waiting_since(item) > QUARANTINE_LIMIT_SECONDS
+    ]
+    workers_by_service = group_workers(view, has_quarantine=False) if overdue else {}
+    claimed = []
+    for item in overdue:
+        with view.containing("starts", item.progress.key):
+            workers = _list_open(view, item, workers_by_service)
+            if _needs_advice(item, view.cluster):
+                workers = _list_permitted(view, item, workers)
+            claimed += _place_tasks(view, item.refresh(), workers)
+    return claimed
+
+
 class UnplaceableSizes:
     """Cache of task sizes for which no worker has capacity, within one planning pass.
 
--- a/src/bergamotshore/core/work/stops.py
+++ b/src/bergamotshore/core/work/stops.py
@@ -31,7 +31,8 @@
 
     These are runs of cancelled, failed and closed jobs, redundant runs of finished
     tasks, runs that belong to no job, members of a gang that lacks another one, and
-    runs that are stuck or would finish earlier on another worker.
+    runs that are stuck or would finish earlier on another worker. Any stop is repeated
+    until the run has ended, since the call of the worker may have been lost.
     """
     stops = []
     for worker in view.cluster.worker_by_node.values():
@@ -70,6 +71,8 @@
         return "done-elsewhere"
     if run.step.is_gang and progress.is_gang_incomplete(run.ref, run.number):
         return "gang-incomplete"
+    if run.stop_sent_at:
+        return "repeated"
     if is_stuck(run, worker):
         view.cluster.record_stuck(worker, run, view.now)
         return "stuck"
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -123,21 +123,24 @@
     return max(finish_times)
 
 
-def group_workers(view):
-    """Return lists of the workers that may receive new work, by service."""
+def group_workers(view, has_quarantine=True):
+    """Return lists of the workers that may receive new work, by service.
+
+    :param has_quarantine: Whether workers in quarantine are left out.
+    """
     groups = {}
     for worker in view.cluster.worker_by_node.values():
         if worker.node in view.collector.left_out:
             continue
         with view.containing("workers", worker.node):
-            if _is_open(view, worker):
+            if _is_open(view, worker, has_quarantine):
                 groups.setdefault(worker.service, []).append(worker)
     return groups
 
 
-def _is_open(view, worker):
-    is_excluded = worker.node in view.is_urgent_by_draining_node or view.is_excluded(
-        worker.node, view.now
+def _is_open(view, worker, has_quarantine):
+    is_excluded = worker.node in view.is_urgent_by_draining_node or (
+        has_quarantine and view.is_excluded(worker.node, view.now)
     )
     is_in_open_zone = worker.zone not in view.site.closed_zones
     return worker.is_schedulable and is_in_open_zone and not is_excluded
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -20,6 +20,7 @@
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
+from bergamotshore.entry.background import run_background_call
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
     COUNTS_ROW,
@@ -311,6 +312,8 @@
                 self.election.lease.resign()
             self.pause(TAKEOVER_RETRY_SECONDS)
             return
+        # The thread that follows the feed reads the version once it sees the epoch.
+        self.feed_version = open_jobs.version
         self.epoch = epoch
         self.term_started_at = self.clock.now()
         self.freshness.jobs_confirmed_at = takeover_started_at
@@ -319,7 +322,6 @@
             self.writer.set_fence(part, version)
         self.maintenance = self._build_maintenance(fences[WAVES_PART])
         self._restore(open_jobs)
-        self.feed_version = open_jobs.version
         self.log.write(
             "takeover",
             epoch,
@@ -375,10 +377,10 @@
                     worker.stream = None
                     self.log.write("node-lost", worker.node, reason=stream.close_reason)
             case RowsChanged(rows=rows, requested_at=requested_at, epoch=epoch):
-                for row in rows:
-                    with self.collector.containing("rows", row.id.key):
-                        self._handle_row(row)
                 if epoch == self.epoch:
+                    for row in rows:
+                        with self.collector.containing("rows", row.id.key):
+                            self._handle_row(row)
                     self.freshness.jobs_confirmed_at = requested_at
             case WriteFinished():
                 self._handle_write_result(event, now)
@@ -607,7 +609,11 @@
             self.executor.submit(self._run_write, part, batch, self.epoch)
 
     def _run_write(self, part, batch, epoch):
-        outcome = self.store.transact(batch.expects, batch.puts, batch.deletes)
+        outcome = run_background_call(
+            lambda: self.store.transact(batch.expects, batch.puts, batch.deletes),
+            part,
+            self.log,
+        )
         if epoch == self.epoch:
             self.post(WriteFinished(part, batch, outcome))
 
--- a/src/bergamotshore/entry/latestrow.py
+++ b/src/bergamotshore/entry/latestrow.py
@@ -2,8 +2,8 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.entry.background import run_background_call
 from bergamotshore.ports.rows import Expect, Put, RowsConflict
-from bergamotshore.utils.calls import call_safely
 
 # Delay after a failed write, in seconds.
 RETRY_SECONDS = 0.3
@@ -54,8 +54,12 @@
 
     def _write(self, value):
         expects = [Expect(self._row_id, self._version)]
-        puts = [Put(self._row_id, value)]
-        match call_safely(self._store.transact, expects, puts, []):
+        outcome = run_background_call(
+            lambda: self._store.transact(expects, [Put(self._row_id, value)], []),
+            self._row_id.table,
+            self._log,
+        )
+        match outcome:
             case Success(version):
                 self._version, self._written_value = version, value
             case Failure(RowsConflict(rows=rows)):
--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -24,12 +24,12 @@
     record_order_accepted,
     record_order_failed,
 )
+from bergamotshore.entry.background import run_background_call
 from bergamotshore.entry.jobrows import PARTS, get_fence_id
 from bergamotshore.exceptions import PlatformAnswerInvalid
 from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
 from bergamotshore.ports.machines import MachineOrderRefused
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
-from bergamotshore.utils.calls import call_safely
 
 WAVES = "waves"
 # Rows of waves are in a partition that has a fence row, which guards their writes.
@@ -205,7 +205,7 @@
         self._calls.submit(self._run, kind, subject, function, now)
 
     def _run(self, kind, subject, function, requested_at):
-        outcome = call_safely(function)
+        outcome = run_background_call(function, kind, self._log)
         self._post(MaintenanceEvent(self._epoch, kind, subject, requested_at, outcome))
 
     def _read_rows(self):
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -56,7 +56,13 @@
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
 # Kinds of log lines about unexpected errors.
-ERROR_KINDS = ("left-out", "order-error", "service-error", "term-abandoned")
+ERROR_KINDS = (
+    "background-error",
+    "left-out",
+    "order-error",
+    "service-error",
+    "term-abandoned",
+)
 # Lower than the priority of all other queues in the tests.
 BATCH_PRIORITY = 9
 
