--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -99,10 +99,13 @@
         self.job_count = 0
         self.has_wave = False
 
-    @initialize()
-    def begin(self):
-        """Wait until the processes are connected."""
+    @initialize(is_colocated=st.booleans())
+    def begin(self, is_colocated):
+        """Wait until the processes are connected; let workers share both kinds."""
         self.simulation.advance(1.0)
+        if is_colocated:
+            self.submit("critical", "queue", 1.0)
+            self.submit("filling", "batch", 1.0)
 
     @rule(
         kind=st.sampled_from(sorted(STEPS_BY_KIND)),
@@ -263,7 +266,7 @@
 
     @rule(nodes=st.sets(NODE, min_size=1), kind=st.sampled_from(["plain", "wide"]))
     def shrink_workers_unheard(self, nodes, kind):
-        """Submit a job once the workers have been smaller for so long that it counts."""
+        """Submit a job once the reduction of the workers counts."""
         for node in nodes:
             self.simulation.without_heartbeats.add(node)
             self.simulation.runner_by_node[node].resize(cpu=1000)
