End a stream with the message that raises an error

What callers could see: a task that never runs, since the order behind a message that raised an error was dropped while its stream went on, and the scheduling entry waits for an answer as long as the stream is open.

Change: the stream is closed (message-error); both sides begin anew with what the next report shows.

--- a/src/bergamotshore/transport/stream.py
+++ b/src/bergamotshore/transport/stream.py
@@ -142,7 +142,12 @@
             if self.close_reason:
                 return
             self.lamport.witness(frame.clock)
-            self._handle_message(frame.message)
+            try:
+                self._handle_message(frame.message)
+            except Exception:
+                # The messages behind this one are lost, so the stream must end.
+                self.close("message-error")
+                raise
 
     def _handle_message(self, message):
         match message:
--- a/tests/site/test_containment.py
+++ b/tests/site/test_containment.py
@@ -11,7 +11,7 @@
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.jobrows import JOBS, RUNS, get_row_id
 from bergamotshore.exceptions import StateError
-from bergamotshore.ports.rows import Put
+from bergamotshore.ports.rows import Put, RowId, RowPage, StoredRow
 from bergamotshore.ports.runner import ListedCompletion
 from tests.site.simulation import SERVICE, Simulation, build_configuration
 from tests.site.workers import (
@@ -255,3 +255,18 @@
     assert simulation.leader is None
     simulation.advance(3.0)
     assert simulation.leader.dispatcher.epoch > epoch
+
+
+# Guards against one row of the operator that ends all entries at once.
+def test_an_operator_row_that_raises_an_error_hides_no_other(erring):
+    follower = erring.leader.follower
+    follower._apply(
+        RowPage(
+            [
+                StoredRow(RowId("op", "", "wave/\u00b2"), 5, b"", True),
+                StoredRow(RowId("op", "", "evacuate/zone-1"), 6, b"1"),
+            ],
+            6,
+        )
+    )
+    assert follower.state.closed_zones == {"zone-1"}
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -210,3 +210,16 @@
         stream.send(RequestEnded(request_id=f"{number}", outcome="unknown", body=body))
     loop.step(0)
     assert handler.close_reason == "stream-overflow"
+
+
+# Guards against a stream that goes on after messages were lost with the error of an
+# earlier one: nobody sends them again.
+def test_a_stream_is_closed_by_an_error_with_one_of_its_messages(
+    connection, monkeypatch
+):
+    _, handler, peer_sock, loop = open_stream(connection, monkeypatch)
+    monkeypatch.setattr(handler, "on_message", lambda stream, message: 1 / 0)
+    messages = [HELLO, Fence(request_id="r"), Fence(request_id="s")]
+    peer_sock.send(b"".join(encode_message(message, 5) for message in messages))
+    loop.step(0)
+    assert handler.close_reason == "message-error"
