Name the processes of earlier terms that may still echo in the row of the lease

With several losses of the scheduling entry in series, the wait for echoes began anew with each term: a term could tell that its own predecessor had ended, but not whether those before it had.

The row of the lease now names these processes, a successor takes them over, and each is struck off once another process of its name answers. A row that does not name them, of an earlier version, is treated as before. The tests of a restarted entry and of a resigned term fail without the change; the test that the end of a predecessor proves nothing about earlier terms now also checks that the end of these does.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -25,6 +25,8 @@
     :param epoch: Number of the term.
     :param is_alone: Whether the entries of all earlier terms have stopped echoing the
         clocks of nodes, which grants renewals of worker leases.
+    :param earlier: Name and incarnation of each process of an earlier term that may
+        still echo; empty if they are not known.
     """
 
     name: str
@@ -32,6 +34,7 @@
     address: str
     epoch: int
     is_alone: bool = False
+    earlier: tuple[tuple[str, str], ...] = ()
 
     def is_same_term(self, other):
         """Return whether another row was written by the same process in this term."""
@@ -80,7 +83,7 @@
         self._candidacy_delay = candidacy_delay
         self._can_schedule = can_schedule
         self._free_since = None
-        self._predecessor = None
+        self._echoing_processes = None
         self._acquired_at = 0.0
         self._version = 0
         self._observation = LeaseObservation()
@@ -120,30 +123,52 @@
             is_alone = self.row is not None and self.row.is_alone
             if version and not (is_free and is_alone):
                 self.last_echo_at = get_last_echo_time(now)
-            # The processes of still earlier terms are not known by name.
-            self._predecessor = self.row if is_alone and not is_free else None
+            self._echoing_processes = self._find_echoing_processes(is_free)
             self._acquired_at = now
             return self._write(epoch, version, "free" if is_free else "lapsed")
         return True
 
+    def _find_echoing_processes(self, is_free):
+        """Return name and incarnation of the processes of earlier terms that may echo.
+
+        :param is_free: Whether the holder of the lease has certainly stopped.
+        :returns: None if they are not all known.
+        """
+        row = self.row
+        if row is None or not (row.is_alone or row.earlier):
+            return None
+        holder = set() if is_free else {(row.name, row.incarnation)}
+        return {
+            (name, incarnation)
+            for name, incarnation in holder.union(row.earlier)
+            if name != self.name
+        }
+
     def record_entry(self, name, incarnation, echo):
         """Record a message from another entry.
 
-        A process that has the name of the predecessor and another incarnation proves
-        that the predecessor has ended, and so have its echoes.
+        A process that has the name of one of an earlier term and another incarnation
+        proves that the earlier one has ended, and so have its echoes.
 
         :param name: Name of the entry.
         :param incarnation: Incarnation of its process.
         :param echo: Reading of this entry's clock that it received last, in seconds; a
             message that it sent before this term proves nothing.
         """
-        predecessor = self._predecessor
-        if predecessor is None or predecessor.name != name:
+        processes = self._echoing_processes
+        if not processes or echo < self._acquired_at:
             return
-        if predecessor.incarnation != incarnation and echo >= self._acquired_at:
-            self._predecessor = None
+        ended = {
+            process
+            for process in processes
+            if process[0] == name and process[1] != incarnation
+        }
+        if not ended:
+            return
+        self._echoing_processes = processes - ended
+        self._log.write("predecessor-ended", name, epoch=self.lease.epoch)
+        if not self._echoing_processes:
             self.last_echo_at = min(self.last_echo_at, self._clock.now())
-            self._log.write("predecessor-ended", name, epoch=predecessor.epoch)
 
     def _is_free(self):
         """Return whether no process can hold the lease, regardless of its age."""
@@ -174,7 +199,14 @@
     def _write(self, epoch, version, reason):
         sent_at = self._clock.now()
         is_alone = sent_at >= self.last_echo_at
-        row = LeaderRow(self.name, self._incarnation, self._address, epoch, is_alone)
+        row = LeaderRow(
+            self.name,
+            self._incarnation,
+            self._address,
+            epoch,
+            is_alone,
+            self._list_earlier(is_alone),
+        )
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(row))],
@@ -190,6 +222,10 @@
                 self._log.write("store-failed", "leader-row", why=str(failure))
                 return False
 
+    def _list_earlier(self, is_alone):
+        """Return the processes that a successor has to reckon with as well."""
+        return () if is_alone else tuple(sorted(self._echoing_processes or ()))
+
     def _resolve_conflict(self, row, version, sent_at, reason):
         """Check whether an earlier write succeeded although its answer was lost."""
         match self._read():
@@ -225,7 +261,8 @@
         epoch, version = self.lease.epoch, self._version
         self.lease.resign()
         is_alone = self._clock.now() >= self.last_echo_at
-        vacant = LeaderRow("", self._incarnation, "", epoch, is_alone)
+        earlier = self._list_earlier(is_alone)
+        vacant = LeaderRow("", self._incarnation, "", epoch, is_alone, earlier)
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(vacant))],
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -1,5 +1,6 @@
 """Leader election: the lease, its expiry, and entries with too few resources."""
 
+import msgspec
 import pytest
 
 from bergamotshore.core.work.leases import (
@@ -13,7 +14,8 @@
     get_grant_seconds,
     get_lease_expiry_seconds,
 )
-from bergamotshore.entry.election import Election
+from bergamotshore.entry.election import LEADER_ROW, Election
+from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
 
@@ -206,7 +208,9 @@
     assert second.last_echo_at > clock.now()
 
 
-def test_the_end_of_a_predecessor_proves_nothing_about_earlier_terms(build, clock):
+def test_echoes_are_waited_for_until_the_processes_of_all_earlier_terms_have_ended(
+    build, clock
+):
     build("a").step()
     second, third = build("b"), build("c")
     second.step()
@@ -218,3 +222,51 @@
     assert third.lease.epoch == 3
     third.record_entry("b", "b-2", echo=clock.now())
     assert third.last_echo_at > clock.now()
+    third.record_entry("a", "a-2", echo=clock.now())
+    assert third.last_echo_at <= clock.now()
+
+
+# Guards against a wait that begins anew with each term of a series.
+def test_a_restarted_entry_knows_the_processes_of_terms_before_its_own(build, clock):
+    build("a").step()
+    second = build("b")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    restarted = build("b", incarnation=2)
+    restarted.step()
+    assert restarted.lease.epoch == 3
+    assert restarted.last_echo_at > clock.now()
+    restarted.record_entry("a", "a-2", echo=clock.now())
+    assert restarted.last_echo_at <= clock.now()
+
+
+def test_a_resigned_term_names_the_processes_of_earlier_terms(build, clock):
+    build("a").step()
+    second, third = build("b"), build("c")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    second.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    assert third.last_echo_at > clock.now()
+    third.record_entry("a", "a-2", echo=clock.now())
+    assert third.last_echo_at <= clock.now()
+
+
+def test_echoes_of_processes_that_are_not_known_are_waited_for(build, store, clock):
+    """The row was written by a version that did not name them."""
+    build("a").step()
+    (row,) = store.row_by_id.values()
+    content = msgspec.msgpack.decode(row.value)
+    content.pop("earlier")
+    content["is_alone"] = False
+    store.transact([], [Put(LEADER_ROW, msgspec.msgpack.encode(content))], [])
+    second = build("b")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    assert second.lease.epoch == 2
+    second.record_entry("a", "a-2", echo=clock.now())
+    assert second.last_echo_at > clock.now()
