Claim the lease again at once after a claim that was carried out late

A claim of the lease that got no answer and was carried out later left a row of a process that does not hold the lease.

Nobody else can hold a lease under this row, so its process takes the next term at once.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -171,11 +171,12 @@
             self.last_echo_at = min(self.last_echo_at, self._clock.now())
 
     def _is_free(self):
-        """Return whether no process can hold the lease, regardless of its age."""
-        if self.row is None or not self.row.name:
-            return True
-        is_own = self.row.name == self.name
-        return is_own and self.row.incarnation != self._incarnation
+        """Return whether no process can hold the lease, regardless of its age.
+
+        A row of this process, which doesn't hold the lease, was written by a call
+        without an answer.
+        """
+        return self.row is None or self.row.name in ("", self.name)
 
     def _read(self):
         outcome = self._store.read(
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -91,6 +91,21 @@
     assert election.lease.is_valid(clock.now())
 
 
+# Guards against a site without a scheduling entry for the whole lease that a claim
+# without an answer has begun.
+def test_a_claim_that_was_carried_out_late_is_followed_by_another_one(
+    build, store, clock
+):
+    election = build("a")
+    store.faults = ["late"]
+    election.step()
+    assert election.lease.epoch == 0
+    store.run_late()
+    election.step()
+    assert election.lease.epoch == 2
+    assert election.lease.is_valid(clock.now())
+
+
 def test_another_entry_acquires_the_lease_after_its_holder_resigned(build, clock):
     first, second = build("a"), build("b")
     first.step()
