Take back that a worker is gone once it answers again

A worker that refused connections for a while, and was reported as gone since, lost every run as soon as it was claimed when the same life of it answered again. Connections are not known to be refused while a worker lives, but nothing rules it out.

A node that has told all entries that its worker is gone now also tells them that it answers again. The new test fails without the change.

--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -338,8 +338,8 @@
                         stream.peer.name, stream.peer.incarnation, message.echo
                     )
             case RunReport() | RunResults():
-                if isinstance(message, RunReport) and message.is_gone:
-                    self.directory.record_worker_end(stream.peer.name, message.born)
+                if isinstance(message, RunReport):
+                    self.directory.record_report(stream, message)
                 if self.election.lease.epoch:
                     self.dispatcher.post(NodeMessage(stream, message))
             case _:
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -46,17 +46,19 @@
         with self._lock:
             return self._last_heartbeat_at_by_node.get(node, 0.0)
 
-    def record_worker_end(self, node, born):
-        """Record that an incarnation of the worker beside a node is gone.
+    def record_report(self, stream, report):
+        """Record whether a node reports its worker as gone.
 
-        :param born: Start time of that incarnation, in ms.
+        :param report: ``RunReport``.
         """
         with self._lock:
             ended = self._ended_incarnations_by_node.setdefault(
-                node, deque(maxlen=MAX_ENDS_PER_NODE)
+                stream.peer.name, deque(maxlen=MAX_ENDS_PER_NODE)
             )
-            if born not in ended:
-                ended.append(born)
+            if report.is_gone and report.born not in ended:
+                ended.append(report.born)
+            elif not report.is_gone and report.born in ended:
+                ended.remove(report.born)
 
     def get_ended_incarnations(self, node):
         """Return the start times of a node's workers that are gone, in ms."""
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -224,9 +224,10 @@
         report = self.run_manager.build_report(self.grant.epoch)
         if report is None:
             return
-        if report.is_gone and report.born != self._announced_end:
+        end = report.born if report.is_gone else 0
+        if end != self._announced_end:
             # This node may have left when a later scheduling entry looks for its runs.
-            self._announced_end = report.born
+            self._announced_end = end
             self.links.broadcast(report)
             return
         stream = self.leader_stream
--- a/tests/site/test_takeover.py
+++ b/tests/site/test_takeover.py
@@ -48,3 +48,22 @@
     simulation.advance(LEASE_EXPIRY_SECONDS + 2.0)
     assert [task for task, _ in simulation.running] == ["job.0.0.0", "job.0.0.1"]
     assert simulation.ledger.problems == []
+
+
+# Guards against giving up the runs of a worker that refused connections for a while.
+def test_runs_of_a_worker_that_was_taken_for_gone_are_kept_after_a_takeover(
+    simulation,
+):
+    for runner in simulation.runner_by_node.values():
+        runner.is_gone = True
+    simulation.advance(1.5)
+    for runner in simulation.runner_by_node.values():
+        runner.is_gone = False
+    simulation.advance(1.0)
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    simulation.kill_entry(simulation.leader.name)
+    simulation.advance(2 * TAKEOVER_SECONDS)
+    assert simulation.leader is not None
+    assert len(simulation.ledger.starts) == 2
+    assert len(simulation.running) == 2
