Serve crashes and capacity of simulated workers over HTTP in the soak

After a crash the proxy of a worker refuses connections, on the same port, until the new incarnation listens; heartbeats pause. Tasks that crash workers do not end by themselves. Ports of proxies come from the pool, so that no outgoing connection can take one in the meantime.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -22,23 +22,24 @@
 
     :param target: Host and port to forward to.
     :param seed: Seed of the delays.
+    :param port: Port to listen on.
     """
 
-    def __init__(self, target, seed):
+    def __init__(self, target, seed, port):
         self.target = target
+        self.port = port
         self.mode = "pass"
         self.delay = 0.3
         self._random = random.Random(seed)
-        self._listener = socket.create_server((HOST, 0), backlog=64)
         self._sockets = set()
         self._lock = threading.Lock()
-        self._is_closed = False
-        _start(self._accept)
+        self._listener = None
+        self._listen()
 
     @property
     def address(self):
         """Return the address to connect to, as host:port."""
-        return f"{HOST}:{self._listener.getsockname()[1]}"
+        return f"{HOST}:{self.port}"
 
     def set_mode(self, mode):
         """Set the fault mode of all connections."""
@@ -50,13 +51,23 @@
         """Forward new connections to another target, and close all connections."""
         self.target = target
         self.close_connections()
+        if self._listener is None:
+            self._listen()
 
     def close(self):
-        """Stop listening and close all connections."""
-        self._is_closed = True
-        self._listener.close()
+        """Close all connections and refuse new ones, until ``redirect``."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            # Closing alone would not wake the thread that accepts connections.
+            with contextlib.suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
         self.close_connections()
 
+    def _listen(self):
+        self._listener = socket.create_server((HOST, self.port), backlog=64)
+        _start(self._accept, self._listener)
+
     def close_connections(self):
         """Close all connections."""
         with self._lock:
@@ -66,10 +77,10 @@
                 sock.shutdown(socket.SHUT_RDWR)
             sock.close()
 
-    def _accept(self):
-        while not self._is_closed:
+    def _accept(self, listener):
+        while True:
             try:
-                client_socket, _ = self._listener.accept()
+                client_socket, _ = listener.accept()
             except OSError:
                 return
             if self.mode == "reset":
--- a/soak/run.py
+++ b/soak/run.py
@@ -242,7 +242,7 @@
         """Inject or clear one random fault."""
         rng, site = self._random, self.site
         program = rng.choice(site.programs)
-        node, worker = rng.choice(list(site.worker_by_node.items()))
+        worker = rng.choice(list(site.worker_by_node.values()))
         kind = rng.choice(
             ["kill", "pause", "go-on", "stop", "start", "proxy", "proxy", "pass"]
             + ["store-down", "store-faults", "compact", "worker-restart", "hang"]
@@ -277,7 +277,7 @@
             case "hang":
                 worker.is_hanging = not worker.is_hanging
             case "worker-restart":
-                site.restart_worker(node)
+                worker.restart()
             case _:
                 self._inject_platform_fault(kind)
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -161,17 +161,19 @@
 
     def __init__(self, worker):
         self._worker = worker
-        self._born = worker.runner.born
+        self.born = worker.runner.born
         super().__init__(WORKER_THREADS)
 
     def handle(self, path, query, body):
         """Answer a call from the node."""
-        return self._worker.answer(self._born, path, json.loads(body))
+        return self._worker.answer(self.born, path, json.loads(body))
 
 
 class WorkerServer:
     """Serve one worker: answer its node, end tasks when due, and send heartbeats.
 
+    Its node calls it through ``proxy``, which refuses connections after a crash.
+
     :param clock: ``Clock``.
     :param name: Name of the worker.
     :param zone: Data centre.
@@ -186,6 +188,7 @@
         self.lock = lock
         self.runner = RunnerStandIn(clock, name, ledger)
         self.is_hanging = False
+        self.proxy = None
         self._clock = clock
         self._random = random.Random(seed)
         self._ends_at_by_run = {}
@@ -209,7 +212,15 @@
         """Start a new incarnation without any state, on a new port."""
         with self.lock:
             self.runner.restart()
-        self._server = IncarnationServer(self)
+            self._follow_incarnation()
+
+    def _follow_incarnation(self):
+        """Refuse connections after a crash, and serve the new incarnation."""
+        if self.runner.is_down:
+            self.proxy.close()
+        elif self.runner.born != self._server.born:
+            self._server = IncarnationServer(self)
+            self.proxy.redirect((HOST, self.port))
 
     def answer(self, born, path, call):
         """Answer a call to one incarnation.
@@ -254,8 +265,9 @@
         while not self._is_closed:
             time.sleep(TICK_SECONDS)
             with self.lock:
-                self.runner.end_runs_if_expired()
+                self.runner.update()
                 self._finish_due_tasks()
+                self._follow_incarnation()
 
     def _finish_due_tasks(self):
         now = self._clock.now()
@@ -263,8 +275,11 @@
             key = (self.runner.born, task, number)
             seconds = self._random.uniform(SHORTEST_TASK_SECONDS, LONGEST_TASK_SECONDS)
             ends_at = self._ends_at_by_run.setdefault(key, now + seconds)
-            is_lasting = task.startswith("lasting")
-            if now >= ends_at and not is_lasting:
+            is_endless = (
+                task.startswith("lasting")
+                or self.runner.ledger.get_crash_delay(task) is not None
+            )
+            if now >= ends_at and not is_endless:
                 has_failed = self._random.random() < FAILED_SHARE
                 self.runner.finish(task, "failed" if has_failed else "done")
 
@@ -273,14 +288,21 @@
             time.sleep(HEARTBEAT_SECONDS)
             self._sequence += 1
             with self.lock:
+                is_sending = self.runner.is_sending_heartbeats
                 report = self.runner.build_report(self.zone)
+            if not is_sending:
+                continue
             body = {
                 "service": report.service,
                 "zone": self.zone,
                 "state": "draining" if report.is_draining else "ready",
                 "born": report.incarnation.started_ms,
                 "seq": self._sequence,
-                "capacity": {"cpu": report.cpu, "mem_mb": report.memory},
+                "capacity": {
+                    "cpu": report.cpu,
+                    "mem_mb": report.memory,
+                    "gpu": report.accelerators,
+                },
                 "labels": list(report.labels),
             }
             self._send(f"/instances/{report.incarnation.worker}", json.dumps(body))
--- a/soak/site.py
+++ b/soak/site.py
@@ -108,7 +108,6 @@
         self._put_configuration()
         self.proxies = []
         self.worker_by_node = {}
-        self.worker_proxy_by_node = {}
         self.entry_by_name = {}
         self.node_by_name = {}
         self.callers_by_entry = {}
@@ -126,7 +125,7 @@
         self.rows.transact([], [Put(RowId("op", "", "config"), content.encode())], [])
 
     def _add_proxy(self, port, seed):
-        proxy = FaultProxy((HOST, port), seed)
+        proxy = FaultProxy((HOST, port), seed, PORTS.allocate(1)[0])
         self.proxies.append(proxy)
         return proxy
 
@@ -167,8 +166,7 @@
             f"{seed}-{index}",
         )
         self.worker_by_node[name] = worker
-        proxy = self._add_proxy(worker.port, seed)
-        self.worker_proxy_by_node[name] = proxy
+        proxy = worker.proxy = self._add_proxy(worker.port, seed)
         settings = {
             "name": name,
             "zone": zone,
@@ -192,12 +190,6 @@
         for program in self.programs:
             program.start()
 
-    def restart_worker(self, node):
-        """Start a new incarnation of a worker; connections to the former one end."""
-        worker = self.worker_by_node[node]
-        worker.restart()
-        self.worker_proxy_by_node[node].redirect((HOST, worker.port))
-
     def heal(self):
         """Clear all faults and restart processes that have exited."""
         for proxy in self.proxies:
--- a/standins/site.py
+++ b/standins/site.py
@@ -148,8 +148,8 @@
     ``stop_seconds`` is the time that a stop takes; the run keeps its resources until
     then.
 
-    A task with a crash delay in the ledger crashes the worker after that time of work;
-    without a delay, the order to start it gets no response.
+    A task with a crash delay in the ledger crashes the worker after that time of work,
+    for ``crash_seconds``; with delay 0, the order to start it gets no response.
     """
 
     def __init__(self, clock, name, ledger, cpu=16000, memory=64000):
@@ -169,6 +169,7 @@
         self.is_gone = False
         self.is_draining = False
         self.down_until = 0.0
+        self.crash_seconds = CRASH_SECONDS
         self.incarnation_starts = itertools.count(1_000_000 + 1000 * hash(name) % 977)
         self.begin_incarnation()
 
@@ -254,7 +255,7 @@
             self.run_by_task.get(task) == number and now >= crash_at
             for (task, number), crash_at in self.crash_at_by_run.items()
         ):
-            self.crash()
+            self.crash(self.crash_seconds)
 
     def end_runs_if_expired(self):
         """End all runs once the lease has expired.
--- /dev/null
+++ b/tests/test_soak_workers.py
@@ -0,0 +1,72 @@
+"""Workers of the soak over HTTP, as their nodes see them."""
+
+import threading
+import time
+
+import pytest
+from returns.result import Failure, Success
+
+from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.platform.runner import PlatformRunner
+from bergamotshore.ports.clock import SystemClock
+from bergamotshore.ports.runner import RunOrder
+from soak.proxy import FaultProxy
+from soak.servers import HOST, WorkerServer
+from soak.site import PORTS
+from standins.ledger import Ledger
+from standins.site import SERVICE
+
+CRASH_SECONDS = 0.5
+SETTLE_SECONDS = 0.2
+CALL_SECONDS = 1.0
+
+
+@pytest.fixture
+def worker():
+    ledger = Ledger()
+    steps = (Step(tasks=2, cpu=100, memory=100),)
+    ledger.record_job(JobSpec("queue", "job1", SERVICE, "", steps))
+    server = WorkerServer(
+        SystemClock(), "worker-0", "zone", ledger, threading.RLock(), "127.0.0.1:1", "0"
+    )
+    server.runner.crash_seconds = CRASH_SECONDS
+    server.proxy = FaultProxy((HOST, server.port), 0, PORTS.allocate(1)[0])
+    yield server
+    server.close()
+    server.proxy.close()
+
+
+def call(worker, runner, task):
+    """Send an order to start a task."""
+    lease_end_ms = worker.runner.clock_ms + 5000
+    return runner.start(RunOrder(task, 1, "", "", ""), lease_end_ms, 1, "worker-0")
+
+
+def is_refused(outcome):
+    """Return whether the connection was refused."""
+    return isinstance(outcome, Failure) and outcome.failure().is_certain
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.1])
+def test_crashed_worker_refuses_connections_and_returns_at_its_address(worker, delay):
+    """A crash that looks like a slow answer would not test how nodes detect it."""
+    worker.runner.ledger.record_crashing("job1.0.0.0", delay)
+    runner = PlatformRunner(worker.proxy.address, CALL_SECONDS)
+    born = worker.runner.born
+    outcome = call(worker, runner, "job1.0.0.0")
+    assert isinstance(outcome, Success if delay else Failure)
+    assert not is_refused(outcome)
+    time.sleep(delay + SETTLE_SECONDS)
+    assert is_refused(call(worker, runner, "job1.0.0.1"))
+    time.sleep(CRASH_SECONDS)
+    assert isinstance(call(worker, runner, "job1.0.0.1"), Success)
+    assert worker.runner.born > born
+    assert worker.runner.ledger.problems == []
+
+
+def test_restarted_worker_answers_at_once(worker):
+    runner = PlatformRunner(worker.proxy.address, CALL_SECONDS)
+    assert isinstance(call(worker, runner, "job1.0.0.0"), Success)
+    worker.restart()
+    assert isinstance(call(worker, runner, "job1.0.0.1"), Success)
+    assert list(worker.runner.run_by_task) == ["job1.0.0.1"]
