Judge long-running tasks live in the soak, and add three optional kinds of faults

Crashing tasks, capacities that change, and calm periods. States that callers read are judged as well.

--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from bergamotshore.core.work.site import Queue
 from bergamotshore.platform.jobs import decode_submission
 from soak.changes import ConfigProber, Operator
+from soak.judges import MISSING_SECONDS, RESTART_SECONDS, LongRunningJudge
 from soak.proxy import MODES
 from soak.site import HOST_NAME, PREFIX, RETRIES, SoakSite
 from standins.site import SERVICE
@@ -41,8 +42,14 @@
 SMALL_TASK_CPU = 1000
 LARGE_TASK_CPU = 6000
 LARGE_TASK_INTERVAL = 8
-GOOD_EXIT = 0
-
+# Optional kinds of faults; without them, a seed repeats the faults it always had.
+OPTIONAL_KINDS = ("crashing-task", "resize", "calm")
+# Time of work after which a task crashes its worker, in seconds.
+CRASH_DELAYS_SECONDS = (0.0, 0.0, 0.3, 1.5)
+CAPACITIES_CPU = (2000, 4000, 8000, 12000, 16000)
+# Length of a period without faults, in seconds: a task that is lost at its beginning is
+# noticed at its end.
+CALM_PERIOD_SECONDS = RESTART_SECONDS + MISSING_SECONDS + 1.0
 
 QUEUE = Queue("soak", HOST_NAME, PREFIX, SERVICE, retries=RETRIES)
 
@@ -55,6 +62,8 @@
     :param refused: Identifiers of jobs whose submission was refused.
     :param cancelled: Identifiers of jobs whose cancellation was confirmed.
     :param doubtful: Identifiers of jobs whose cancellation is uncertain.
+    :param cancelling: Identifiers of jobs whose cancellation was requested and not
+        refused.
     :param problems: Violations of guarantees.
     """
 
@@ -62,12 +71,20 @@
     refused: set = field(default_factory=set)
     cancelled: set = field(default_factory=set)
     doubtful: set = field(default_factory=set)
+    cancelling: set = field(default_factory=set)
     problems: list = field(default_factory=list)
 
+    def list_long_running_jobs(self):
+        """Return the accepted long-running jobs that nobody has tried to cancel."""
+        jobs = self.accepted - self.cancelling
+        return {job for job in jobs if job.startswith("lasting")}
+
 
 class Caller(threading.Thread):
     """Submit jobs to one entry over a persistent connection.
 
+    While ``crash_delay`` is set, the next job is one that crashes workers.
+
     :param site: ``SoakSite``.
     :param entry: Name of the entry.
     :param evidence: ``Evidence``.
@@ -77,6 +94,7 @@
     def __init__(self, site, entry, evidence, seed):
         super().__init__(daemon=True)
         self.is_stopped = False
+        self.crash_delay = None
         self._site = site
         self._entry = entry
         self._evidence = evidence
@@ -90,11 +108,18 @@
             number += 1
             is_lasting = self._random.random() < 0.15
             kind = "lasting" if is_lasting else "job"
+            if self.crash_delay is not None:
+                self._submit_crashing(f"crash-{self._entry}-{number}")
             is_large = number % LARGE_TASK_INTERVAL == 0 and not is_lasting
             cpu = LARGE_TASK_CPU if is_large else SMALL_TASK_CPU
             self._submit(f"{kind}-{self._entry}-{number}", is_lasting, cpu)
             time.sleep(self._random.uniform(0.05, 0.6))
 
+    def _submit_crashing(self, job_id):
+        delay, self.crash_delay = self.crash_delay, None
+        self._site.ledger.record_crashing(job_id, delay)
+        self._submit(job_id, False, SMALL_TASK_CPU)
+
     def _submit(self, job_id, is_lasting, cpu):
         step = {"count": 2, "cpu": cpu, "mem_mb": 100, "est_ms": 800}
         later = {**step, "count": 1, "after": [0]}
@@ -116,10 +141,13 @@
             self._cancel(job_id)
 
     def _cancel(self, job_id):
+        self._evidence.cancelling.add(job_id)
         status = self.call("DELETE", job_id)
         if status == 200:
             self._evidence.cancelled.add(job_id)
-        elif status not in (429, 503):
+        elif status in (429, 503):
+            self._evidence.cancelling.discard(job_id)
+        else:
             self._evidence.doubtful.add(job_id)
 
     def call(self, method, job_id, body=None):
@@ -159,10 +187,12 @@
 
     :param site: ``SoakSite``.
     :param seed: Seed of the faults.
+    :param optional_kinds: Those of ``OPTIONAL_KINDS`` to inject.
     """
 
-    def __init__(self, site, seed):
+    def __init__(self, site, seed, optional_kinds=()):
         self.site = site
+        self._optional_kinds = list(optional_kinds)
         self.evidence = Evidence()
         self.events = []
         self._stops = []
@@ -172,6 +202,12 @@
             Caller(site, name, self.evidence, seed) for name in site.entry_by_name
         ]
         self.operator = Operator(site, seed)
+        self.judge = LongRunningJudge(
+            [worker.runner for worker in site.worker_by_node.values()],
+            site.ledger,
+            site.lock,
+            self.evidence,
+        )
         self._probers = [
             ConfigProber(
                 self.operator,
@@ -191,10 +227,12 @@
         self.site.start()
         time.sleep(START_SECONDS)
         self.operator.start()
+        self.judge.start()
         for caller in (*self._callers, *self._probers):
             caller.start()
         deadline = time.monotonic() + seconds
-        while time.monotonic() < deadline and not self.site.ledger.problems:
+        problems = (self.site.ledger.problems, self.evidence.problems)
+        while time.monotonic() < deadline and not any(problems):
             self._inject_fault()
             time.sleep(self._random.choice([0.1, 0.5, 1.0, 2.5]))
         for caller in self._callers:
@@ -211,12 +249,13 @@
             if (program.process.poll() or 0) > 0
         ]
         self.site.heal()
+        self.judge.calm_since = time.monotonic()
         for _ in range(MAX_SETTLE_ATTEMPTS):
             seen = len(self.stalls)
             self._settle()
             if len(self.stalls) == seen:
                 break
-        for thread in (self.operator, *self._probers):
+        for thread in (self.operator, self.judge, *self._probers):
             thread.is_stopped = True
         for prober in self._probers:
             prober.join(2 * CALL_SECONDS)
@@ -236,6 +275,7 @@
             if (gap := time.monotonic() - began) > STALL_SECONDS:
                 at = datetime.now(UTC).isoformat(timespec="milliseconds")
                 self.stalls.append(gap)
+                self.judge.record_fault(time.monotonic())
                 self.events.append(f"{at} the soak stalled for {gap:.1f} s")
 
     def _inject_fault(self):
@@ -247,6 +287,7 @@
             ["kill", "pause", "go-on", "stop", "start", "proxy", "proxy", "pass"]
             + ["store-down", "store-faults", "compact", "worker-restart", "hang"]
             + ["order-faults", "late-orders", "kill-entries"]
+            + self._optional_kinds
         )
         at = datetime.now(UTC).isoformat(timespec="milliseconds")
         self.events.append(f"{at} {kind} {program.name} {worker.runner.name}")
@@ -278,9 +319,26 @@
                 worker.is_hanging = not worker.is_hanging
             case "worker-restart":
                 worker.restart()
+            case "crashing-task":
+                rng.choice(self._callers).crash_delay = rng.choice(CRASH_DELAYS_SECONDS)
+            case "resize":
+                with site.lock:
+                    worker.runner.resize(cpu=rng.choice(CAPACITIES_CPU))
+            case "calm":
+                self._pause_faults()
             case _:
                 self._inject_platform_fault(kind)
 
+    def _pause_faults(self):
+        """Clear all faults for a period in which long-running tasks are judged."""
+        self.site.heal()
+        for stop in self._stops:
+            stop.join()
+        self.site.heal()
+        self.judge.calm_since = time.monotonic()
+        time.sleep(CALM_PERIOD_SECONDS)
+        self.judge.calm_since = None
+
     def _inject_platform_fault(self, kind):
         rng, rows = self._random, self.site.rows
         match kind:
@@ -330,12 +388,14 @@
         for _ in range(STATUS_ATTEMPTS):
             status, answer = call_entry(caller, "GET", job_id)
             if status:
-                return answer.get("state", status)
+                state = answer.get("state", status)
+                with self.site.lock:
+                    self.site.ledger.check_state(job_id, state)
+                return state
         return None
 
     def _check_guarantees(self):
         evidence, ledger = self.evidence, self.site.ledger
-        evidence.problems += ledger.problems
         started = {task.split(".")[0] for task, _, _ in ledger.starts}
         running = {task.split(".")[0] for _, task in ledger.live}
         for job in sorted(self._list_expected_jobs()):
@@ -350,16 +410,18 @@
         }
         for job in sorted(lasting - running):
             evidence.problems.append(f"{job} is long-running but does not run")
+        evidence.problems += ledger.problems
 
 
-def run_seed(seed, seconds, entries, nodes):
+def run_seed(seed, seconds, entries, nodes, optional_kinds=()):
     """Run one seed in a new temporary folder.
 
+    :param optional_kinds: Those of ``OPTIONAL_KINDS`` to inject.
     :returns: Problems, ``Soak`` and folder.
     """
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     site = SoakSite(folder, entries, nodes, seed)
-    soak = Soak(site, seed)
+    soak = Soak(site, seed, optional_kinds)
     try:
         problems = soak.run(seconds)
     finally:
@@ -378,11 +440,18 @@
     )
     parser.add_argument("--entries", type=int, default=3, help="number of entries")
     parser.add_argument("--nodes", type=int, default=4, help="number of nodes")
+    parser.add_argument(
+        "--add",
+        nargs="*",
+        default=(),
+        choices=OPTIONAL_KINDS,
+        help="further kinds of faults; they change the faults of a seed",
+    )
     options = parser.parse_args()
     failed = []
     for seed in range(options.first, options.first + options.seeds):
         problems, soak, folder = run_seed(
-            seed, options.seconds, options.entries, options.nodes
+            seed, options.seconds, options.entries, options.nodes, options.add
         )
         evidence = soak.evidence
         print(
@@ -391,6 +460,7 @@
             f" {len(soak.site.ledger.starts)} starts, {len(soak.events)} faults,"
             f" {len(soak.operator.changes)} changes,"
             f" {soak.config_answers} answers on them,"
+            f" {soak.judge.judged} looks at long-running tasks,"
             f" {len(soak.stalls)} stalls, {len(problems)} problems",
             flush=True,
         )
--- a/soak/site.py
+++ b/soak/site.py
@@ -23,6 +23,7 @@
 HOST_NAME = "soak.example"
 PREFIX = "/q/"
 RETRIES = 40
+WORKER_CPU = 16000
 PORTS = PortPool(range(12_000, 20_000))
 STOP_SECONDS = 20.0
 STOP_TRIES = 2
@@ -202,6 +203,7 @@
             worker.is_hanging = False
             with self.lock:
                 worker.runner.faults = []
+                worker.runner.resize(cpu=WORKER_CPU)
                 worker.runner.run_late()
         for program in self.programs:
             program.resume()
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -60,15 +60,26 @@
     def _check_capacity(self, runner, started_step):
         """Check the capacity of a worker, which runs being stopped use as well."""
         limit = runner.get_start_limit()
-        steps = [self.get_step(task) for name, task in self.live if name == runner.name]
         for field, limited in LIMITED_BY_STEP_FIELD.items():
-            used = sum(getattr(step, field) for step in steps)
+            used = self._get_use(runner, field)
             available = getattr(limit, limited)
             if getattr(started_step, field) and used > available:
                 self.problems.append(
                     f"{runner.name} holds {used} of {available} {limited}"
                 )
 
+    def _get_use(self, runner, field):
+        tasks = [task for name, task in self.live if name == runner.name]
+        return sum(getattr(self.get_step(task), field) for task in tasks)
+
+    def has_room(self, runner, step, times):
+        """Return whether a worker that is up has room for several tasks of a step."""
+        return runner.is_sending_heartbeats and all(
+            self._get_use(runner, field) + times * getattr(step, field)
+            <= getattr(runner.capacity, limited)
+            for field, limited in LIMITED_BY_STEP_FIELD.items()
+        )
+
     def _check_step_order(self, task):
         job, occurrence, step, _ = task.split(".")
         steps = self.spec_by_job[job].steps
