--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -8,6 +8,11 @@
 # ``MAX_STARTS_AFTER_CRASHES`` times more.
 MAX_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 3
+# Times after which nothing may start, in seconds: on a worker whose drain was
+# acknowledged, in a data centre that was closed, for a job that was cancelled.
+DRAIN_SECONDS = 2.0
+EVACUATE_SECONDS = 5.0
+CANCEL_SECONDS = 3.0
 # Names of the state of a finished job, to callers and within the system.
 COMPLETE_STATES = ("complete", "done")
 # Field of ``Capacity`` that limits each field of ``Step``.
@@ -31,6 +36,12 @@
         self.crash_delay_by_name = {}
         self.crashes_by_task = {}
         self.starts_after_crashes_by_task = Counter()
+        self.accepted_jobs = set()
+        self.refused_jobs = set()
+        self.cancelled_at_by_job = {}
+        self.closed_at_by_zone = {}
+        self.draining_since_by_worker = {}
+        self.checkpoints_by_task = {}
         self.starts = []
         self.problems = []
 
@@ -38,14 +49,57 @@
         """Record a submitted job."""
         self.spec_by_job[spec.job_id] = spec
 
+    def record_submission(self, job, is_refused):
+        """Record an attempt to submit a job.
+
+        :param is_refused: Whether it was definitely not accepted.
+        """
+        (self.refused_jobs if is_refused else self.accepted_jobs).add(job)
+
+    def record_cancellation(self, job, now):
+        """Record that the cancellation of a job was acknowledged."""
+        self.cancelled_at_by_job.setdefault(job, now)
+
+    def record_closed_zone(self, zone, now):
+        """Record that the operator closed a data centre."""
+        self.closed_at_by_zone.setdefault(zone, now)
+
+    def record_opened_zone(self, zone):
+        """Record that the operator takes back that a data centre is closed."""
+        self.closed_at_by_zone.pop(zone, None)
+
+    def record_heartbeat(self, report, now):
+        """Record that a node acknowledged a heartbeat.
+
+        :param report: ``WorkerReport``.
+        """
+        if report.is_draining:
+            self.draining_since_by_worker.setdefault(report.incarnation, now)
+        else:
+            self.draining_since_by_worker.pop(report.incarnation, None)
+
+    def record_checkpoint(self, task, checkpoint):
+        """Record a checkpoint that a worker lists for a task."""
+        self.checkpoints_by_task.setdefault(task, set()).add(checkpoint)
+
     def get_step(self, task):
         """Return the ``Step`` of a task."""
         job, _, step, _ = task.split(".")
         return self.spec_by_job[job].steps[int(step)]
 
-    def record_start(self, runner, task, number):
-        """Record the start of a run and check the scheduling guarantees."""
+    def record_start(self, runner, order, is_late=False):
+        """Record the start of a run and check the scheduling guarantees.
+
+        :param order: ``RunOrder``.
+        :param is_late: Whether the worker carried out the order late; guarantees with a
+            time limit don't apply to it.
+        """
+        task, number = order.task, order.number
         self.starts.append((task, number, runner.name))
+        self._check_request(order)
+        self._check_worker(runner, task)
+        if not is_late:
+            self._check_times(runner, task, runner.clock.now())
         others = [key for key in self.live if key[1] == task]
         if len(others) >= (2 if self.get_step(task).is_speculative else 1):
             self.problems.append(f"{task} runs twice: {others} and {runner.name}")
@@ -57,6 +111,68 @@
         self.live[(runner.name, task)] = number
         self._check_capacity(runner, self.get_step(task))
 
+    def _check_request(self, order):
+        """Check that a caller submitted the task with this payload and checkpoint."""
+        job = order.task.split(".")[0]
+        if job in self.refused_jobs - self.accepted_jobs:
+            self.problems.append(f"{order.task} started, but its job was refused")
+        if order.payload != self.spec_by_job[job].payload:
+            self.problems.append(f"{order.task} started with another payload")
+        checkpoints = self._list_checkpoints(order.task)
+        if order.checkpoint and order.checkpoint not in checkpoints:
+            self.problems.append(f"{order.task} started with a foreign checkpoint")
+
+    def _list_checkpoints(self, task):
+        """Return the checkpoints of a task; members of a gang share theirs."""
+        if not self.get_step(task).is_gang:
+            return self.checkpoints_by_task.get(task, set())
+        step = task.rsplit(".", 1)[0]
+        return {
+            checkpoint
+            for name, checkpoints in self.checkpoints_by_task.items()
+            if name.rsplit(".", 1)[0] == step
+            for checkpoint in checkpoints
+        }
+
+    def _check_worker(self, runner, task):
+        """Check the required label and the limit of tasks per worker."""
+        step = self.get_step(task)
+        if step.label and step.label not in runner.labels:
+            self.problems.append(f"{task} started on {runner.name} without its label")
+        name = task.rsplit(".", 1)[0]
+        others = [
+            key
+            for key in self.live
+            if key[0] == runner.name and key[1].rsplit(".", 1)[0] == name
+        ]
+        if step.per_worker and len(others) >= step.per_worker:
+            self.problems.append(f"{task} started on {runner.name} beside {others}")
+
+    def _check_times(self, runner, task, now):
+        """Check that what forbids a start has not been known for too long."""
+        report = runner.build_report(runner.zone)
+        for reason, since, seconds in (
+            (
+                "its worker drained",
+                self.draining_since_by_worker.get(report.incarnation),
+                DRAIN_SECONDS,
+            ),
+            (
+                f"{runner.zone} was closed",
+                self.closed_at_by_zone.get(runner.zone),
+                EVACUATE_SECONDS,
+            ),
+            (
+                "its job was cancelled",
+                self.cancelled_at_by_job.get(task.split(".")[0]),
+                CANCEL_SECONDS,
+            ),
+        ):
+            if since is not None and now - since > seconds:
+                self.problems.append(
+                    f"{task} started {now - since:.1f} s after {reason}"
+                )
+
     def _check_capacity(self, runner, started_step):
         """Check the capacity of a worker, which runs being stopped use as well."""
         limit = runner.get_start_limit()
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.exceptions import PlatformUnavailable, PlatformUncertain
+from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
 from bergamotshore.ports.machines import UP, Machine, MachineOrderRefused
 from standins.site import SERVICE
 
@@ -104,6 +105,21 @@
         vm.runner.name += "+"
         return Success(None)
 
+    def check_wave_status(self, store):
+        """Check that only finished waves are reported as complete.
+
+        :param store: ``RowsStandIn``.
+        """
+        for wave, machines in self.machines_by_wave.items():
+            row = store.row_by_id.get(get_wave_status_id(wave))
+            if row is None or row.value != encode_wave_status(is_complete=True):
+                continue
+            missing = sorted(m for m in machines if (wave, m) not in self.done)
+            if missing:
+                self.ledger.problems.append(
+                    f"wave {wave} is reported as complete without {missing}"
+                )
+
     def _check_fencing_token(self, machine, holder, token):
         for _, name, other, used in self.orders:
             if name == machine and (
--- a/standins/site.py
+++ b/standins/site.py
@@ -35,6 +35,8 @@
 # A reduced capacity limits starts only after this time, in seconds: 3 s of contact and
 # one heartbeat.
 REDUCTION_NOTICE_SECONDS = 3.0 + 1.1
+# Interval of work between two checkpoints, in seconds.
+CHECKPOINT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +92,10 @@
         for call in late:
             self._apply(*call)
 
+    def write(self, puts, deletes):
+        """Apply changes of another writer, which injected faults don't affect."""
+        self._apply([], puts, deletes)
+
     def _apply(self, expects, puts, deletes):
         ids = [item.id for item in (*expects, *puts)] + list(deletes)
         if len({row_id.part for row_id in ids}) > 1:
@@ -160,6 +166,7 @@
         self.capacity = Capacity(cpu, memory)
         self.stop_seconds = 0.0
         self.rack = "r1-1"
+        self.zone = ""
         self.usage = 1.0
         self.faults = []
         self.late = []
@@ -271,12 +278,24 @@
         """End a run and queue its completion for the next listing."""
         number = self.run_by_task.pop(task)
         self.sequence += 1
-        self.ends.append(ListedCompletion(self.sequence, task, number, outcome, ""))
+        checkpoint = self._save(task, number) if outcome == "stopped" else ""
+        self.ends.append(
+            ListedCompletion(self.sequence, task, number, outcome, checkpoint)
+        )
         self.refused_up_to_number[task] = max(
             number, self.refused_up_to_number.get(task, 0)
         )
         self.ledger.record_completion(self, task, number, outcome)
 
+    def _save(self, task, number):
+        """Return the latest checkpoint of a run, empty without one."""
+        if not self.ledger.get_step(task).has_checkpoints:
+            return ""
+        worked = self.clock.now() - self.started_at_by_run[(task, number)]
+        checkpoint = f"{task}/{number}/{worked // CHECKPOINT_SECONDS:.0f}"
+        self.ledger.record_checkpoint(task, checkpoint)
+        return checkpoint
+
     def _check_reachable(self):
         self.update()
         if self.is_gone or self.is_down:
@@ -310,13 +329,13 @@
         late, self.late = self.late, []
         for order, lease_end_ms, fence, born in late:
             if born == self.born and not self.is_down:
-                self._start(order, lease_end_ms, fence)
+                self._start(order, lease_end_ms, fence, is_late=True)
         late_throttles, self.late_throttles = self.late_throttles, []
         for task, number, percent, fence, born in late_throttles:
             if born == self.born and not self.is_down:
                 self._throttle(task, number, percent, fence)
 
-    def _start(self, order, lease_end_ms, fence):
+    def _start(self, order, lease_end_ms, fence, is_late=False):
         self.end_runs_if_expired()
         if fence < self.fence:
             return Failure(RunRejected("fence", self.clock_ms))
@@ -330,7 +349,7 @@
             return Failure(RunRejected("late", self.clock_ms))
         self.run_by_task[order.task] = order.number
         self.started_at_by_run[(order.task, order.number)] = self.clock.now()
-        self.ledger.record_start(self, order.task, order.number)
+        self.ledger.record_start(self, order, is_late)
         delay = self.ledger.get_crash_delay(order.task)
         if delay is not None:
             crash_at = self.clock.now() + delay
@@ -394,13 +413,18 @@
                 self.ledger.record_acknowledgement(end)
         self.ends = [end for end in self.ends if end.sequence > acknowledged]
         running = [
-            ListedRun(task, number, "", 100, self.usage)
+            ListedRun(task, number, self._save(task, number), 100, self.usage)
             for task, number in self.run_by_task.items()
         ]
         return Success(
             WorkerListing(self.clock_ms, self.born, running, list(self.ends))
         )
 
+    @property
+    def labels(self):
+        """Return the labels of the worker: its kind and its rack."""
+        return ("a", self.rack)
+
     def build_report(self, zone):
         """Return the worker's heartbeat report."""
         return WorkerReport(
@@ -415,6 +439,6 @@
             memory=self.capacity.memory,
             accelerators=self.capacity.accelerators,
             machine=self.machine,
-            labels=("a", self.rack),
+            labels=self.labels,
             rack=self.rack,
         )
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -10,7 +10,7 @@
 import threading
 from concurrent.futures import Future
 
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from bergamotshore.core.work.confirmation import StateFreshness, get_max_age
 from bergamotshore.core.work.leases import (
@@ -46,6 +46,7 @@
     RowsStandIn,
     RunnerStandIn,
 )
+from tests.site.operatorrows import OperatorRows
 
 STATE_KEPT_SECONDS = 120
 # Time after which a confirmed change of the operator's rows has to be active.
@@ -177,8 +178,10 @@
         self.follower = SiteFollower(
             self.store, self.clock, self.registry, self.log, CONFIG_SECONDS
         )
-        self.follower.state.accept(simulation.configuration)
-        self.follower.state.confirmed_at = simulation.clock.now()
+        self.has_operator = simulation.operator is not None
+        if not self.has_operator:
+            self.follower.state.accept(simulation.configuration)
+            self.follower.state.confirmed_at = simulation.clock.now()
         self.stopping = threading.Event()
         self.election = Election(
             self.store,
@@ -219,7 +222,9 @@
         self.feed = (0, 0)
 
     def step(self):
-        if self.is_following():
+        if self.has_operator:
+            self.follower.step()
+        elif self.is_following():
             self.follower.state.confirmed_at = self.clock.now()
         if self.clock.now() >= self.next_election_at:
             self.election.step()
@@ -281,20 +286,30 @@
 
     def step(self):
         if self.runner.is_sending_heartbeats:
-            self.run_manager.record_heartbeat(self.runner.build_report(self.zone))
+            report = self.runner.build_report(self.zone)
+            self.run_manager.record_heartbeat(report)
+            self.runner.ledger.record_heartbeat(report, self.clock.now())
         self._renew_lease()
 
 
 class Simulation:
-    """Simulation of a small site."""
+    """Simulation of a small site.
 
-    def __init__(self, clock, entries=2, nodes=3, seed=0):
+    :param has_operator: Whether the entries follow the rows of ``operator``; otherwise,
+        tests set the state that entries have of them.
+    """
+
+    def __init__(self, clock, entries=2, nodes=3, seed=0, has_operator=False):
         self.clock = clock
         self.random = random.Random(seed)
         self.lines = []
         self.store = RowsStandIn()
         self.ledger = Ledger()
         self.configuration = build_configuration()
+        self.operator = None
+        if has_operator:
+            self.operator = OperatorRows(self.store, self.ledger, clock)
+            self.operator.declare(self.configuration)
         self.incarnations = itertools.count(1)
         self.runner_by_node = {
             f"node-{index}": RunnerStandIn(clock, f"worker-{index}", self.ledger)
@@ -329,6 +344,7 @@
         self.kill_node(name)
         zone = f"zone-{int(name[-1]) % 2}"
         runner = self.runner_by_node[name]
+        runner.zone = zone
         self.node_by_name[name] = NodeProcess(self, name, zone, runner)
 
     def kill_node(self, name):
@@ -393,6 +409,7 @@
         self._deliver()
         for runner in self.runner_by_node.values():
             runner.update()
+        self.machines.check_wave_status(self.store)
 
     def _list_unpaused(self):
         processes = [*self.entry_by_name.values(), *self.node_by_name.values()]
@@ -430,7 +447,20 @@
             queue, job_id, SERVICE, "payload", steps, queue_.retries, **fields
         )
         self.ledger.record_job(spec)
-        return self.rows.accept(spec, self.clock.now() + 2.0)
+        outcome = self.rows.accept(spec, self.clock.now() + 2.0)
+        is_refused = isinstance(outcome, Failure) and isinstance(
+            outcome.failure(), PlatformUnavailable
+        )
+        self.ledger.record_submission(job_id, is_refused)
+        return outcome
+
+    def cancel(self, job_id, queue="queue"):
+        """Cancel a job."""
+        outcome = self.rows.cancel(queue, job_id, self.clock.now() + 2.0)
+        match outcome:
+            case Success(True):
+                self.ledger.record_cancellation(job_id, self.clock.now())
+        return outcome
 
     def finish_all(self, outcome="done"):
         """End all runs with an outcome."""
--- a/tests/site/test_ledger_checks.py
+++ b/tests/site/test_ledger_checks.py
@@ -7,18 +7,30 @@
 
 from bergamotshore.core.work.model import JobSpec, Step
 from bergamotshore.exceptions import WorkerFailure
+from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
+from bergamotshore.ports.rows import Put
 from bergamotshore.ports.runner import RunOrder
-from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES, Ledger
+from standins.ledger import (
+    CANCEL_SECONDS,
+    DRAIN_SECONDS,
+    EVACUATE_SECONDS,
+    MAX_CRASHES,
+    MAX_STARTS_AFTER_CRASHES,
+    Ledger,
+)
+from standins.machines import MachinesStandIn
 from standins.site import (
     CRASH_SECONDS,
     REDUCTION_NOTICE_SECONDS,
     SERVICE,
     Capacity,
+    RowsStandIn,
     RunnerStandIn,
 )
 
 TASK = "job1.0.0.0"
 OTHER_TASK = "job1.0.0.1"
+ZONE = "zone-0"
 RETRIES = 3
 CPU, MEMORY, ACCELERATORS = 8000, 2000, 2
 # Half of a worker with that capacity.
@@ -44,8 +56,8 @@
     ledger.record_job(JobSpec("queue", "job1", SERVICE, "", (step,), RETRIES, **fields))
 
 
-def start(runner, number, task=TASK):
-    order = RunOrder(task, number, "", "", "")
+def start(runner, number, task=TASK, payload="", checkpoint=""):
+    order = RunOrder(task, number, payload, checkpoint, "")
     return runner.start(order, runner.clock_ms + 5000, 1, runner.name)
 
 
@@ -310,3 +322,150 @@
     start(small_runner, 1)
     start(small_runner, 1, OTHER_TASK)
     assert len(ledger.problems) == 1
+
+
+def acknowledge_drain(ledger, runner):
+    runner.is_draining = True
+    ledger.record_heartbeat(runner.build_report(ZONE), runner.clock.now())
+
+
+def close_zone(ledger, runner):
+    ledger.record_closed_zone(ZONE, runner.clock.now())
+
+
+def cancel_job(ledger, runner):
+    ledger.record_cancellation("job1", runner.clock.now())
+
+
+PROHIBITIONS = [
+    (acknowledge_drain, DRAIN_SECONDS),
+    (close_zone, EVACUATE_SECONDS),
+    (cancel_job, CANCEL_SECONDS),
+]
+
+
+@pytest.fixture
+def zone_runner(runner):
+    runner.zone = ZONE
+    return runner
+
+
+@pytest.mark.parametrize(("prohibit", "seconds"), PROHIBITIONS)
+@pytest.mark.parametrize("surplus", [0.0, 0.1])
+def test_start_is_reported_once_its_prohibition_can_be_known(
+    clock, ledger, zone_runner, prohibit, seconds, surplus
+):
+    prohibit(ledger, zone_runner)
+    clock.advance(seconds + surplus)
+    prohibit(ledger, zone_runner)
+    start(zone_runner, 1)
+    assert len(ledger.problems) == (surplus > 0)
+
+
+@pytest.mark.parametrize(("prohibit", "seconds"), PROHIBITIONS)
+def test_start_that_the_worker_carries_out_late_is_allowed(
+    clock, ledger, zone_runner, prohibit, seconds
+):
+    zone_runner.faults = ["late"]
+    order = RunOrder(TASK, 1, "", "", "")
+    zone_runner.start(order, zone_runner.clock_ms + 6000, 1, zone_runner.name)
+    prohibit(ledger, zone_runner)
+    clock.advance(seconds + 0.1)
+    zone_runner.run_late()
+    assert len(ledger.starts) == 1
+    assert ledger.problems == []
+
+
+def test_start_is_allowed_once_its_prohibition_is_taken_back(
+    clock, ledger, zone_runner
+):
+    close_zone(ledger, zone_runner)
+    acknowledge_drain(ledger, zone_runner)
+    clock.advance(EVACUATE_SECONDS + 1.0)
+    ledger.record_opened_zone(ZONE)
+    zone_runner.is_draining = False
+    ledger.record_heartbeat(zone_runner.build_report(ZONE), clock.now())
+    start(zone_runner, 1)
+    assert ledger.problems == []
+
+
+def test_drain_of_a_former_incarnation_does_not_count(clock, ledger, zone_runner):
+    acknowledge_drain(ledger, zone_runner)
+    zone_runner.restart()
+    zone_runner.is_draining = False
+    clock.advance(DRAIN_SECONDS + 0.1)
+    start(zone_runner, 1)
+    assert ledger.problems == []
+
+
+def test_start_in_another_data_centre_is_allowed(clock, ledger, zone_runner):
+    ledger.record_closed_zone("other", clock.now())
+    clock.advance(EVACUATE_SECONDS + 0.1)
+    start(zone_runner, 1)
+    assert ledger.problems == []
+
+
+@pytest.mark.parametrize("attempts", [[True], [True, False], [False], [True, True]])
+def test_start_of_a_refused_job_is_reported(ledger, runner, attempts):
+    for is_refused in attempts:
+        ledger.record_submission("job1", is_refused)
+    start(runner, 1)
+    assert bool(ledger.problems) == all(attempts)
+
+
+def test_start_with_another_payload_is_reported(ledger, runner):
+    start(runner, 1, payload="other")
+    assert len(ledger.problems) == 1
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_start_with_a_foreign_checkpoint_is_reported(clock, ledger, runner, is_gang):
+    """Members of a gang share their checkpoints."""
+    step = Step(tasks=2, cpu=100, has_checkpoints=True, is_gang=is_gang)
+    record_job(ledger, step)
+    start(runner, 1)
+    clock.advance(1.0)
+    runner.stop(TASK, 1, 1)
+    checkpoint = runner.ends[0].checkpoint
+    assert checkpoint
+    start(runner, 2, checkpoint=checkpoint)
+    assert ledger.problems == []
+    start(runner, 2, OTHER_TASK, checkpoint=checkpoint)
+    assert bool(ledger.problems) == (not is_gang)
+
+
+@pytest.mark.parametrize(("label", "is_reported"), [("a", False), ("b", True)])
+def test_start_without_the_required_label_is_reported(
+    ledger, runner, label, is_reported
+):
+    record_job(ledger, Step(tasks=1, cpu=100, label=label))
+    start(runner, 1)
+    assert bool(ledger.problems) == is_reported
+
+
+@pytest.mark.parametrize(("limit", "is_reported"), [(0, False), (1, True), (2, False)])
+def test_start_beyond_the_limit_per_worker_is_reported(
+    ledger, runner, limit, is_reported
+):
+    record_job(ledger, Step(tasks=2, cpu=100, per_worker=limit))
+    start(runner, 1)
+    start(runner, 1, OTHER_TASK)
+    assert bool(ledger.problems) == is_reported
+
+
+@pytest.mark.parametrize("is_done", [False, True])
+def test_wave_reported_as_complete_without_a_vm_is_reported(
+    clock, ledger, runner, is_done
+):
+    store = RowsStandIn()
+    machines = MachinesStandIn(clock, {"node-0": runner}, ledger)
+    machines.machines_by_wave[1] = {runner.machine}
+    machines.check_wave_status(store)
+    store.write([Put(get_wave_status_id(1), encode_wave_status(False))], [])
+    machines.check_wave_status(store)
+    assert ledger.problems == []
+    if is_done:
+        machines.order_maintenance(runner.machine, 1, "holder", 1)
+    store.write([Put(get_wave_status_id(1), encode_wave_status(True))], [])
+    machines.check_wave_status(store)
+    assert bool(ledger.problems) == (not is_done)
--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -26,6 +26,8 @@
 NODES = 4
 ENTRY = st.sampled_from([f"entry-{index}" for index in range(ENTRIES)])
 NODE = st.sampled_from([f"node-{index}" for index in range(NODES)])
+ZONES = ["zone-0", "zone-1"]
+CPU = 16000
 PROCESS = st.one_of(ENTRY, NODE)
 # Time between two rules, in seconds.
 SECONDS = st.sampled_from([0.1, 0.1, 0.4, 1.0, 2.0])
@@ -55,7 +57,9 @@
 
     def __init__(self):
         super().__init__()
-        self.simulation = Simulation(FakeClock(), entries=ENTRIES, nodes=NODES)
+        self.simulation = Simulation(
+            FakeClock(), entries=ENTRIES, nodes=NODES, has_operator=True
+        )
         for index, runner in enumerate(self.simulation.runner_by_node.values()):
             runner.rack = f"r{index % 2}"
         self.kind_by_job = {}
@@ -95,8 +99,7 @@
     def cancel(self, data, then):
         job_id = data.draw(st.sampled_from(sorted(self.kind_by_job)))
         queue = self.kind_by_job[job_id][1]
-        until = self.simulation.clock.now() + 2.0
-        outcome = self.simulation.rows.cancel(queue, job_id, until)
+        outcome = self.simulation.cancel(job_id, queue)
         (self.cancelled if isinstance(outcome, Success) else self.maybe_cancelled).add(
             job_id
         )
@@ -134,7 +137,6 @@
     @rule(entry=ENTRY, then=SECONDS)
     def start_entry(self, entry, then):
         self.simulation.start_entry(entry)
-        self._announce_wave_again()
         self.simulation.advance(then)
 
     @rule(node=NODE, then=SECONDS)
@@ -218,6 +220,16 @@
         runner.is_draining = not runner.is_draining
         self.simulation.advance(then)
 
+    @rule(node=NODE, cpu=st.sampled_from([2000, 8000, 12000, 16000]), then=SECONDS)
+    def resize_worker(self, node, cpu, then):
+        self.simulation.runner_by_node[node].resize(cpu=cpu)
+        self.simulation.advance(then)
+
+    @rule(zone=st.sampled_from(ZONES), then=SECONDS)
+    def close_or_open_zone(self, zone, then):
+        self.simulation.operator.close_or_open_zone(zone)
+        self.simulation.advance(then)
+
     @precondition(lambda self: not self.has_wave)
     @rule(at_once=st.integers(1, 2), then=SECONDS)
     def announce_wave(self, at_once, then):
@@ -225,7 +237,7 @@
         self.wave = Wave(1, tuple(self.simulation.machines.vm_by_name), 40.0, at_once)
         self.simulation.machines.machines_by_wave[1] = set(self.wave.machines)
         self.simulation.machines.at_once = at_once
-        self._announce_wave_again()
+        self.simulation.operator.request_wave(self.wave)
         self.simulation.advance(then)
 
     @rule(faults=st.lists(st.sampled_from(["down", "lost"]), max_size=2), then=SECONDS)
@@ -262,11 +274,6 @@
         if self.simulation.leader is not None:
             self.simulation.kill_entry(self.simulation.leader.name)
 
-    def _announce_wave_again(self):
-        if self.has_wave:
-            for entry in self.simulation.entry_by_name.values():
-                entry.follower.state.wave_by_number[1] = self.wave
-
     @invariant()
     def guarantees_hold(self):
         assert self.simulation.ledger.problems == []
@@ -278,15 +285,17 @@
         cancelled, so that wide tasks find a worker as well.
         """
         simulation = self.simulation
+        for zone in sorted(simulation.operator.closed_zones):
+            simulation.operator.close_or_open_zone(zone)
         simulation.settle()
-        self._announce_wave_again()
         for runner in simulation.runner_by_node.values():
             runner.is_draining = False
+            runner.resize(cpu=CPU)
         self._run_recovery_rounds()
         self._check_states(LONG_RUNNING)
         for job_id, (kind, queue) in self.kind_by_job.items():
             if kind in LONG_RUNNING:
-                simulation.rows.cancel(queue, job_id, simulation.clock.now() + 2.0)
+                simulation.cancel(job_id, queue)
                 self.cancelled.add(job_id)
         self._run_recovery_rounds()
         self._check_states(set(STEPS_BY_KIND))
