Submit jobs in the state machine while nothing may start on some workers

The times between its rules were shorter than those after which a start in a closed data centre, on a draining worker or for a cancelled job is a violation, so that it noticed none of these guards taken out.

--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -19,6 +19,7 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
+from standins.ledger import CANCEL_SECONDS, DRAIN_SECONDS, EVACUATE_SECONDS
 from tests.fakes import FakeClock
 from tests.site.simulation import Simulation
 
@@ -43,6 +44,12 @@
     "spread": (Step(tasks=3, cpu=1000, memory=100, per_worker=1),),
     "saving": (Step(tasks=4, cpu=3000, memory=100, has_checkpoints=True),),
 }
+# Its tasks don't fit on one worker together.
+WIDE_STEP = Step(tasks=NODES, cpu=9000, memory=100, estimate=1.0)
+# Times shorter and longer than those after which nothing may start.
+EVACUATION_TIMES = st.sampled_from([1.0, EVACUATE_SECONDS + 0.2])
+DRAIN_TIMES = st.sampled_from([0.4, DRAIN_SECONDS + 0.2])
+CANCEL_TIMES = st.sampled_from([1.0, CANCEL_SECONDS + 0.2])
 LONG_RUNNING = {"lasting", "bound"}
 # Maximum number of long-running jobs; more would leave no capacity for other jobs.
 MAX_LONG_RUNNING = 4
@@ -97,13 +104,14 @@
     @precondition(lambda self: self.kind_by_job)
     @rule(data=st.data(), then=SECONDS)
     def cancel(self, data, then):
-        job_id = data.draw(st.sampled_from(sorted(self.kind_by_job)))
-        queue = self.kind_by_job[job_id][1]
-        outcome = self.simulation.cancel(job_id, queue)
+        self._cancel(data.draw(st.sampled_from(sorted(self.kind_by_job))))
+        self.simulation.advance(then)
+
+    def _cancel(self, job_id):
+        outcome = self.simulation.cancel(job_id, self.kind_by_job[job_id][1])
         (self.cancelled if isinstance(outcome, Success) else self.maybe_cancelled).add(
             job_id
         )
-        self.simulation.advance(then)
 
     @rule(
         node=NODE,
@@ -270,6 +278,44 @@
         self.simulation.store.run_late()
         self.simulation.advance(then)
 
+    @rule(zone=st.sampled_from(ZONES), seconds=EVACUATION_TIMES, then=SECONDS)
+    def submit_while_zone_is_closed(self, zone, seconds, then):
+        """Submit a job after a data centre has been closed for some time."""
+        if zone not in self.simulation.operator.closed_zones:
+            self.simulation.operator.close_or_open_zone(zone)
+        self.simulation.advance(seconds)
+        self._submit_wide_job()
+        self.simulation.advance(then)
+
+    @rule(node=NODE, seconds=DRAIN_TIMES, then=SECONDS)
+    def submit_while_worker_drains(self, node, seconds, then):
+        """Submit a job after a worker has drained for some time."""
+        self.simulation.runner_by_node[node].is_draining = True
+        self.simulation.advance(seconds)
+        self._submit_wide_job()
+        self.simulation.advance(then)
+
+    @rule(node=NODE, seconds=CANCEL_TIMES, then=SECONDS)
+    def cancel_while_node_is_paused(self, node, seconds, then):
+        """Cancel a job while its orders wait in the inbox of a paused node."""
+        self.simulation.paused.add(node)
+        job_id = self._submit_wide_job()
+        self.simulation.advance(0.3)
+        if job_id is not None:
+            self._cancel(job_id)
+        self.simulation.advance(seconds)
+        self.simulation.paused.discard(node)
+        self.simulation.advance(then)
+
+    def _submit_wide_job(self):
+        """Submit a job with a task for every worker; return it unless it is refused."""
+        self.job_count += 1
+        job_id = f"plain{self.job_count}"
+        if not isinstance(self.simulation.submit(job_id, (WIDE_STEP,)), Success):
+            return None
+        self.kind_by_job[job_id] = ("plain", "queue")
+        return job_id
+
     def _kill_leader(self):
         if self.simulation.leader is not None:
             self.simulation.kill_entry(self.simulation.leader.name)
