Drain workers and close data centres in the soak, judged live

Two more optional kinds. Starts on a draining worker, in a closed data centre or for a cancelled job count unless the node or its worker was paused, hanging or behind a faulty proxy in the last 3 s, where an order may be carried out late. The operator writes its rows exempt from faults by a call of its own.

--- a/soak/changes.py
+++ b/soak/changes.py
@@ -66,13 +66,7 @@
             RowId(operator.TABLE, "", operator.CONFIG_KEY), json.dumps(config).encode()
         )
         sent_at = time.monotonic()
-        rows = self._site.rows
-        with self._site.store.changed:
-            faults, rows.faults = rows.faults, []
-            was_down, rows.is_down = rows.is_down, False
-            rows.transact([], [put], []).unwrap()
-            rows.faults, rows.is_down = faults, was_down
-            self._site.store.changed.notify_all()
+        self._site.store.write([put], [])
         self.changes.append(Change(version, sent_at, time.monotonic()))
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -41,6 +41,11 @@
         """Return the address to connect to, as host:port."""
         return f"{HOST}:{self.port}"
 
+    @property
+    def is_faulty(self):
+        """Return whether a fault mode is set."""
+        return self.mode != MODES[0]
+
     def set_mode(self, mode):
         """Set the fault mode of all connections."""
         self.mode = mode
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,7 +21,7 @@
 from soak.changes import ConfigProber, Operator
 from soak.judges import MISSING_SECONDS, RESTART_SECONDS, LongRunningJudge
 from soak.proxy import MODES
-from soak.site import HOST_NAME, PREFIX, RETRIES, SoakSite
+from soak.site import HOST_NAME, PREFIX, RETRIES, ZONES, SoakSite
 from standins.site import SERVICE
 
 CALL_SECONDS = 4.0
@@ -43,7 +43,7 @@
 LARGE_TASK_CPU = 6000
 LARGE_TASK_INTERVAL = 8
 # Optional kinds of faults; without them, a seed repeats the faults it always had.
-OPTIONAL_KINDS = ("crashing-task", "resize", "calm")
+OPTIONAL_KINDS = ("crashing-task", "resize", "calm", "drain", "evacuate")
 # Time of work after which a task crashes its worker, in seconds.
 CRASH_DELAYS_SECONDS = (0.0, 0.0, 0.3, 1.5)
 CAPACITIES_CPU = (2000, 4000, 8000, 12000, 16000)
@@ -324,6 +324,10 @@
             case "resize":
                 with site.lock:
                     worker.runner.resize(cpu=rng.choice(CAPACITIES_CPU))
+            case "drain":
+                worker.runner.is_draining = not worker.runner.is_draining
+            case "evacuate":
+                site.close_or_open_zone(rng.choice(ZONES))
             case "calm":
                 self._pause_faults()
             case _:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -26,6 +26,7 @@
 # Pause between heartbeats, and the timeout of a heartbeat call, in seconds.
 HEARTBEAT_SECONDS = 0.5
 CALL_SECONDS = 1.0
+GOOD_STATUS = 200
 # Task durations in seconds; longer ones would give too few starts in a run.
 SHORTEST_TASK_SECONDS = 0.2
 LONGEST_TASK_SECONDS = 1.5
@@ -72,6 +73,12 @@
         self.changed = threading.Condition()
         super().__init__(STORE_THREADS)
 
+    def write(self, puts, deletes):
+        """Apply changes of the operator, exempt from faults."""
+        with self.changed:
+            self.rows.write(puts, deletes)
+            self.changed.notify_all()
+
     def handle(self, path, query, body):
         """Answer a call to the row store."""
         if path == "/rows-feed":
@@ -172,7 +179,8 @@
 class WorkerServer:
     """Serve one worker: answer its node, end tasks when due, and send heartbeats.
 
-    Its node calls it through ``proxy``, which refuses connections after a crash.
+    Its node, ``program``, calls it through ``proxy``, which refuses connections after
+    a crash.
 
     :param clock: ``Clock``.
     :param name: Name of the worker.
@@ -187,8 +195,11 @@
         self.zone = zone
         self.lock = lock
         self.runner = RunnerStandIn(clock, name, ledger)
+        self.runner.zone = zone
         self.is_hanging = False
         self.proxy = None
+        self.program = None
+        self.harmed_at = 0.0
         self._clock = clock
         self._random = random.Random(seed)
         self._ends_at_by_run = {}
@@ -265,6 +276,8 @@
         while not self._is_closed:
             time.sleep(TICK_SECONDS)
             with self.lock:
+                if self.is_hanging or self.program.is_paused or self.proxy.is_faulty:
+                    self.harmed_at = self._clock.now()
                 self.runner.update()
                 self._finish_due_tasks()
                 self._follow_incarnation()
@@ -290,6 +303,8 @@
             with self.lock:
                 is_sending = self.runner.is_sending_heartbeats
                 report = self.runner.build_report(self.zone)
+                if not report.is_draining:
+                    self.runner.ledger.record_heartbeat(report, self._clock.now())
             if not is_sending:
                 continue
             body = {
@@ -305,18 +320,24 @@
                 },
                 "labels": list(report.labels),
             }
-            self._send(f"/instances/{report.incarnation.worker}", json.dumps(body))
+            path = f"/instances/{report.incarnation.worker}"
+            if self._send(path, json.dumps(body)) and report.is_draining:
+                with self.lock:
+                    self.runner.ledger.record_heartbeat(report, self._clock.now())
 
     def _send(self, path, body):
+        """Send a heartbeat; return whether the node acknowledged it."""
         connection = http.client.HTTPConnection(
             *self._heartbeat_address, timeout=CALL_SECONDS
         )
         try:
             connection.request("PUT", path, body, {"Content-Type": "application/json"})
-            connection.getresponse().read()
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status == GOOD_STATUS
         except (OSError, http.client.HTTPException):
             # The node is down or paused; the next heartbeat retries.
-            return
+            return False
         finally:
             connection.close()
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,6 +9,7 @@
 
 import yaml
 
+from bergamotshore.platform import operator
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.ports.rows import Put, RowId
 from soak.proxy import FaultProxy
@@ -27,6 +28,9 @@
 PORTS = PortPool(range(12_000, 20_000))
 STOP_SECONDS = 20.0
 STOP_TRIES = 2
+# A worker whose node or connection was harmed within this time, in seconds, may start
+# tasks late.
+CONTACT_SECONDS = 3.0
 
 
 class Program:
@@ -103,7 +107,8 @@
     def __init__(self, folder, entries, nodes, seed):
         self.clock = SystemClock()
         self.lock = threading.RLock()
-        self.ledger = Ledger()
+        self.ledger = Ledger(self._is_in_touch)
+        self.closed_zones = set()
         self.rows = RowsStandIn()
         self.store = StoreServer(self.rows)
         self._put_configuration()
@@ -122,8 +127,8 @@
     def _put_configuration(self):
         services = [{"name": SERVICE, "admission_check": False}]
         config = {"version": 1, "routes": [build_route()], "services": services}
-        content = json.dumps(config)
-        self.rows.transact([], [Put(RowId("op", "", "config"), content.encode())], [])
+        row_id = RowId(operator.TABLE, "", operator.CONFIG_KEY)
+        self.store.write([Put(row_id, json.dumps(config).encode())], [])
 
     def _add_proxy(self, port, seed):
         proxy = FaultProxy((HOST, port), seed, PORTS.allocate(1)[0])
@@ -179,7 +184,7 @@
                 **_build_site(stream_proxies),
             },
         }
-        self.node_by_name[name] = Program("node", settings, folder)
+        worker.program = self.node_by_name[name] = Program("node", settings, folder)
 
     @property
     def programs(self):
@@ -191,8 +196,29 @@
         for program in self.programs:
             program.start()
 
+    def _is_in_touch(self, runner):
+        """Return whether a worker and its node have had no fault for some time."""
+        worker = next(w for w in self.worker_by_node.values() if w.runner is runner)
+        return self.clock.now() - worker.harmed_at > CONTACT_SECONDS
+
+    def close_or_open_zone(self, zone):
+        """Close an open data centre, or open a closed one."""
+        row_id = RowId(operator.TABLE, "", operator.EVACUATE_PREFIX + zone)
+        if zone in self.closed_zones:
+            self.closed_zones.discard(zone)
+            with self.lock:
+                self.ledger.record_opened_zone(zone)
+            self.store.write([], [row_id])
+            return
+        self.closed_zones.add(zone)
+        self.store.write([Put(row_id, b"{}")], [])
+        with self.lock:
+            self.ledger.record_closed_zone(zone, self.clock.now())
+
     def heal(self):
         """Clear all faults and restart processes that have exited."""
+        for zone in sorted(self.closed_zones):
+            self.close_or_open_zone(zone)
         for proxy in self.proxies:
             proxy.set_mode("pass")
         with self.store.changed:
@@ -204,6 +230,7 @@
             with self.lock:
                 worker.runner.faults = []
                 worker.runner.resize(cpu=WORKER_CPU)
+                worker.runner.is_draining = False
                 worker.runner.run_late()
         for program in self.programs:
             program.resume()
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -24,9 +24,14 @@
 
 
 class Ledger:
-    """History of all workers' runs; ``problems`` lists violated guarantees."""
+    """History of all workers' runs; ``problems`` lists violated guarantees.
 
-    def __init__(self):
+    :param is_in_touch: Callable that returns whether a worker and its node have been
+        free of faults; guarantees with a time limit apply only then.
+    """
+
+    def __init__(self, is_in_touch=lambda runner: True):
+        self._is_in_touch = is_in_touch
         self.spec_by_job = {}
         self.live = {}
         self.done = set()
@@ -98,7 +103,7 @@
         self.starts.append((task, number, runner.name))
         self._check_request(order)
         self._check_worker(runner, task)
-        if not is_late:
+        if not is_late and self._is_in_touch(runner):
             self._check_times(runner, task, runner.clock.now())
         others = [key for key in self.live if key[1] == task]
         if len(others) >= (2 if self.get_step(task).is_speculative else 1):
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from returns.result import Failure, Success
@@ -30,6 +31,7 @@
         SystemClock(), "worker-0", "zone", ledger, threading.RLock(), "127.0.0.1:1", "0"
     )
     server.runner.crash_seconds = CRASH_SECONDS
+    server.program = SimpleNamespace(is_paused=False)
     server.proxy = FaultProxy((HOST, server.port), 0, PORTS.allocate(1)[0])
     yield server
     server.close()
