--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -44,8 +44,8 @@
     "spread": (Step(tasks=3, cpu=1000, memory=100, per_worker=1),),
     "saving": (Step(tasks=4, cpu=3000, memory=100, has_checkpoints=True),),
 }
-# Has a task for each worker, and little capacity suffices for it.
-WIDE_STEP = Step(tasks=NODES, cpu=100, memory=1, estimate=1.0, per_worker=1)
+# Has two tasks for each worker, one after the other, and needs little capacity.
+WIDE_STEP = Step(tasks=2 * NODES, cpu=100, memory=1, estimate=1.0, per_worker=1)
 # Times shorter and longer than those after which nothing may start.
 EVACUATION_TIMES = st.sampled_from([1.0, EVACUATE_SECONDS + 0.2])
 DRAIN_TIMES = st.sampled_from([0.4, DRAIN_SECONDS + 0.2])
@@ -320,6 +320,37 @@
         self.simulation.paused.discard(node)
         self.simulation.advance(then)
 
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(seconds=CANCEL_TIMES, then=SECONDS)
+    def cancel_while_feeds_fail(self, seconds, then):
+        """Cancel a job with waiting tasks while no entry learns about it."""
+        job_id = self._submit_wide_job()
+        self.simulation.advance(0.3)
+        self.simulation.without_feeds.update(self.simulation.entry_by_name)
+        if job_id is not None:
+            self._cancel(job_id)
+            self.simulation.advance(seconds)
+            self._end_runs_of(job_id)
+        self.simulation.advance(then)
+        self.simulation.without_feeds.clear()
+
+    @rule(first=st.sampled_from(["lost", "late", "down"]), then=SECONDS)
+    def submit_to_failing_store(self, first, then):
+        """Submit a job while the store fails, at first perhaps without an answer."""
+        self.simulation.store.faults = [first] + ["down"] * 60
+        self.job_count += 1
+        job_id = f"doubtful{self.job_count}"
+        self.simulation.submit(job_id, (TASK,))
+        self.simulation.store.faults = []
+        self.simulation.store.run_late()
+        self.simulation.advance(then)
+
+    def _end_runs_of(self, job_id):
+        for runner in self.simulation.runner_by_node.values():
+            for task in list(runner.run_by_task):
+                if task.startswith(f"{job_id}."):
+                    runner.finish(task, "done")
+
     def _submit_wide_job(self):
         """Submit a job with a task for every worker; return it unless it is refused."""
         self.job_count += 1
