--- a/standins/site.py
+++ b/standins/site.py
@@ -368,6 +368,8 @@
             number, self.refused_up_to_number.get(task, 0)
         )
         if self.run_by_task.get(task) == number:
+            if (task, number) not in self.stopped_at_by_run:
+                self.ledger.record_stop(self, task)
             stopped_at = self.clock.now() + self.stop_seconds
             self.stopped_at_by_run.setdefault((task, number), stopped_at)
             self.update()
--- a/tests/site/test_ledger_checks.py
+++ b/tests/site/test_ledger_checks.py
@@ -187,6 +187,15 @@
     assert bool(ledger.problems) == (outcome != "failed")
 
 
+def test_failed_runs_of_a_long_running_task_give_no_cause_to_fail(ledger, runner):
+    record_job(ledger, Step(tasks=1, cpu=100, is_lasting=True))
+    for number in range(1, RETRIES + 2):
+        start(runner, number)
+        runner.finish(TASK, "failed")
+    ledger.check_state("job1", "failed")
+    assert len(ledger.problems) == 1
+
+
 def test_failed_runs_of_different_members_fail_a_gang(ledger, runner):
     record_job(ledger, Step(tasks=2, cpu=100, is_gang=True))
     for number in range(1, RETRIES + 1):
--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -20,6 +20,7 @@
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
 from standins.ledger import CANCEL_SECONDS, DRAIN_SECONDS, EVACUATE_SECONDS
+from standins.site import REDUCTION_NOTICE_SECONDS
 from tests.fakes import FakeClock
 from tests.site.simulation import Simulation
 
@@ -50,6 +51,7 @@
 EVACUATION_TIMES = st.sampled_from([1.0, EVACUATE_SECONDS + 0.2])
 DRAIN_TIMES = st.sampled_from([0.4, DRAIN_SECONDS + 0.2])
 CANCEL_TIMES = st.sampled_from([1.0, CANCEL_SECONDS + 0.2])
+REDUCTION_TIMES = st.sampled_from([1.0, REDUCTION_NOTICE_SECONDS + 0.2])
 LONG_RUNNING = {"lasting", "bound"}
 # Maximum number of long-running jobs; more would leave no capacity for other jobs.
 MAX_LONG_RUNNING = 4
@@ -307,6 +309,15 @@
         self._submit_wide_job()
         self.simulation.advance(then)
 
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(node=NODE, seconds=REDUCTION_TIMES, then=SECONDS)
+    def submit_after_reduction(self, node, seconds, then):
+        """Submit a job some time after a worker has lost most of its capacity."""
+        self.simulation.runner_by_node[node].resize(cpu=WIDE_STEP.cpu // 2)
+        self.simulation.advance(seconds)
+        self._submit_wide_job()
+        self.simulation.advance(then)
+
     @precondition(lambda self: self.simulation.leader is not None)
     @rule(node=NODE, seconds=CANCEL_TIMES, then=SECONDS)
     def cancel_while_node_is_paused(self, node, seconds, then):
