Treat a malformed listing of a worker as a failed call

A node whose worker listed a run with too few fields, or with fields of another type, exited: the rows of running tasks were read without a check, in the thread that renews the lease, and a process ends with its first service that fails. Started again, it met the same answer. The call now fails like one without an answer, so that only this worker gets no work; skipping just the row would show its run as ended.

tests/site/test_containment.py failed before: IndexError and TypeError instead of a failure, for rows that Hypothesis made up. Found by reading, not seen in a run.

--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -155,7 +155,7 @@
 
     def _read_listing(self, answer):
         """Decode a listing and record on which connection its incarnation answered."""
-        outcome = _read_answer(answer, WireListing).map(_decode_listing)
+        outcome = _read_answer(answer, WireListing).bind(_decode_listing)
         match answer, outcome:
             case Success(HttpAnswer(connection=number)), Success(listing):
                 self._identified = IdentifiedConnection(number, listing.started_ms)
@@ -209,14 +209,23 @@
 
 
 def _decode_listing(answer):
-    running = [_decode_run(row) for row in answer.running]
+    """Return ``Result`` of the ``WorkerListing`` in an answer.
+
+    One invalid row makes the whole listing invalid: without it, its run would seem to
+    have ended.
+    """
+    try:
+        running = [_decode_run(*row) for row in answer.running]
+    except (TypeError, ValueError, OverflowError) as error:
+        return Failure(WorkerFailure(f"invalid listing: {error}", is_certain=False))
     ended = [ListedCompletion(*row) for row in answer.finished]
-    return WorkerListing(answer.clock_ms, answer.born, running, ended)
+    return Success(WorkerListing(answer.clock_ms, answer.born, running, ended))
 
 
-def _decode_run(row):
-    usage = row[4] if len(row) > 4 and row[4] is not None else 0
-    return ListedRun(str(row[0]), int(row[1]), row[2] or "", int(row[3]), float(usage))
+def _decode_run(task, number, checkpoint, percent, usage=None, *_):
+    return ListedRun(
+        str(task), int(number), str(checkpoint or ""), int(percent), float(usage or 0)
+    )
 
 
 def decode_report(worker, body):
