Ignore completions of tasks with a name that no job can have

An entry exited when a worker listed a completed task named like a known job but of another form, such as "job1" or "job1.a.b.c": the name was split and converted without a check, in the dispatcher's thread. So did each successor, to which the worker listed it again. Such a completion is now acknowledged and has no effect, like one of an unknown job.

Found by reading, not seen in a run.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -323,9 +323,9 @@
         return completions
 
     def _apply_completion(self, progress, reported):
-        if progress is None:
+        ref = progress and parse_task_name(progress.key, reported.task)
+        if ref is None:
             return PendingCompletion(reported.sequence, "", 0)
-        ref = parse_task_name(progress.key, reported.task)
         retries = self.get_retries(progress.spec)
         progress.end(
             ref, reported.number, reported.outcome, reported.checkpoint, retries
@@ -382,9 +382,12 @@
 
 
 def parse_task_name(job, name):
-    """Return the ``TaskRef`` for a task name.
+    """Return the ``TaskRef`` for a task name, None for a name of another form.
 
     :param job: Key of its job.
     """
-    _, occurrence, step, index = name.rsplit(".", 3)
-    return TaskRef(job, int(occurrence), int(step), int(index))
+    try:
+        _, occurrence, step, index = name.rsplit(".", 3)
+        return TaskRef(job, int(occurrence), int(step), int(index))
+    except ValueError:
+        return None
--- a/tests/site/test_containment.py
+++ b/tests/site/test_containment.py
@@ -1,16 +1,20 @@
 """One malformed message or row doesn't end a process or delay the jobs of others."""
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.http import HttpAnswer
+from bergamotshore.core.work.model import Step
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.platform.runner import PlatformRunner
-from bergamotshore.ports.runner import Acknowledgement
+from bergamotshore.ports.runner import Acknowledgement, ListedCompletion
 from tests.site.test_borders import ARBITRARY_BYTES, JSON_VALUES
 
+LONG_RUNNING = (Step(tasks=2, cpu=3000, memory=100, is_lasting=True),)
+
 
 class AnsweringClient:
     """HTTP client that returns the same body for each call."""
@@ -40,3 +44,34 @@
     assert isinstance(outcome, Success | Failure)
     if isinstance(outcome, Failure):
         assert isinstance(outcome.failure(), WorkerFailure)
+
+
+def check_scheduling(simulation, job_id):
+    """Check that a new job runs."""
+    assert simulation.submit(job_id) == Success(True)
+    simulation.advance(1.0)
+    assert len([t for t, _ in simulation.running if t.startswith(job_id)]) == 2
+
+
+# Guards against an entry that exits, as does each successor, because a worker lists a
+# task under a name that no job of this system has.
+@pytest.mark.parametrize(
+    "task",
+    ["", "job1", "job1.0", "job1.a.b.c", "job1.0.0.99", "job1.7.0.0", "a.b.c.d.e"],
+)
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_unknown_task_name_in_a_listing_does_not_end_the_entry(
+    simulation, task, is_ended
+):
+    simulation.submit("job1")
+    simulation.advance(0.5)
+    runner = simulation.runner_by_node["node-0"]
+    if is_ended:
+        runner.ends.append(ListedCompletion(99, task, 1, "done", ""))
+    else:
+        runner.run_by_task[task] = 1
+        runner.ledger.get_step = lambda name: LONG_RUNNING[0]
+    simulation.advance(1.0)
+    runner.run_by_task.pop(task, None)
+    simulation.advance(1.0)
+    check_scheduling(simulation, "job2")
