Take over without a job whose state can't be read

An entry that became the scheduling entry exited if the row with the state of one job was unreadable, and so did each successor: nothing was scheduled any more. The job is now left out, since tasks of it may have run, and the others go on. A log line and a metric name it. States that don't match the steps of their job count as unreadable.

Found by reading, not seen in a run.

--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -283,17 +283,25 @@
 def restore_progress(progress, content):
     """Load an encoded state into a new ``JobProgress``.
 
-    :raises msgspec.MsgspecError: if the content is not an encoded state.
+    :raises ValueError: if the content is not an encoded state of the job.
     """
-    finished, outcome, occurrences = msgspec.msgpack.decode(
-        content, type=tuple[int, str, dict[int, list[list[list]]]]
-    )
+    try:
+        finished, outcome, occurrences = msgspec.msgpack.decode(
+            content, type=tuple[int, str, dict[int, list[list[list]]]]
+        )
+        tasks_by_occurrence = {
+            occurrence: [[_decode_task(task) for task in tasks] for tasks in steps]
+            for occurrence, steps in occurrences.items()
+        }
+    except (msgspec.MsgspecError, TypeError) as error:
+        raise ValueError(str(error)) from error
+    shape = [step.tasks for step in progress.spec.steps]
+    for steps in tasks_by_occurrence.values():
+        if [len(tasks) for tasks in steps] != shape:
+            raise ValueError("state of a job with other steps")
     progress.finished_occurrences = finished
     progress.outcome = outcome
-    progress.tasks_by_occurrence = {
-        occurrence: [[_decode_task(task) for task in tasks] for tasks in steps]
-        for occurrence, steps in occurrences.items()
-    }
+    progress.tasks_by_occurrence = tasks_by_occurrence
 
 
 def _encode_task(task):
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -167,6 +167,7 @@
         self.sender = OrderSender(self.cluster, self.site, self.epoch, self.log)
         self.maintenance = self._build_maintenance(0)
         self.in_flight = set()
+        self._excluded_jobs = set()
         self._retry_at_by_part = {}
         self._counts_published_at = 0.0
         self._interference_stored_at = self.clock.now()
@@ -273,12 +274,23 @@
             progress = self.cluster.add_job(spec)
             if spec.key in open_jobs.progress_by_key:
                 version, restore = open_jobs.progress_by_key[spec.key]
-                restore(progress)
+                try:
+                    restore(progress)
+                except ValueError as error:
+                    self._exclude_job(spec, version, error)
+                    continue
                 self.writer.record_restored(spec.key, version)
             if spec.key in open_jobs.cancelled:
                 progress.cancel()
             self.cluster.allocate_restored(progress, now)
 
+    def _exclude_job(self, spec, version, error):
+        """Leave out a job whose state can't be read: tasks of it may have run."""
+        self.registry.count("job_rows_invalid_total")
+        self.log.write("job-row-invalid", spec.key, version=version, why=str(error))
+        self.cluster.remove_job(spec.key)
+        self._excluded_jobs.add(spec.key)
+
     def _handle_event(self, event):
         now = self.clock.now()
         match event:
@@ -320,7 +332,8 @@
                 progress.cancel()
                 self.log.write("job-cancelled", progress.spec.job_id)
             return
-        if key in self.cluster.job_by_key or self.writer.is_closed(key):
+        is_known = key in self.cluster.job_by_key or key in self._excluded_jobs
+        if is_known or self.writer.is_closed(key):
             return
         spec = decode_job_row(row)
         if spec is None:
--- a/tests/site/test_containment.py
+++ b/tests/site/test_containment.py
@@ -8,12 +8,15 @@
 
 from bergamotshore.adapters.http import HttpAnswer
 from bergamotshore.core.work.model import Step
+from bergamotshore.entry.jobrows import JOBS, RUNS, get_row_id
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.platform.runner import PlatformRunner
+from bergamotshore.ports.rows import Put
 from bergamotshore.ports.runner import Acknowledgement, ListedCompletion
 from tests.site.test_borders import ARBITRARY_BYTES, JSON_VALUES
 
 LONG_RUNNING = (Step(tasks=2, cpu=3000, memory=100, is_lasting=True),)
+UNREADABLE = [b"", b"\xff", b"\x93\x01\x02\x03", msgspec.msgpack.encode([1, "", {}, 4])]
 
 
 class AnsweringClient:
@@ -75,3 +78,24 @@
     runner.run_by_task.pop(task, None)
     simulation.advance(1.0)
     check_scheduling(simulation, "job2")
+
+
+# Guards against a scheduler whose takeover fails for all jobs because one row can't be
+# read.
+@pytest.mark.parametrize("table", [JOBS, RUNS])
+@pytest.mark.parametrize("value", UNREADABLE)
+def test_unreadable_row_of_one_job_does_not_prevent_a_takeover(
+    simulation, table, value
+):
+    simulation.submit("job1")
+    simulation.submit("watch", LONG_RUNNING)
+    simulation.advance(1.0)
+    simulation.store.write([Put(get_row_id(table, "queue/job1"), value)], [])
+    simulation.kill_entry(simulation.leader.name)
+    simulation.advance(12.0)
+    assert simulation.leader is not None
+    assert len([t for t, _ in simulation.running if t.startswith("watch")]) == 2
+    check_scheduling(simulation, "job2")
+    starts = [task for task, _, _ in simulation.ledger.starts]
+    assert len([task for task in starts if task.startswith("job1")]) == 2
+    assert simulation.ledger.problems == []
