Replace an unreadable fence row at a takeover

The next scheduling entry exited on a fence row that isn't a number, and so did each successor. The row is now replaced under its version, which fences off any writer.

--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -82,9 +82,7 @@
                 detail = str(failure)
                 continue
         row = next((row for row in page.rows if row.id == fence), None)
-        stored_epoch = (
-            msgspec.msgpack.decode(row.value, type=int) if row is not None else 0
-        )
+        stored_epoch = _decode_epoch(row) if row is not None else 0
         if stored_epoch > epoch:
             raise TakeoverFailed(f"term {stored_epoch} has begun", is_superseded=True)
         version = row.version if row is not None else 0
@@ -101,6 +99,14 @@
     raise TakeoverFailed(detail)
 
 
+def _decode_epoch(row):
+    """Return the term in a fence row; 0 for an unreadable row, which is replaced."""
+    try:
+        return msgspec.msgpack.decode(row.value, type=int)
+    except msgspec.MsgspecError:
+        return 0
+
+
 def read_open_jobs(store, parallel_map):
     """Return the ``OpenJobs`` of all partitions.
 
--- a/tests/site/test_containment.py
+++ b/tests/site/test_containment.py
@@ -8,7 +8,7 @@
 
 from bergamotshore.adapters.http import HttpAnswer
 from bergamotshore.core.work.model import Step
-from bergamotshore.entry.jobrows import JOBS, RUNS, get_row_id
+from bergamotshore.entry.jobrows import JOBS, RUNS, get_fence_id, get_part, get_row_id
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.platform.runner import PlatformRunner
 from bergamotshore.ports.rows import Put
@@ -99,3 +99,15 @@
     starts = [task for task, _, _ in simulation.ledger.starts]
     assert len([task for task in starts if task.startswith("job1")]) == 2
     assert simulation.ledger.problems == []
+
+
+@pytest.mark.parametrize("value", UNREADABLE)
+def test_unreadable_fence_does_not_end_the_entry(simulation, value):
+    simulation.submit("watch", LONG_RUNNING)
+    simulation.advance(1.0)
+    part = get_part("queue/watch")
+    simulation.store.write([Put(get_fence_id(part), value)], [])
+    simulation.kill_entry(simulation.leader.name)
+    simulation.advance(12.0)
+    assert simulation.leader is not None
+    check_scheduling(simulation, "job2")
