Check the term right before a maintenance order is sent

Calls about VMs run one at a time on a thread of their own. An order queued behind calls without an answer (1.5 s each) was sent by an entry whose lease had ended in the meantime, after its successor had sent its own: a lower fencing token after a higher one (ONE). A successor waits for one lease of 3 s only. The call now checks the lease when it runs, not only when it is queued.

Found by reading, not seen in a run.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -180,6 +180,7 @@
         return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
 
     def _build_maintenance(self, fence_version):
+        epoch, lease = self.epoch, self.election.lease
         return MaintenanceManager(
             self.store,
             self.machines,
@@ -188,8 +189,9 @@
             self.clock,
             self.log,
             self.election.name,
-            self.epoch,
+            epoch,
             fence_version,
+            lambda: lease.epoch == epoch and lease.is_valid(self.clock.now()),
         )
 
     def post(self, event):
--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -25,7 +25,7 @@
     record_order_failed,
 )
 from bergamotshore.entry.jobrows import PARTS, get_fence_id
-from bergamotshore.exceptions import PlatformAnswerInvalid
+from bergamotshore.exceptions import PlatformAnswerInvalid, PlatformUnavailable
 from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
 from bergamotshore.ports.machines import MachineOrderRefused
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
@@ -82,10 +82,21 @@
     :param holder: Name of the lease holder sent with orders.
     :param epoch: Number of the term; the fencing token of its orders.
     :param fence_version: Version of the fence row of ``WAVES_PART`` in this term.
+    :param may_order: Callable that returns whether this term still lasts.
     """
 
     def __init__(
-        self, store, machines, calls, post, clock, log, holder, epoch, fence_version
+        self,
+        store,
+        machines,
+        calls,
+        post,
+        clock,
+        log,
+        holder,
+        epoch,
+        fence_version,
+        may_order,
     ):
         self._store = store
         self._machines = machines
@@ -96,6 +107,7 @@
         self._holder = holder
         self._epoch = epoch
         self._fence_version = fence_version
+        self._may_order = may_order
         self._term_started_at = clock.now()
         self._progress_by_number = {}
         self._row_by_number = {}
@@ -246,14 +258,15 @@
         number = progress.wave.number
         self._log.write("upkeep-ordered", name, wave=number, token=self._epoch)
         self._call(
-            "ordered",
-            (number, name),
-            lambda: self._machines.order_maintenance(
-                name, number, self._holder, self._epoch
-            ),
-            now,
+            "ordered", (number, name), lambda: self._send_order(name, number), now
         )
 
+    def _send_order(self, name, number):
+        """Send an order unless the term ended while earlier calls were made."""
+        if not self._may_order():
+            return Failure(PlatformUnavailable("the term is over"))
+        return self._machines.order_maintenance(name, number, self._holder, self._epoch)
+
     def _report_status(self, progress, now):
         """Report to the operator that a wave is active or complete."""
         number, is_complete = progress.wave.number, progress.is_finished
