--- a/soak/servers.py
+++ b/soak/servers.py
@@ -26,6 +26,7 @@
 # Pause between heartbeats, and the timeout of a heartbeat call, in seconds.
 HEARTBEAT_SECONDS = 0.5
 CALL_SECONDS = 1.0
+GOOD_STATUS = 200
 # Task durations in seconds; longer ones would give too few starts in a run.
 SHORTEST_TASK_SECONDS = 0.2
 LONGEST_TASK_SECONDS = 1.5
@@ -72,6 +73,12 @@
         self.changed = threading.Condition()
         super().__init__(STORE_THREADS)
 
+    def write(self, puts, deletes):
+        """Apply changes of the operator, exempt from faults."""
+        with self.changed:
+            self.rows.write(puts, deletes)
+            self.changed.notify_all()
+
     def handle(self, path, query, body):
         """Answer a call to the row store."""
         if path == "/rows-feed":
@@ -161,17 +168,20 @@
 
     def __init__(self, worker):
         self._worker = worker
-        self._born = worker.runner.born
+        self.born = worker.runner.born
         super().__init__(WORKER_THREADS)
 
     def handle(self, path, query, body):
         """Answer a call from the node."""
-        return self._worker.answer(self._born, path, json.loads(body))
+        return self._worker.answer(self.born, path, json.loads(body))
 
 
 class WorkerServer:
     """Serve one worker: answer its node, end tasks when due, and send heartbeats.
 
+    Its node, ``program``, calls it through ``proxy``, which refuses connections after
+    a crash.
+
     :param clock: ``Clock``.
     :param name: Name of the worker.
     :param zone: Data centre.
@@ -185,7 +195,11 @@
         self.zone = zone
         self.lock = lock
         self.runner = RunnerStandIn(clock, name, ledger)
+        self.runner.zone = zone
         self.is_hanging = False
+        self.proxy = None
+        self.program = None
+        self.harmed_at = 0.0
         self._clock = clock
         self._random = random.Random(seed)
         self._ends_at_by_run = {}
@@ -209,7 +223,15 @@
         """Start a new incarnation without any state, on a new port."""
         with self.lock:
             self.runner.restart()
-        self._server = IncarnationServer(self)
+            self._follow_incarnation()
+
+    def _follow_incarnation(self):
+        """Refuse connections after a crash, and serve the new incarnation."""
+        if self.runner.is_down:
+            self.proxy.close()
+        elif self.runner.born != self._server.born:
+            self._server = IncarnationServer(self)
+            self.proxy.redirect((HOST, self.port))
 
     def answer(self, born, path, call):
         """Answer a call to one incarnation.
@@ -254,8 +276,11 @@
         while not self._is_closed:
             time.sleep(TICK_SECONDS)
             with self.lock:
-                self.runner.end_runs_if_expired()
+                if self.is_hanging or self.program.is_paused or self.proxy.is_faulty:
+                    self.harmed_at = self._clock.now()
+                self.runner.update()
                 self._finish_due_tasks()
+                self._follow_incarnation()
 
     def _finish_due_tasks(self):
         now = self._clock.now()
@@ -263,8 +288,11 @@
             key = (self.runner.born, task, number)
             seconds = self._random.uniform(SHORTEST_TASK_SECONDS, LONGEST_TASK_SECONDS)
             ends_at = self._ends_at_by_run.setdefault(key, now + seconds)
-            is_lasting = task.startswith("lasting")
-            if now >= ends_at and not is_lasting:
+            is_endless = (
+                task.startswith("lasting")
+                or self.runner.ledger.get_crash_delay(task) is not None
+            )
+            if now >= ends_at and not is_endless:
                 has_failed = self._random.random() < FAILED_SHARE
                 self.runner.finish(task, "failed" if has_failed else "done")
 
@@ -273,7 +301,12 @@
             time.sleep(HEARTBEAT_SECONDS)
             self._sequence += 1
             with self.lock:
+                is_sending = self.runner.is_sending_heartbeats
                 report = self.runner.build_report(self.zone)
+                if not report.is_draining:
+                    self.runner.ledger.record_heartbeat(report, self._clock.now())
+            if not is_sending:
+                continue
             body = {
                 "service": report.service,
                 "zone": self.zone,
@@ -283,21 +316,28 @@
                 "capacity": {
                     "cpu": self.runner.capacity.cpu,
                     "mem_mb": self.runner.capacity.memory,
+                    "gpu": self.runner.capacity.accelerators,
                 },
                 "labels": list(report.labels),
             }
-            self._send(f"/instances/{report.incarnation.worker}", json.dumps(body))
+            path = f"/instances/{report.incarnation.worker}"
+            if self._send(path, json.dumps(body)) and report.is_draining:
+                with self.lock:
+                    self.runner.ledger.record_heartbeat(report, self._clock.now())
 
     def _send(self, path, body):
+        """Send a heartbeat; return whether the node acknowledged it."""
         connection = http.client.HTTPConnection(
             *self._heartbeat_address, timeout=CALL_SECONDS
         )
         try:
             connection.request("PUT", path, body, {"Content-Type": "application/json"})
-            connection.getresponse().read()
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status == GOOD_STATUS
         except (OSError, http.client.HTTPException):
             # The node is down or paused; the next heartbeat retries.
-            return
+            return False
         finally:
             connection.close()
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,6 +9,7 @@
 
 import yaml
 
+from bergamotshore.platform import operator
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.ports.rows import Put, RowId
 from soak.proxy import FaultProxy
@@ -23,9 +24,13 @@
 HOST_NAME = "soak.example"
 PREFIX = "/q/"
 RETRIES = 40
+WORKER_CPU = 16000
 PORTS = PortPool(range(12_000, 20_000))
 STOP_SECONDS = 20.0
 STOP_TRIES = 2
+# A worker whose node or connection was harmed within this time, in seconds, may start
+# tasks late.
+CONTACT_SECONDS = 3.0
 
 
 class Program:
@@ -102,13 +107,13 @@
     def __init__(self, folder, entries, nodes, seed):
         self.clock = SystemClock()
         self.lock = threading.RLock()
-        self.ledger = Ledger()
+        self.ledger = Ledger(self._is_in_touch)
+        self.closed_zones = set()
         self.rows = RowsStandIn()
         self.store = StoreServer(self.rows)
         self._put_configuration()
         self.proxies = []
         self.worker_by_node = {}
-        self.worker_proxy_by_node = {}
         self.entry_by_name = {}
         self.node_by_name = {}
         self.callers_by_entry = {}
@@ -122,11 +127,11 @@
     def _put_configuration(self):
         services = [{"name": SERVICE, "admission_check": False}]
         config = {"version": 1, "routes": [build_route()], "services": services}
-        content = json.dumps(config)
-        self.rows.transact([], [Put(RowId("op", "", "config"), content.encode())], [])
+        row_id = RowId(operator.TABLE, "", operator.CONFIG_KEY)
+        self.store.write([Put(row_id, json.dumps(config).encode())], [])
 
     def _add_proxy(self, port, seed):
-        proxy = FaultProxy((HOST, port), seed)
+        proxy = FaultProxy((HOST, port), seed, PORTS.allocate(1)[0])
         self.proxies.append(proxy)
         return proxy
 
@@ -167,8 +172,7 @@
             f"{seed}-{index}",
         )
         self.worker_by_node[name] = worker
-        proxy = self._add_proxy(worker.port, seed)
-        self.worker_proxy_by_node[name] = proxy
+        proxy = worker.proxy = self._add_proxy(worker.port, seed)
         settings = {
             "name": name,
             "zone": zone,
@@ -180,7 +184,7 @@
                 **_build_site(stream_proxies),
             },
         }
-        self.node_by_name[name] = Program("node", settings, folder)
+        worker.program = self.node_by_name[name] = Program("node", settings, folder)
 
     @property
     def programs(self):
@@ -192,14 +196,29 @@
         for program in self.programs:
             program.start()
 
-    def restart_worker(self, node):
-        """Start a new incarnation of a worker; connections to the former one end."""
-        worker = self.worker_by_node[node]
-        worker.restart()
-        self.worker_proxy_by_node[node].redirect((HOST, worker.port))
+    def _is_in_touch(self, runner):
+        """Return whether a worker and its node have had no fault for some time."""
+        worker = next(w for w in self.worker_by_node.values() if w.runner is runner)
+        return self.clock.now() - worker.harmed_at > CONTACT_SECONDS
+
+    def close_or_open_zone(self, zone):
+        """Close an open data centre, or open a closed one."""
+        row_id = RowId(operator.TABLE, "", operator.EVACUATE_PREFIX + zone)
+        if zone in self.closed_zones:
+            self.closed_zones.discard(zone)
+            with self.lock:
+                self.ledger.record_opened_zone(zone)
+            self.store.write([], [row_id])
+            return
+        self.closed_zones.add(zone)
+        self.store.write([Put(row_id, b"{}")], [])
+        with self.lock:
+            self.ledger.record_closed_zone(zone, self.clock.now())
 
     def heal(self):
         """Clear all faults and restart processes that have exited."""
+        for zone in sorted(self.closed_zones):
+            self.close_or_open_zone(zone)
         for proxy in self.proxies:
             proxy.set_mode("pass")
         with self.store.changed:
@@ -210,6 +229,8 @@
             worker.is_hanging = False
             with self.lock:
                 worker.runner.faults = []
+                worker.runner.resize(cpu=WORKER_CPU)
+                worker.runner.is_draining = False
                 worker.runner.run_late()
         for program in self.programs:
             program.resume()
--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -19,6 +19,7 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
+from standins.ledger import CANCEL_SECONDS, DRAIN_SECONDS, EVACUATE_SECONDS
 from standins.site import REDUCTION_NOTICE_SECONDS
 from tests.fakes import FakeClock
 from tests.site.simulation import Simulation
@@ -27,6 +28,8 @@
 NODES = 4
 ENTRY = st.sampled_from([f"entry-{index}" for index in range(ENTRIES)])
 NODE = st.sampled_from([f"node-{index}" for index in range(NODES)])
+ZONES = ["zone-0", "zone-1"]
+CPU = 16000
 PROCESS = st.one_of(ENTRY, NODE)
 # Time between two rules, in seconds.
 SECONDS = st.sampled_from([0.1, 0.1, 0.4, 1.0, 2.0])
@@ -69,11 +72,21 @@
 SIZES = [
     {"cpu": 0},
     {"cpu": 1000},
+    {"cpu": 2000},
     {"cpu": 5000},
+    {"cpu": 8000},
+    {"cpu": 12000},
     {"cpu": 16000},
     {"memory": 50},
     {"memory": 64000},
 ]
+# Has two tasks for each worker, one after the other, and needs little capacity.
+WIDE_STEP = Step(tasks=2 * NODES, cpu=100, memory=1, estimate=1.0, per_worker=1)
+# Times shorter and longer than those after which nothing may start.
+EVACUATION_TIMES = st.sampled_from([1.0, EVACUATE_SECONDS + 0.2])
+DRAIN_TIMES = st.sampled_from([0.4, DRAIN_SECONDS + 0.2])
+CANCEL_TIMES = st.sampled_from([1.0, CANCEL_SECONDS + 0.2])
+REDUCTION_TIMES = st.sampled_from([1.0, REDUCTION_NOTICE_SECONDS + 0.2])
 # Maximum number of long-running jobs; more would leave no capacity for other jobs.
 MAX_LONG_RUNNING = 4
 QUEUES = ["queue", "batch"]
@@ -87,7 +100,9 @@
 
     def __init__(self):
         super().__init__()
-        self.simulation = Simulation(FakeClock(), entries=ENTRIES, nodes=NODES)
+        self.simulation = Simulation(
+            FakeClock(), entries=ENTRIES, nodes=NODES, has_operator=True
+        )
         for index, runner in enumerate(self.simulation.runner_by_node.values()):
             runner.rack = f"r{index % 2}"
             # The latency at which some best-effort tasks are throttled.
@@ -131,14 +146,14 @@
     @precondition(lambda self: self.kind_by_job)
     @rule(data=st.data(), then=SECONDS)
     def cancel(self, data, then):
-        job_id = data.draw(st.sampled_from(sorted(self.kind_by_job)))
-        queue = self.kind_by_job[job_id][1]
-        until = self.simulation.clock.now() + 2.0
-        outcome = self.simulation.rows.cancel(queue, job_id, until)
+        self._cancel(data.draw(st.sampled_from(sorted(self.kind_by_job))))
+        self.simulation.advance(then)
+
+    def _cancel(self, job_id):
+        outcome = self.simulation.cancel(job_id, self.kind_by_job[job_id][1])
         (self.cancelled if isinstance(outcome, Success) else self.maybe_cancelled).add(
             job_id
         )
-        self.simulation.advance(then)
 
     @rule(
         node=NODE,
@@ -172,7 +187,6 @@
     @rule(entry=ENTRY, then=SECONDS)
     def start_entry(self, entry, then):
         self.simulation.start_entry(entry)
-        self._announce_wave_again()
         self.simulation.advance(then)
 
     @rule(node=NODE, then=SECONDS)
@@ -192,6 +206,16 @@
         self.simulation.disconnect(entry, node)
         self.simulation.advance(then)
 
+    @rule()
+    def recover(self):
+        """Remove all faults and all reasons not to use a worker."""
+        for zone in sorted(self.simulation.operator.closed_zones):
+            self.simulation.operator.close_or_open_zone(zone)
+        self.simulation.settle()
+        for runner in self.simulation.runner_by_node.values():
+            runner.is_draining = False
+            runner.resize(cpu=CPU)
+
     @rule(then=SECONDS)
     def heal(self, then):
         self.simulation.heal()
@@ -290,6 +314,11 @@
         runner.is_draining = not runner.is_draining
         self.simulation.advance(then)
 
+    @rule(zone=st.sampled_from(ZONES), then=SECONDS)
+    def close_or_open_zone(self, zone, then):
+        self.simulation.operator.close_or_open_zone(zone)
+        self.simulation.advance(then)
+
     @precondition(lambda self: not self.has_wave)
     @rule(at_once=st.integers(1, 2), then=SECONDS)
     def announce_wave(self, at_once, then):
@@ -297,7 +326,7 @@
         self.wave = Wave(1, tuple(self.simulation.machines.vm_by_name), 40.0, at_once)
         self.simulation.machines.machines_by_wave[1] = set(self.wave.machines)
         self.simulation.machines.at_once = at_once
-        self._announce_wave_again()
+        self.simulation.operator.request_wave(self.wave)
         self.simulation.advance(then)
 
     @rule(faults=st.lists(st.sampled_from(["down", "lost"]), max_size=2), then=SECONDS)
@@ -330,15 +359,91 @@
         self.simulation.store.run_late()
         self.simulation.advance(then)
 
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(zone=st.sampled_from(ZONES), seconds=EVACUATION_TIMES, then=SECONDS)
+    def submit_while_zone_is_closed(self, zone, seconds, then):
+        """Submit a job after a data centre has been closed for some time."""
+        if zone not in self.simulation.operator.closed_zones:
+            self.simulation.operator.close_or_open_zone(zone)
+        self.simulation.advance(seconds)
+        self._submit_wide_job()
+        self.simulation.advance(then)
+
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(node=NODE, seconds=DRAIN_TIMES, then=SECONDS)
+    def submit_while_worker_drains(self, node, seconds, then):
+        """Submit a job after a worker has drained for some time."""
+        self.simulation.runner_by_node[node].is_draining = True
+        self.simulation.advance(seconds)
+        self._submit_wide_job()
+        self.simulation.advance(then)
+
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(node=NODE, seconds=REDUCTION_TIMES, then=SECONDS)
+    def submit_after_reduction(self, node, seconds, then):
+        """Submit a job some time after a worker has lost most of its capacity."""
+        self.simulation.runner_by_node[node].resize(cpu=WIDE_STEP.cpu // 2)
+        self.simulation.advance(seconds)
+        self._submit_wide_job()
+        self.simulation.advance(then)
+
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(node=NODE, seconds=CANCEL_TIMES, then=SECONDS)
+    def cancel_while_node_is_paused(self, node, seconds, then):
+        """Cancel a job while its orders wait in the inbox of a paused node."""
+        self.simulation.paused.add(node)
+        job_id = self._submit_wide_job()
+        self.simulation.advance(0.3)
+        if job_id is not None:
+            self._cancel(job_id)
+        self.simulation.advance(seconds)
+        self.simulation.paused.discard(node)
+        self.simulation.advance(then)
+
+    @precondition(lambda self: self.simulation.leader is not None)
+    @rule(seconds=CANCEL_TIMES, then=SECONDS)
+    def cancel_while_feeds_fail(self, seconds, then):
+        """Cancel a job with waiting tasks while no entry learns about it."""
+        job_id = self._submit_wide_job()
+        self.simulation.advance(0.3)
+        self.simulation.without_feeds.update(self.simulation.entry_by_name)
+        if job_id is not None:
+            self._cancel(job_id)
+            self.simulation.advance(seconds)
+            self._end_runs_of(job_id)
+        self.simulation.advance(then)
+        self.simulation.without_feeds.clear()
+
+    @rule(first=st.sampled_from(["lost", "late", "down"]), then=SECONDS)
+    def submit_to_failing_store(self, first, then):
+        """Submit a job while the store fails, at first perhaps without an answer."""
+        self.simulation.store.faults = [first] + ["down"] * 60
+        self.job_count += 1
+        job_id = f"doubtful{self.job_count}"
+        self.simulation.submit(job_id, (TASK,))
+        self.simulation.store.faults = []
+        self.simulation.store.run_late()
+        self.simulation.advance(then)
+
+    def _end_runs_of(self, job_id):
+        for runner in self.simulation.runner_by_node.values():
+            for task in list(runner.run_by_task):
+                if task.startswith(f"{job_id}."):
+                    runner.finish(task, "done")
+
+    def _submit_wide_job(self):
+        """Submit a job with a task for every worker; return it unless it is refused."""
+        self.job_count += 1
+        job_id = f"plain{self.job_count}"
+        if not isinstance(self.simulation.submit(job_id, (WIDE_STEP,)), Success):
+            return None
+        self.kind_by_job[job_id] = ("plain", "queue")
+        return job_id
+
     def _kill_leader(self):
         if self.simulation.leader is not None:
             self.simulation.kill_entry(self.simulation.leader.name)
 
-    def _announce_wave_again(self):
-        if self.has_wave:
-            for entry in self.simulation.entry_by_name.values():
-                entry.follower.state.wave_by_number[1] = self.wave
-
     @invariant()
     def guarantees_hold(self):
         assert self.simulation.ledger.problems == []
@@ -352,15 +457,12 @@
         simulation = self.simulation
         for runner in simulation.runner_by_node.values():
             runner.capacity = self.original_capacity
-        simulation.settle()
-        self._announce_wave_again()
-        for runner in simulation.runner_by_node.values():
-            runner.is_draining = False
+        self.recover()
         self._run_recovery_rounds()
         self._check_states(LONG_RUNNING)
         for job_id, (kind, queue) in self.kind_by_job.items():
             if kind in LONG_RUNNING:
-                simulation.rows.cancel(queue, job_id, simulation.clock.now() + 2.0)
+                simulation.cancel(job_id, queue)
                 self.cancelled.add(job_id)
         self._run_recovery_rounds()
         self._check_states(set(STEPS_BY_KIND))
