Keep messages of nodes and entries readable by the former revision

What operators would have seen: in a rolling upgrade, entries of the former revision could not read the reports of new nodes, and new nodes not the orders of former entries, so that no task starts on a node until both have been replaced.

Cause: the size of a worker replaced three fields of a report by one, and orders got a field without a default.

Change: a report says the size in the three fields that it had, 0 processors while it is unknown, as WorkerSize takes it anyway. The reserved resources of orders may be absent; the node then relies on the scheduling entry alone, as before.

Tests of sizes look at the processors of a report instead of its size; what they check is the same.

--- a/src/bergamotshore/entry/reports.py
+++ b/src/bergamotshore/entry/reports.py
@@ -47,7 +47,7 @@
 
 def _update_worker(worker, report, now):
     worker.service = report.service
-    worker.size = None if report.size is None else build_worker_size(*report.size)
+    worker.size = build_worker_size(report.cpu, report.memory, report.accelerators)
     worker.labels = tuple(report.labels)
     worker.rack = report.rack
     worker.machine = report.machine
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -216,8 +216,11 @@
     def _find_lack_of_room(self, reserved, now):
         """Return why the worker may lack room for all its runs; empty if it has it.
 
-        :param reserved: Processors, memory and accelerators of all its runs.
+        :param reserved: Processors, memory and accelerators of all its runs; None if
+            they are not told.
         """
+        if reserved is None:
+            return ""
         size = self._reported_size.get(now)
         if size is None:
             return "size-unknown"
@@ -464,6 +467,7 @@
 
     def _build_report(self, epoch, now):
         report = self.worker_report
+        size = self._reported_size.get(now)
         not_yet_listed = [
             (task, run, "", 0, 0.0) for task, run in self._started_at_by_key
         ]
@@ -475,7 +479,9 @@
             is_lapsed=self._is_lapsed(now),
             has_right=self.grant.get_remaining(now) > MIN_LEASE_SECONDS,
             service=report.service if report is not None else "",
-            size=_encode_size(self._reported_size.get(now)),
+            cpu=size.cpu if size is not None else 0,
+            memory=size.memory if size is not None else 0,
+            accelerators=size.accelerators if size is not None else 0,
             labels=list(report.labels) if report is not None else [],
             rack=report.rack if report is not None else "",
             machine=report.machine if report is not None else "",
--- a/tests/site/test_worker_size.py
+++ b/tests/site/test_worker_size.py
@@ -184,7 +184,7 @@
     delayed = runner.build_report("zone-0")
     simulation.advance(delay)
     run_manager.record_heartbeat(delayed)
-    assert (run_manager.build_report(1).size is not None) == is_known
+    assert (run_manager.build_report(1).cpu > 0) == is_known
 
 
 @pytest.fixture
@@ -225,10 +225,10 @@
     run_manager.record_heartbeat(replace(report, clock_ms=None))
     for _ in range(2):
         run_manager.hold()
-    assert run_manager.build_report(1).size is not None
+    assert run_manager.build_report(1).cpu > 0
     clock.advance(4.0)
     run_manager.hold()
-    assert run_manager.build_report(1).size is None
+    assert run_manager.build_report(1).cpu == 0
 
 
 class RecordingStream:
