--- a/src/bergamotshore/entry/advice.py
+++ b/src/bergamotshore/entry/advice.py
@@ -4,8 +4,6 @@
 
 from returns.result import Failure, Success
 
-from bergamotshore.utils.calls import call_safely
-
 
 @dataclass(frozen=True, slots=True)
 class AdviceReceived:
@@ -49,7 +47,7 @@
 
     def _run(self, question, epoch, requested_at):
         workers = [life.worker for life in question.incarnation_by_node.values()]
-        outcome = call_safely(self.advisor.ask, question.name, workers)
+        outcome = self.advisor.ask(question.name, workers)
         self._post(AdviceReceived(epoch, question, requested_at, outcome))
 
     def handle_answer(self, cluster, received):
--- a/src/bergamotshore/entry/latestrow.py
+++ b/src/bergamotshore/entry/latestrow.py
@@ -3,7 +3,6 @@
 from returns.result import Failure, Success
 
 from bergamotshore.ports.rows import Expect, Put, RowsConflict
-from bergamotshore.utils.calls import call_safely
 
 # Delay after a failed write, in seconds.
 RETRY_SECONDS = 0.3
@@ -54,8 +53,7 @@
 
     def _write(self, value):
         expects = [Expect(self._row_id, self._version)]
-        puts = [Put(self._row_id, value)]
-        match call_safely(self._store.transact, expects, puts, []):
+        match self._store.transact(expects, [Put(self._row_id, value)], []):
             case Success(version):
                 self._version, self._written_value = version, value
             case Failure(RowsConflict(rows=rows)):
--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -29,7 +29,6 @@
 from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
 from bergamotshore.ports.machines import MachineOrderRefused
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
-from bergamotshore.utils.calls import call_safely
 
 WAVES = "waves"
 # Rows of waves are in a partition that has a fence row, which guards their writes.
@@ -205,8 +204,9 @@
         self._calls.submit(self._run, kind, subject, function, now)
 
     def _run(self, kind, subject, function, requested_at):
-        outcome = call_safely(function)
-        self._post(MaintenanceEvent(self._epoch, kind, subject, requested_at, outcome))
+        self._post(
+            MaintenanceEvent(self._epoch, kind, subject, requested_at, function())
+        )
 
     def _read_rows(self):
         return self._store.read(WAVES, WAVES_PART).bind(_decode_rows)
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -305,14 +305,3 @@
     key: str
     detail: str
     code: str = "operator-row-invalid"
-
-
-@dataclass(frozen=True, slots=True)
-class UnexpectedFailure:
-    """A call raised an exception; it may have had an effect.
-
-    :param detail: Description of the exception.
-    """
-
-    detail: str
-    code: str = "unexpected-error"
