Make two tests notice the guards that they are for

Runs whose progress stands still are listed with less than full progress, and an unreadable job is met again when all rows are read; both guards could be removed unnoticed.

--- a/standins/site.py
+++ b/standins/site.py
@@ -145,7 +145,8 @@
 class RunnerStandIn:
     """One worker; ``faults`` lists the faults of the next start orders.
 
-    ``usage`` is listed for each run: its tail latency or its processor usage.
+    ``usage`` is listed for each run: its tail latency or its processor usage, and
+    ``percent``, its progress.
 
     ``throttle_faults`` lists those of the next throttle orders. Faults are 'ok' (none),
     'lost' (executed, response lost), 'late' (executed by ``run_late``) and 'silent'
@@ -168,6 +169,7 @@
         self.rack = "r1-1"
         self.zone = ""
         self.usage = 1.0
+        self.percent = 100
         self.faults = []
         self.late = []
         self.throttle_faults = []
@@ -415,7 +417,7 @@
                 self.ledger.record_acknowledgement(end)
         self.ends = [end for end in self.ends if end.sequence > acknowledged]
         running = [
-            ListedRun(task, number, self._save(task, number), 100, self.usage)
+            ListedRun(task, number, self._save(task, number), self.percent, self.usage)
             for task, number in self.run_by_task.items()
         ]
         return Success(
--- a/tests/site/test_containment.py
+++ b/tests/site/test_containment.py
@@ -96,6 +96,9 @@
     assert simulation.leader is not None
     assert len([t for t, _ in simulation.running if t.startswith("watch")]) == 2
     check_scheduling(simulation, "job2")
+    # All rows are read again.
+    simulation.store.compact()
+    simulation.advance(2.0)
     starts = [task for task, _, _ in simulation.ledger.starts]
     assert len([task for task in starts if task.startswith("job1")]) == 2
     assert simulation.ledger.problems == []
--- a/tests/site/test_silence.py
+++ b/tests/site/test_silence.py
@@ -30,6 +30,8 @@
 # report, though it renews the lease.
 @pytest.mark.parametrize("step", [LONG_RUNNING, FINITE])
 def test_work_of_a_node_that_is_slow_to_report_is_not_started_again(simulation, step):
+    for runner in simulation.runner_by_node.values():
+        runner.percent = 40
     simulation.submit("job1", (step,))
     simulation.advance(1.0)
     for node in simulation.node_by_name.values():
