--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -347,12 +347,8 @@
         """
         job_id = name.split(".", 1)[0]
         progress = self.job_by_key.get(self.key_by_id.get(job_id, ""))
-        if progress is None:
-            return None, None
-        try:
-            return progress, parse_task_name(progress.key, name)
-        except ValueError:
-            return None, None
+        ref = progress and parse_task_name(progress.key, name)
+        return (None, None) if ref is None else (progress, ref)
 
     def _apply_completion(self, progress, ref, reported):
         if progress is None:
@@ -415,10 +411,12 @@
 
 
 def parse_task_name(job, name):
-    """Return the ``TaskRef`` for a task name.
+    """Return the ``TaskRef`` for a task name, None for a name of another form.
 
     :param job: Key of its job.
-    :raises ValueError: if it is not the name of a task.
     """
-    _, occurrence, step, index = name.rsplit(".", 3)
-    return TaskRef(job, int(occurrence), int(step), int(index))
+    try:
+        _, occurrence, step, index = name.rsplit(".", 3)
+        return TaskRef(job, int(occurrence), int(step), int(index))
+    except ValueError:
+        return None
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -175,13 +175,13 @@
         self.suspicion = WorkerQuarantine()
         self.collector = ErrorCollector()
         self._left_out_until_by_subject = {}
-        self.unreadable_jobs = set()
         self.writer = JobWriter(self.cluster, self.epoch, self.clock, self.collector)
         self.sender = OrderSender(
             self.cluster, self.site, self.epoch, self.log, self.collector
         )
         self.maintenance = self._build_maintenance(0)
         self.in_flight = set()
+        self._excluded_jobs = set()
         self._retry_at_by_part = {}
         self._counts_published_at = 0.0
         self._interference_stored_at = self.clock.now()
@@ -194,6 +194,7 @@
         return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
 
     def _build_maintenance(self, fence_version):
+        epoch, lease = self.epoch, self.election.lease
         return MaintenanceManager(
             self.store,
             self.machines,
@@ -202,8 +203,9 @@
             self.clock,
             self.log,
             self.election.name,
-            self.epoch,
+            epoch,
             fence_version,
+            lambda: lease.epoch == epoch and lease.is_valid(self.clock.now()),
         )
 
     def post(self, event):
@@ -328,16 +330,16 @@
         if open_jobs.interference_state is not None:
             self.cluster.interference.restore(open_jobs.interference_state)
         for spec in open_jobs.specs:
+            version, restore = open_jobs.progress_by_key.get(spec.key, (0, None))
             try:
-                self._restore_job(open_jobs, spec, now)
+                self._restore_job(open_jobs, spec, version, restore, now)
             except StateError:
                 raise
             except Exception as error:
-                self._set_aside(spec.key, error)
+                self._exclude_job(spec, version, error)
 
-    def _restore_job(self, open_jobs, spec, now):
+    def _restore_job(self, open_jobs, spec, version, restore, now):
         progress = JobProgress(spec)
-        version, restore = open_jobs.progress_by_key.get(spec.key, (0, None))
         if restore is not None:
             restore(progress)
             self.writer.record_restored(spec.key, version)
@@ -346,11 +348,13 @@
         self.cluster.add_progress(progress)
         self.cluster.allocate_restored(progress, now)
 
-    def _set_aside(self, key, error):
-        """Leave out a job of which it can't be read what runs, for the whole term."""
-        self.unreadable_jobs.add(key)
+    def _exclude_job(self, spec, version, error):
+        """Leave out a job whose state can't be read: tasks of it may have run."""
         self.registry.count("job_rows_invalid_total")
-        self.log.write("job-row-invalid", key, why=describe_error(error))
+        self.log.write(
+            "job-row-invalid", spec.key, version=version, why=describe_error(error)
+        )
+        self._excluded_jobs.add(spec.key)
 
     def _handle_event(self, event):
         now = self.clock.now()
@@ -394,9 +398,8 @@
                 progress.cancel()
                 self.log.write("job-cancelled", progress.spec.job_id)
             return
-        if key in self.cluster.job_by_key or self.writer.is_closed(key):
-            return
-        if key in self.unreadable_jobs:
+        is_known = key in self.cluster.job_by_key or key in self._excluded_jobs
+        if is_known or self.writer.is_closed(key):
             return
         spec = decode_job_row(row)
         if spec is None:
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -52,7 +52,8 @@
 class WireListing(msgspec.Struct, frozen=True):
     """Answer to ``/hold``.
 
-    Rows of ``finished``: sequence number, task, run, outcome, checkpoint.
+    One invalid row makes the whole answer invalid: without it, its run would seem to
+    have ended. Rows of ``finished``: sequence number, task, run, outcome, checkpoint.
     ``born`` is the start time of the worker's incarnation.
     """
 
