--- a/soak/changes.py
+++ b/soak/changes.py
@@ -19,6 +19,9 @@
 SHORTEST_GAP_SECONDS = 0.1
 # Upper bounds of the pauses between changes, in seconds: quick series and calm periods.
 LONGEST_GAPS_SECONDS = (0.2, 1.5, 5.0)
+# A process that has shown a version must not act on an older one after this time, in
+# seconds; it is eight times the users' slack, since processes and links are slowed.
+REGRESSION_SECONDS = 2.0
 # Callers request the queues of this many latest versions.
 PROBED_VERSIONS = 4
 PROBE_INTERVAL_SECONDS = 0.05
@@ -83,6 +86,7 @@
         super().__init__(daemon=True)
         self.is_stopped = False
         self.answered = 0
+        self._newest_seen = NewestSeen()
         self._operator = operator
         self._caller = caller
         self._problems = problems
@@ -99,16 +103,49 @@
     def _probe(self, version):
         sent_at = time.monotonic()
         path = get_prefix(version)
+        process = self._caller.program.process
         status, _ = self._caller.send("GET", path, None, {"Host": HOST_NAME})
         answered_at = time.monotonic()
         self.answered += status in (200, 404)
-        problem = check_answer(
-            self._operator.changes, version, status, sent_at, answered_at
-        )
+        changes = self._operator.changes
+        problem = check_answer(changes, version, status, sent_at, answered_at)
+        if not problem and process is self._caller.program.process:
+            problem = self._newest_seen.check(
+                process, changes, version, status, sent_at, answered_at
+            )
         if problem:
             self._problems.append(problem)
 
 
+class NewestSeen:
+    """Newest version that the present process of an entry has shown."""
+
+    def __init__(self):
+        self._process = None
+        self._version = 0
+        self._seen_at = 0.0
+
+    def check(self, process, changes, version, status, sent_at, answered_at):
+        """Return a description of a regression, empty if there is none.
+
+        :param process: Process that answered; another one may know less.
+        """
+        if process is not self._process:
+            self._process, self._version = process, 0
+        is_late = sent_at > self._seen_at + REGRESSION_SECONDS
+        if status == 200 and version > self._version:
+            self._version, self._seen_at = version, answered_at
+        elif status == 200 and version < self._version and is_late:
+            return f"queue of version {version} served after version {self._version}"
+        is_kept = not any(
+            change.version > version and change.sent_at <= answered_at
+            for change in changes
+        )
+        if status == 404 and version == self._version and is_kept and is_late:
+            return f"queue of version {version} not served any more"
+        return ""
+
+
 def get_prefix(version):
     """Return the prefix of the queue that only one version has."""
     return f"/probe-{version}/"
--- a/soak/run.py
+++ b/soak/run.py
@@ -95,6 +95,7 @@
         super().__init__(daemon=True)
         self.is_stopped = False
         self.crash_delay = None
+        self.program = site.entry_by_name[entry]
         self._site = site
         self._entry = entry
         self._evidence = evidence
@@ -400,6 +401,12 @@
 
     def _check_guarantees(self):
         evidence, ledger = self.evidence, self.site.ledger
+        for caller in self._callers:
+            if (
+                not call_entry(caller, "GET", "absent")[0]
+                and not call_entry(caller, "GET", "absent")[0]
+            ):
+                evidence.problems.append(f"{caller.program.name} gives no answers")
         started = {task.split(".")[0] for task, _, _ in ledger.starts}
         running = {task.split(".")[0] for _, task in ledger.live}
         for job in sorted(self._list_expected_jobs()):
--- a/tests/test_soak_judges.py
+++ b/tests/test_soak_judges.py
@@ -4,7 +4,13 @@
 
 from bergamotshore.core.work.model import JobSpec, Step
 from bergamotshore.ports.runner import RunOrder
-from soak.changes import CONFIG_PROPAGATION_SECONDS, Change, check_answer
+from soak.changes import (
+    CONFIG_PROPAGATION_SECONDS,
+    REGRESSION_SECONDS,
+    Change,
+    NewestSeen,
+    check_answer,
+)
 from soak.judges import (
     CALM_SECONDS,
     MISSING_SECONDS,
@@ -38,6 +44,38 @@
     assert bool(problem) == is_broken
 
 
+LATE = 20.0 + REGRESSION_SECONDS + 0.01
+
+
+@pytest.mark.parametrize(
+    ("version", "status", "sent_at", "process", "is_broken"),
+    [
+        (2, 200, LATE, "same", True),
+        (2, 200, LATE - 0.02, "same", False),
+        (2, 200, LATE, "other", False),
+        (2, 404, LATE, "same", False),
+        (3, 404, LATE, "same", True),
+        (3, 404, LATE - 0.02, "same", False),
+        (3, 404, LATE, "other", False),
+        (3, 503, LATE, "same", False),
+    ],
+)
+def test_older_configuration_is_reported_after_a_newer_one_was_seen(
+    version, status, sent_at, process, is_broken
+):
+    newest = NewestSeen()
+    assert newest.check("same", CHANGES, 3, 200, 19.9, 20.0) == ""
+    problem = newest.check(process, CHANGES, version, status, sent_at, sent_at + 0.01)
+    assert bool(problem) == is_broken
+
+
+def test_queue_that_was_dropped_meanwhile_is_no_regression():
+    newest = NewestSeen()
+    changes = [*CHANGES, Change(4, LATE, LATE + 0.1)]
+    assert newest.check("same", changes, 3, 200, 19.9, 20.0) == ""
+    assert newest.check("same", changes, 3, 404, LATE, LATE + 0.01) == ""
+
+
 JOB = "lasting-1"
 CPU = 4000
 # Time after which a task that never runs is reported.
