--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -14,6 +14,11 @@
 CALL_SECONDS = 6.0
 START_SECONDS = 30.0
 LOAD_SECONDS = 1.5
+# Longest delay of each part of an answer of the store: most requests are in flight for
+# longer than the slack.
+STORE_DELAY_SECONDS = 0.8
+# A stop takes less than this.
+STOP_SECONDS = 5.0
 # A request may be lost if it was sent less than this time before its connection ended:
 # it may not have been read.
 LOSS_SLACK_SECONDS = 0.2
@@ -94,12 +99,20 @@
     raise AssertionError(f"{address} is not ready")
 
 
+def delay_store(site):
+    for proxy in site.proxies:
+        if proxy.target[1] == site.store.port:
+            proxy.delay = STORE_DELAY_SECONDS
+            proxy.set_mode("delay")
+
+
 # Guards against a planned stop, or a reload of settings, that ends connections with
 # requests which were read and not answered.
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 def test_no_request_is_lost_around_a_planned_stop_or_a_reload(site, number):
     address = site.callers_by_entry["entry-0"]
     wait_until_ready(address)
+    delay_store(site)
     callers = [Caller(address, f"job-{index}") for index in range(CALLERS)]
     for caller in callers:
         caller.start()
@@ -109,7 +122,7 @@
         assert program.stop() == 0
     else:
         program.send_signal(number)
-        time.sleep(LOAD_SECONDS)
+        time.sleep(STOP_SECONDS)
         assert program.process.poll() is None
     for caller in callers:
         caller.is_stopped = True
