Stop the runs of a cancelled job by announcements of any entry

Cause: a cancellation was carried out by one process only, the scheduling entry, once it had read the row from its feed. While it is gone, has abandoned its term, stands still or gets no answers from the feed, nobody stops the runs: the next term begins 2.7 to 3.4 s after the loss of the former in a simulation whose store answers at once, and an entry that keeps its lease is never replaced. Their leases, 6 s and more, are longer than the time in which a cancellation has to take effect.

Change: the entry that stores a cancellation announces it with its heartbeats, for 3 s, to all nodes and entries that it is connected to; entries pass it on once. A node stops what it lists of the job, repeats that while it is listed, and refuses later starts; the scheduling entry applies it without its feed. That needs no term and no lease, since a stored cancellation is final. A node or entry of the former revision ignores the field.

test_relay: StoreRelay takes one more argument, no check changed.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -100,6 +100,13 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """The cancellation of a job was stored, here or by another entry."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class WriteFinished:
     """A transaction of the job writer finished or failed."""
@@ -386,6 +393,8 @@
                         with self.collector.containing("rows", row.id.key):
                             self._handle_row(row)
                     self.freshness.jobs_confirmed_at = requested_at
+            case JobCancelled(job_id=job_id):
+                self._cancel_job(self.cluster.key_by_id.get(job_id, ""))
             case WriteFinished():
                 self._handle_write_result(event, now)
             case MaintenanceEvent():
@@ -400,10 +409,7 @@
             return
         key = row.id.key
         if key.endswith(CANCEL_SUFFIX):
-            progress = self.cluster.job_by_key.get(key.removesuffix(CANCEL_SUFFIX))
-            if progress is not None and not progress.is_cancelled:
-                progress.cancel()
-                self.log.write("job-cancelled", progress.spec.job_id)
+            self._cancel_job(key.removesuffix(CANCEL_SUFFIX))
             return
         is_known = key in self.cluster.job_by_key or key in self._excluded_jobs
         if is_known or self.writer.is_closed(key):
@@ -415,6 +421,12 @@
             return
         self.cluster.add_job(spec)
 
+    def _cancel_job(self, key):
+        progress = self.cluster.job_by_key.get(key)
+        if progress is not None and not progress.is_cancelled:
+            progress.cancel()
+            self.log.write("job-cancelled", progress.spec.job_id)
+
     def _handle_report(self, stream, report, now):
         worker = self.cluster.get_worker(stream.peer.name, stream.peer.zone)
         if not report.born:
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -151,9 +151,21 @@
     :param direct: ``HttpClient`` of the store that carries out calls of peers.
     :param executor: Runs calls of peers.
     :param clock: ``Clock``.
+    :param cancellations: ``RecentCancellations`` that are announced to the peers.
     """
 
-    def __init__(self, loop, settings, incarnation, lamport, direct, executor, clock):
+    def __init__(
+        self,
+        loop,
+        settings,
+        incarnation,
+        lamport,
+        direct,
+        executor,
+        clock,
+        cancellations,
+    ):
+        self._cancellations = cancellations
         self._direct = direct
         self._executor = executor
         self._clock = clock
@@ -281,7 +293,11 @@
 
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream."""
-        return Heartbeat(sent_at=self._clock.now(), echo=stream.peer_clock)
+        return Heartbeat(
+            sent_at=self._clock.now(),
+            echo=stream.peer_clock,
+            cancelled=self._cancellations.list_announced(),
+        )
 
 
 def build_answer(call_id, outcome):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -20,8 +20,10 @@
     get_candidacy_delay,
     get_grant_seconds,
 )
+from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import (
     Dispatcher,
+    JobCancelled,
     NodeMessage,
     RowsChanged,
     StreamClosed,
@@ -110,6 +112,7 @@
         self.advice_executor = ThreadPoolExecutor(1, "advice")
         self.machine_executor = ThreadPoolExecutor(1, "machines")
         self.relay_executor = ThreadPoolExecutor(RELAY_THREADS, "relay")
+        self.cancellations = RecentCancellations(self.clock)
         self.relay, self.client = self._build_client()
         self.store = PlatformRowStore(self.client)
         max_config_age = self.site.config_within_ms / 1000
@@ -146,6 +149,7 @@
             self.registry,
             self.log,
             lambda: self.client.is_reachable,
+            self.record_cancellation,
         )
         self.caller_server = HttpServer(
             self.app,
@@ -172,6 +176,7 @@
             direct,
             self.relay_executor,
             self.clock,
+            self.cancellations,
         )
         client = RelayedClient(
             direct, relay, timeout, self.clock, self.registry, self.log
@@ -337,9 +342,7 @@
                 if stream.peer.role == "node":
                     self.directory.record_heartbeat(stream)
                 else:
-                    self.election.record_entry(
-                        stream.peer.name, stream.peer.incarnation, message.echo
-                    )
+                    self._handle_entry_heartbeat(stream.peer, message)
             case RunReport() | RunResults():
                 if isinstance(message, RunReport):
                     self.directory.record_report(stream, message)
@@ -348,6 +351,16 @@
             case _:
                 self.registry.count("messages_unexpected_total")
 
+    def _handle_entry_heartbeat(self, peer, heartbeat):
+        self.election.record_entry(peer.name, peer.incarnation, heartbeat.echo)
+        for job_id in heartbeat.cancelled:
+            self.record_cancellation(job_id)
+
+    def record_cancellation(self, job_id):
+        """Announce a stored cancellation, and apply it if this entry schedules."""
+        if self.cancellations.record(job_id) and self.election.lease.epoch:
+            self.dispatcher.post(JobCancelled(job_id))
+
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream.
 
@@ -363,6 +376,7 @@
             config_version=self.follower.state.configuration.version,
             epoch=epoch,
             leader=self.election.leader_address,
+            cancelled=self.cancellations.list_announced(),
         )
 
     def _send_heartbeat(self, stream):
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -66,6 +66,7 @@
     :param registry: ``Registry``.
     :param log: ``EventLog``.
     :param is_store_reachable: Returns whether the store currently accepts calls.
+    :param on_cancelled: Called with the id of each job whose cancellation was stored.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         registry,
         log,
         is_store_reachable=lambda: True,
+        on_cancelled=lambda job_id: None,
     ):
         self._rows = rows
         self._site = site
@@ -85,6 +87,7 @@
         self._registry = registry
         self._log = log
         self._is_store_reachable = is_store_reachable
+        self._on_cancelled = on_cancelled
         self._lock = threading.Lock()
         self._count_by_queue = {}
         self._counts_read_at = 0.0
@@ -192,6 +195,7 @@
     def _cancel(self, call):
         match self._rows.cancel(call.queue.name, call.job_id, call.deadline):
             case Success(True):
+                self._on_cancelled(call.job_id)
                 self._log_answer(
                     "job-cancelled", call.job_id, call.applied, queue=call.queue.name
                 )
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.cancellations import CancelledJobs
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
@@ -83,6 +84,7 @@
         self._lock = threading.Lock()
         self._unresolved_by_key = {}
         self._stopped_run_by_task = OrderedDict()
+        self._cancelled_jobs = CancelledJobs()
         self._started_at_by_key = {}
         self._lease = WorkerLease(grant, clock.now())
         self._refused_connections = 0
@@ -196,6 +198,20 @@
             if key in running_keys
         ]
 
+    def record_cancelled(self, job_ids):
+        """Record jobs that were cancelled; return the calls that stop their runs."""
+        with self._lock:
+            new = self._cancelled_jobs.record(job_ids, self.clock.now())
+        for job_id in new:
+            self.log.write("cancel-announced", job_id)
+        return self.list_cancelled_stops()
+
+    def list_cancelled_stops(self):
+        """Return the calls that stop the listed runs of cancelled jobs."""
+        with self._lock:
+            due = self._cancelled_jobs.choose_stops(self.running, self.clock.now())
+        return [(self._call_stop, task, number) for task, number in due]
+
     def _record_stops(self, stops):
         """Record the runs to stop, so that starts still queued for them are dropped."""
         for task, number in stops:
@@ -250,6 +266,11 @@
         if order.number <= self._stopped_run_by_task.get(order.task, 0):
             self._resolve(key, "stopped-before")
             return
+        with self._lock:
+            is_cancelled = self._cancelled_jobs.includes(order.task)
+        if is_cancelled:
+            self._resolve(key, "job-cancelled")
+            return
         with self._lock:
             fence = self._fence
             self._unresolved_by_key[key] = UnresolvedOrder(fence)
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -146,10 +146,19 @@
     def _renew_lease(self):
         """Renew the worker's lease; return the seconds to wait before the next time."""
         pause = self.run_manager.hold()
-        for call, *arguments in self.run_manager.list_repeated_limits():
-            self.stops.submit(self._execute, call, arguments)
+        self._submit_stops(
+            self.run_manager.list_repeated_limits()
+            + self.run_manager.list_cancelled_stops()
+        )
         return pause
 
+    def _submit_stops(self, calls):
+        if self.is_draining:
+            # The executor is shutting down; the next process repeats the stops.
+            return
+        for call, *arguments in calls:
+            self.stops.submit(self._execute, call, arguments)
+
     def _choose_entries(self):
         self.links.set_addresses(
             choose_peers(
@@ -190,6 +199,8 @@
                 self.registry.count("messages_unexpected_total")
 
     def _handle_heartbeat(self, stream, heartbeat):
+        if heartbeat.cancelled:
+            self._submit_stops(self.run_manager.record_cancelled(heartbeat.cancelled))
         if heartbeat.leader and heartbeat.leader != self.leader:
             self.leader = heartbeat.leader
             self._choose_entries()
@@ -215,8 +226,7 @@
             return
         self.grant.record_echo(orders.epoch, 0.0)
         calls, starts = self.run_manager.accept_orders(orders)
-        for call, *arguments in calls:
-            self.stops.submit(self._execute, call, arguments)
+        self._submit_stops(calls)
         for call, *arguments in starts:
             self.starts.submit(self._execute, call, arguments)
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -20,6 +20,7 @@
 )
 from bergamotshore.core.work.model import JobSpec, Step
 from bergamotshore.core.work.site import Queue, ServicePool, SiteConfiguration
+from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import Dispatcher
 from bergamotshore.entry.election import Election
 from bergamotshore.entry.jobrows import JobRows
@@ -211,6 +212,7 @@
             can_schedule=self.can_schedule,
         )
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
+        self.cancellations = RecentCancellations(self.clock)
         self.freshness = StateFreshness(
             self.follower.state,
             get_max_age(EVACUATE_SECONDS),
@@ -476,7 +478,11 @@
             is_echoing = echo >= max(sender.started_at, receiver.started_at)
             receiver.on_message(
                 FakeStream(receiver, peer),
-                Heartbeat(sent_at=self.clock.now(), echo=echo if is_echoing else 0.0),
+                Heartbeat(
+                    sent_at=self.clock.now(),
+                    echo=echo if is_echoing else 0.0,
+                    cancelled=sender.cancellations.list_announced(),
+                ),
             )
 
     def _deliver(self):
@@ -513,13 +519,22 @@
         return outcome
 
     def cancel(self, job_id, queue="queue"):
-        """Cancel a job."""
+        """Cancel a job through an entry that reaches the store, if there is one."""
         outcome = self.rows.cancel(queue, job_id, self.clock.now() + 2.0)
         match outcome:
             case Success(True):
                 self.ledger.record_cancellation(job_id, self.clock.now())
+                for entry in self._list_answering_entries()[-1:]:
+                    entry.record_cancellation(job_id)
         return outcome
 
+    def _list_answering_entries(self):
+        return [
+            entry
+            for name, entry in self.entry_by_name.items()
+            if name not in (self.paused | self.without_store)
+        ]
+
     def finish_all(self, outcome="done"):
         """End all runs with an outcome."""
         for runner in self.runner_by_node.values():
--- a/tests/site/test_cancellations.py
+++ b/tests/site/test_cancellations.py
@@ -1,9 +1,17 @@
 """Runs of cancelled jobs end in time, whatever happens to the scheduling entry."""
 
+import io
+
 import pytest
 
+from bergamotshore.core.work.cancellations import CancelledJobs
 from bergamotshore.core.work.model import Step
-from tests.site.simulation import CANCEL_SECONDS, Simulation
+from bergamotshore.core.work.stops import STOP_RETRY_SECONDS
+from bergamotshore.entry.cancellations import MAX_ANNOUNCED, RecentCancellations
+from bergamotshore.entry.submissions import SubmissionApp
+from bergamotshore.ports.runner import ListedRun
+from bergamotshore.utils.eventlog import EventLog
+from tests.site.simulation import CANCEL_SECONDS, CONFIG_SECONDS, Simulation
 
 # Time that a worker takes to stop a run.
 STOP_SECONDS = 0.2
@@ -53,8 +61,8 @@
     simulation.without_feeds.add(simulation.leader.name)
 
 
-# Guards against runs of a cancelled job that go on because the scheduling entry is gone,
-# stands still or does not know of the cancel.
+# Guards against runs of a cancelled job that go on because the scheduling entry is
+# gone, stands still or does not know of the cancel.
 @pytest.mark.parametrize("since_renewal", [0.0, 0.2, 0.4, 0.6])
 @pytest.mark.parametrize("trouble", [leave, abandon_term, hang, lose_feed])
 def test_cancelled_job_is_stopped_in_time(site, trouble, since_renewal):
@@ -62,3 +70,84 @@
     trouble(site)
     cancel_and_wait(site)
     assert list_running(site) == []
+
+
+# Guards against a run of a cancelled job that is started by an order that was already
+# on its way to the node.
+def test_node_refuses_to_start_a_task_of_an_announced_job(site):
+    node = next(iter(site.node_by_name.values()))
+    node.run_manager.record_cancelled(["late"])
+    site.submit("late", WATCH).unwrap()
+    site.advance(1.0)
+    on_node = node.runner.run_by_task
+    assert not [task for task in on_node if task.startswith("late")]
+    assert any("reason=job-cancelled" in line for line in site.lines)
+
+
+# Guards against a stop that is sent once and lost.
+def test_stops_of_an_announced_job_are_repeated_until_its_runs_have_ended(clock):
+    jobs = CancelledJobs()
+    runs = [
+        ListedRun("job.0.0.0", 1, "", 0, 0.0),
+        ListedRun("other.0.0.0", 1, "", 0, 0),
+    ]
+    jobs.record(["job"], clock.now())
+    assert jobs.choose_stops(runs, clock.now()) == [("job.0.0.0", 1)]
+    assert jobs.choose_stops(runs, clock.now()) == []
+    clock.advance(STOP_RETRY_SECONDS)
+    assert jobs.choose_stops(runs, clock.now()) == [("job.0.0.0", 1)]
+    assert jobs.choose_stops(runs[1:], clock.now()) == []
+
+
+# Guards against entries that repeat each other's announcements for ever.
+def test_two_entries_announce_a_cancellation_for_a_limited_time(clock):
+    entries = [RecentCancellations(clock), RecentCancellations(clock)]
+    entries[0].record("job")
+    announced_until = 0.0
+    for _ in range(60):
+        clock.advance(0.5)
+        for sender, receiver in (entries, entries[::-1]):
+            for job_id in sender.list_announced():
+                receiver.record(job_id)
+                announced_until = clock.now()
+    assert announced_until - clock.now() < -20.0
+
+
+# Guards against heartbeats that grow with the number of cancellations.
+def test_announcements_are_bounded_and_prefer_the_latest(clock):
+    cancellations = RecentCancellations(clock)
+    for number in range(2 * MAX_ANNOUNCED):
+        assert cancellations.record(f"job{number}")
+    announced = cancellations.list_announced()
+    assert len(announced) == MAX_ANNOUNCED
+    assert announced[-1] == f"job{2 * MAX_ANNOUNCED - 1}"
+
+
+# Guards against a caller's cancellation that is stored and not announced, and against
+# one that is announced and not stored.
+@pytest.mark.parametrize("is_stored", [True, False])
+def test_just_stored_cancellations_of_callers_are_announced(clock, registry, is_stored):
+    simulation = Simulation(clock)
+    simulation.submit("job").unwrap()
+    state = simulation.entry_by_name["entry-0"].follower.state
+    announced = []
+    app = SubmissionApp(
+        simulation.rows,
+        state,
+        CONFIG_SECONDS,
+        clock,
+        registry,
+        EventLog(clock, emit=simulation.lines.append),
+        on_cancelled=announced.append,
+    )
+    simulation.store.is_down = not is_stored
+    environ = {
+        "REQUEST_METHOD": "DELETE",
+        "PATH_INFO": "/q/job",
+        "HTTP_HOST": "host.example",
+        "wsgi.input": io.BytesIO(),
+    }
+    statuses = []
+    list(app(environ, lambda status, headers: statuses.append(status)))
+    assert statuses[0].startswith("200") == is_stored
+    assert announced == (["job"] if is_stored else [])
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bergamotshore.adapters.http import HttpAnswer
+from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.relay import PEER_BACKOFF_SECONDS, StoreRelay
 from bergamotshore.generated.messages import StoreAnswer
 from bergamotshore.timeline.recorder import LamportClock
@@ -15,7 +16,14 @@
 def relay(clock, loop, links, executor):
     settings = SimpleNamespace(name="entry-0", zone="zone-a", stream=None)
     relay = StoreRelay(
-        loop, settings, "incarnation", LamportClock(), None, executor, clock
+        loop,
+        settings,
+        "incarnation",
+        LamportClock(),
+        None,
+        executor,
+        clock,
+        RecentCancellations(clock),
     )
     relay.links = links
     return relay
