Read the job again when a cancellation's first read gets no answer

What callers saw: a cancellation was answered 503 by an entry one of whose connections had gone silent, though the caller had time left and the store answered on any other connection.

Cause: the write of a cancellation is retried until the deadline, the read before it was not, so that one silent connection, which costs 1.5 s of 2.4 s, decided the call.

Change: the read is retried in the same way.

Evidence: test_cancellation_is_stored_although_one_read_gets_no_answer failed before.

--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -129,7 +129,7 @@
         key = get_job_key(queue, job_id)
         job = get_row_id(JOBS, key)
         while True:
-            match self._get(job):
+            match self._get_until(job, deadline):
                 case Success(None):
                     return Success(False)
                 case Success(stored):
@@ -173,6 +173,20 @@
             self._pause(pause)
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
+    def _get_until(self, row_id, deadline):
+        """Retry a read until it is answered.
+
+        One connection may have gone silent while the store answers on others.
+        """
+        pause = INITIAL_PAUSE_SECONDS
+        while True:
+            outcome = self._get(row_id)
+            is_late = self._clock.now() + pause >= deadline
+            if isinstance(outcome, Success) or is_late:
+                return outcome
+            self._pause(pause)
+            pause = min(MAX_PAUSE_SECONDS, 2 * pause)
+
     def _get(self, row_id):
         page = self._store.read(row_id.table, row_id.part, row_id.key, limit=1)
         return page.map(
--- a/tests/site/test_cancellations.py
+++ b/tests/site/test_cancellations.py
@@ -3,18 +3,24 @@
 import io
 
 import pytest
+from returns.result import Failure, Success
 
 from bergamotshore.core.work.cancellations import CancelledJobs
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.stops import STOP_RETRY_SECONDS
 from bergamotshore.entry.cancellations import MAX_ANNOUNCED, RecentCancellations
+from bergamotshore.entry.jobrows import JobRows
 from bergamotshore.entry.submissions import SubmissionApp
+from bergamotshore.exceptions import PlatformUnavailable
 from bergamotshore.ports.runner import ListedRun
 from bergamotshore.utils.eventlog import EventLog
 from tests.site.simulation import CANCEL_SECONDS, CONFIG_SECONDS, Simulation
 
 # Time that a worker takes to stop a run.
 STOP_SECONDS = 0.2
+# Time that an entry has for a call whose caller waits for 3 s.
+CALL_SECONDS = 2.4
+READ_TIMEOUT_SECONDS = 1.5
 WATCH = (Step(tasks=3, cpu=100, memory=10, is_lasting=True),)
 
 
@@ -151,3 +157,44 @@
     list(app(environ, lambda status, headers: statuses.append(status)))
     assert statuses[0].startswith("200") == is_stored
     assert announced == (["job"] if is_stored else [])
+
+
+class SilentOnceStore:
+    """Store whose first read gets no answer."""
+
+    def __init__(self, store, clock):
+        self._store = store
+        self._clock = clock
+        self._is_silent = True
+        self.transact = store.transact
+
+    def read(self, *arguments, **options):
+        """Read rows; the first time without an answer."""
+        if self._is_silent:
+            self._is_silent = False
+            self._clock.advance(READ_TIMEOUT_SECONDS)
+            return Failure(PlatformUnavailable("no answer"))
+        return self._store.read(*arguments, **options)
+
+
+# Guards against a cancellation that is refused, and stops nothing, because one read of
+# the store got no answer, while the caller has time for another.
+def test_cancellation_is_stored_although_one_read_gets_no_answer(clock):
+    simulation = Simulation(clock)
+    simulation.submit("job").unwrap()
+    store = SilentOnceStore(simulation.store, clock)
+    rows = JobRows(store, clock, clock.advance)
+    outcome = rows.cancel("queue", "job", clock.now() + CALL_SECONDS)
+    assert outcome == Success(True)
+
+
+# Guards against a cancellation that is answered long after its caller has left.
+def test_cancellation_is_refused_in_time_if_the_store_does_not_answer(clock):
+    simulation = Simulation(clock)
+    simulation.submit("job").unwrap()
+    simulation.store.is_down = True
+    rows = JobRows(simulation.store, clock, clock.advance)
+    deadline = clock.now() + CALL_SECONDS
+    outcome = rows.cancel("queue", "job", deadline)
+    assert isinstance(outcome.failure(), PlatformUnavailable)
+    assert clock.now() <= deadline
