Replace idle connections once one of them has gone silent

What callers saw: cancels were answered 503 for up to 15 s after the connections of an entry had gone silent, while new connections worked all the time.

Cause: an HTTP client keeps one connection for each thread, and an entry has 24 threads for callers. Only a timeout shows that a connection is silent, and what one thread learned was not used by the others: each of them spent the deadline of a call of its own. A thread that is seldom used keeps its silent connection for as long as it is idle; the same holds for the three threads of a node that stop runs.

When a call on a reused connection times out, each connection of that client that has been idle for longer is now replaced before its next use. Threads that call all the time, such as the one that renews the lease, find out first. A connection that has answered since stays. Both tests of silent connections fail without the change; the third guards the connections that must stay.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import math
 import select
 import socket
 import threading
@@ -55,6 +56,10 @@
 class HttpClient:
     """Call one server.
 
+    Open connections may go silent while the server answers on new ones. If a reused one
+    times out, each connection that has been idle for longer than that call is replaced
+    before its next use.
+
     :param address: Address of the server as host:port.
     :param timeout: Timeout of one call, in seconds.
     """
@@ -64,6 +69,7 @@
         self.timeout = timeout
         self._local = threading.local()
         self._connection_numbers = itertools.count(1)
+        self._timed_out_call_sent_at = -math.inf
 
     def call(self, method, path, body=b"", headers=None, timeout=None, connection=None):
         """Send one request and return the complete response.
@@ -93,6 +99,7 @@
 
     def _call_once(self, method, path, body, headers, timeout, required):
         started_at = time.monotonic()
+        former_connection = getattr(self._local, "connection", None)
         try:
             connection = self._connect(timeout, required)
         except OSError as error:
@@ -111,8 +118,11 @@
             response = connection.getresponse()
             content = _read_body(response)
         except (OSError, http.client.HTTPException) as error:
+            if isinstance(error, TimeoutError) and connection is former_connection:
+                self._timed_out_call_sent_at = started_at
             self._discard_connection()
             return Failure(HttpFailure(repr(error), was_sent=True))
+        self._local.answered_at = time.monotonic()
         if response.will_close:
             self._discard_connection()
         content_type = response.getheader("Content-Type", "")
@@ -122,7 +132,10 @@
 
     def _connect(self, timeout, required):
         connection = getattr(self._local, "connection", None)
-        if connection is not None and _is_stale(connection):
+        if connection is not None and (
+            _is_stale(connection)
+            or self._local.answered_at < self._timed_out_call_sent_at
+        ):
             self._discard_connection()
             connection = None
         if required is not None and (
@@ -136,6 +149,7 @@
             connection.connect()
             self._local.connection = connection
             self._local.number = next(self._connection_numbers)
+            self._local.answered_at = time.monotonic()
         return connection
 
     def _discard_connection(self):
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -1,10 +1,12 @@
 """Tests of calls over persistent connections to a server that stops answering."""
 
+import contextlib
 import http.client
 import resource
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from returns.result import Failure, Success
@@ -43,6 +45,95 @@
         connection.close()
 
 
+class SilencingServer:
+    """Server that can stop answering on its present connections."""
+
+    def __init__(self):
+        self.connections = []
+        self._silent_connections = frozenset()
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence_connections(self, kept=()):
+        """Answer nothing more on the present connections, and leave them open.
+
+        :param kept: Connections that are answered further.
+        """
+        self._silent_connections = set(self.connections) - set(kept)
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._server.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(
+                target=self._answer, args=(connection,), daemon=True
+            ).start()
+
+    def _answer(self, connection):
+        with contextlib.suppress(OSError):
+            while connection.recv(4096):
+                if connection not in self._silent_connections:
+                    connection.sendall(RESPONSE)
+
+    def close(self):
+        """Close all sockets."""
+        self._server.shutdown(socket.SHUT_RDWR)
+        for sock in (self._server, *self.connections):
+            sock.close()
+
+
+@pytest.fixture
+def server():
+    server = SilencingServer()
+    yield server
+    server.close()
+
+
+def call_in_each_thread(threads, client, count):
+    """Call in ``count`` threads at once; return the outcomes."""
+    barrier = threading.Barrier(count)
+
+    def call(_):
+        barrier.wait()
+        return client.call("POST", "/x")
+
+    return list(threads.map(call, range(count)))
+
+
+# Guards against callers that are refused, and cancelled tasks that run on, because each
+# thread waits in turn for a response on a connection that went silent long before.
+def test_one_silent_connection_is_enough_to_replace_the_idle_ones(server):
+    client = HttpClient(server.address, TIMEOUT_SECONDS)
+    with ThreadPoolExecutor(4) as threads:
+        assert isinstance(client.call("POST", "/x"), Success)
+        call_in_each_thread(threads, client, 4)
+        server.silence_connections()
+        assert isinstance(client.call("POST", "/x"), Failure)
+        outcomes = call_in_each_thread(threads, client, 4)
+    assert all(isinstance(outcome, Success) for outcome in outcomes)
+
+
+# Guards against connecting again for each order that a worker leaves unanswered.
+def test_connection_that_answers_beside_a_silent_one_is_kept(server):
+    client = HttpClient(server.address, TIMEOUT_SECONDS)
+    with ThreadPoolExecutor(1) as threads:
+        assert isinstance(client.call("POST", "/x"), Success)
+        first = server.connections[0]
+        silent_call = threads.submit(client.call, "POST", "/x")
+        assert isinstance(silent_call.result(), Success)
+        server.silence_connections(kept=(first,))
+        silent_call = threads.submit(client.call, "POST", "/x")
+        time.sleep(TIMEOUT_SECONDS / 2)
+        assert isinstance(client.call("POST", "/x"), Success)
+        assert isinstance(silent_call.result(), Failure)
+    assert isinstance(client.call("POST", "/x"), Success)
+    assert len(server.connections) == 2
+
+
 # Guards against a call that spends its full timeout on connecting and again on waiting
 # for the response.
 def test_connecting_and_waiting_share_one_timeout(monkeypatch, silent_address):
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -5,14 +5,18 @@
 import json
 import socket
 import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from returns.result import Failure, Success
 
+from bergamotshore.node.site import STOP_THREADS
 from bergamotshore.platform.runner import PlatformRunner
 from bergamotshore.ports.runner import Acknowledgement, ListedRun
 
 TIMEOUT_SECONDS = 2.0
+SHORT_TIMEOUT_SECONDS = 0.4
 FORMER_MS = 1_000
 CURRENT_MS = 2_000
 
@@ -27,6 +31,7 @@
         self.started_ms = FORMER_MS
         self.acknowledged_by_incarnation = {FORMER_MS: [], CURRENT_MS: []}
         self.running = []
+        self.silenced_sockets = set()
         self._sockets = []
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
@@ -40,6 +45,10 @@
         self.started_ms = CURRENT_MS
         self.end_connections()
 
+    def silence_connections(self):
+        """Answer nothing more on the present connections, and leave them open."""
+        self.silenced_sockets = set(self._sockets)
+
     def end_connections(self):
         for sock in self._sockets:
             with contextlib.suppress(OSError):
@@ -53,9 +62,12 @@
 
     def do_POST(self):
         request = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        if self.connection in self.server.silenced_sockets:
+            return
         started_ms = self.server.started_ms
-        acknowledged = self.server.acknowledged_by_incarnation[started_ms]
-        acknowledged.append(request["ack_cursor"])
+        if "ack_cursor" in request:
+            acknowledged = self.server.acknowledged_by_incarnation[started_ms]
+            acknowledged.append(request["ack_cursor"])
         listing = {"clock_ms": 1, "born": started_ms}
         body = json.dumps(
             {**listing, "running": self.server.running, "finished": []}
@@ -107,6 +119,34 @@
     assert set(worker.acknowledged_by_incarnation[CURRENT_MS]) == {0}
 
 
+def stop_in_each_thread(threads, runner):
+    """Stop a run in every thread of a pool at once, and return the outcomes."""
+    barrier = threading.Barrier(STOP_THREADS)
+
+    def stop(index):
+        barrier.wait()
+        return runner.stop(f"job.0.0.{index}", 1, 1)
+
+    return list(threads.map(stop, range(STOP_THREADS)))
+
+
+# Guards against a cancelled task that runs on because each thread that sends stops
+# waits for an answer on an idle connection that went silent long before.
+def test_stops_reach_a_worker_whose_former_connections_are_silent(worker):
+    address = f"127.0.0.1:{worker.server_address[1]}"
+    runner = PlatformRunner(address, SHORT_TIMEOUT_SECONDS)
+    with ThreadPoolExecutor(STOP_THREADS) as threads:
+        assert isinstance(renew(runner, Acknowledgement()), Success)
+        stop_in_each_thread(threads, runner)
+        worker.silence_connections()
+        assert isinstance(renew(runner, Acknowledgement()), Failure)
+        assert isinstance(renew(runner, Acknowledgement()), Success)
+        started_at = time.monotonic()
+        outcomes = stop_in_each_thread(threads, runner)
+    assert all(isinstance(outcome, Success) for outcome in outcomes)
+    assert time.monotonic() - started_at < SHORT_TIMEOUT_SECONDS
+
+
 def test_worker_that_is_gone_is_reported_as_not_reached(runner, worker):
     renew(runner, Acknowledgement())
     worker.shutdown()
