Judge runs of cancelled jobs at every moment of the simulation

The ledger noticed starts for cancelled jobs, but not runs that go on: a run of a cancelled job was only seen by a few tests that look for it. It now reports a run that is at work 3.2 s after its job's cancellation was acknowledged, or after a period without faults near it; a run that a worker started late counts from 3 s after its start. Only faults of the worker, of its node and of the scheduling count, which is stricter than the users' rule.

The simulated worker obeyed stops with any fence and never lost one; it now ignores a lower fence, and stops can be lost, late or silent. Nodes and entries can be shut down gracefully.

--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -1,6 +1,8 @@
 """History of the runs on all simulated workers, checked against the guarantees."""
 
+import math
 from collections import Counter
+from dataclasses import dataclass
 
 # A task may be given up once this many workers have crashed under it.
 CRASHES_TO_GIVE_UP = 2
@@ -13,6 +15,10 @@
 DRAIN_SECONDS = 2.0
 EVACUATE_SECONDS = 5.0
 CANCEL_SECONDS = 3.0
+# Time that a worker may take to stop a run, in seconds.
+STOP_SECONDS = 0.2
+# Guarantees with a time limit hold this time after the last fault, in seconds.
+CONTACT_SECONDS = 3.0
 # Names of the state of a finished job, to callers and within the system.
 COMPLETE_STATES = ("complete", "done")
 # Field of ``Capacity`` that limits each field of ``Step``.
@@ -23,15 +29,40 @@
 }
 
 
+@dataclass(slots=True)
+class LiveRun:
+    """A run that has not ended.
+
+    :param runner: Worker, as ``RunnerStandIn``.
+    :param number: Run number.
+    :param started_at: When it started, in seconds.
+    :param is_late: Whether the worker carried out the order late.
+    :param is_reported: Whether it was reported for outlasting its cancelled job.
+    """
+
+    runner: object
+    number: int
+    started_at: float
+    is_late: bool
+    is_reported: bool = False
+
+
 class Ledger:
     """History of all workers' runs; ``problems`` lists violated guarantees.
 
     :param is_in_touch: Callable that returns whether a worker and its node have been
         free of faults; guarantees with a time limit apply only then.
+    :param get_harmed_at: Callable that returns when a fault last affected a worker, its
+        node or the scheduling of its tasks, in seconds; the present during a fault.
     """
 
-    def __init__(self, is_in_touch=lambda runner: True):
+    def __init__(
+        self,
+        is_in_touch=lambda runner: True,
+        get_harmed_at=lambda runner: -math.inf,
+    ):
         self._is_in_touch = is_in_touch
+        self._get_harmed_at = get_harmed_at
         self.spec_by_job = {}
         self.live = {}
         self.done = set()
@@ -114,7 +145,9 @@
         self._check_step_order(task)
         self._check_retry_limit(task)
         self._check_crash_limit(task)
-        self.live[(runner.name, task)] = number
+        self.live[(runner.name, task)] = LiveRun(
+            runner, number, runner.clock.now(), is_late
+        )
         self._check_capacity(runner, self.get_step(task))
 
     def _check_request(self, order):
@@ -179,6 +212,25 @@
                     f"{task} started {now - since:.1f} s after {reason}"
                 )
 
+    def check_cancelled_runs(self, now):
+        """Check that no run has outlasted the cancellation of its job for too long.
+
+        :param now: Current time, in seconds.
+        """
+        for (name, task), run in self.live.items():
+            cancelled_at = self.cancelled_at_by_job.get(task.split(".")[0])
+            if cancelled_at is None or run.is_reported:
+                continue
+            since = max(cancelled_at, self._get_harmed_at(run.runner) + CONTACT_SECONDS)
+            if run.is_late:
+                since = max(since, run.started_at + CONTACT_SECONDS)
+            if now > since + CANCEL_SECONDS + STOP_SECONDS:
+                run.is_reported = True
+                self.problems.append(
+                    f"{task} runs on {name} {now - cancelled_at:.1f} s after its job"
+                    " was cancelled"
+                )
+
     def _check_capacity(self, runner, started_step):
         """Check the capacity of a worker, which runs being stopped use as well."""
         limit = runner.get_start_limit()
--- a/standins/site.py
+++ b/standins/site.py
@@ -149,9 +149,9 @@
     ``usage`` is listed for each run: its tail latency or its processor usage, and
     ``percent``, its progress.
 
-    ``throttle_faults`` lists those of the next throttle orders. Faults are 'ok' (none),
-    'lost' (executed, response lost), 'late' (executed by ``run_late``) and 'silent'
-    (not executed, no response).
+    ``throttle_faults`` and ``stop_faults`` list those of the next throttle and stop
+    orders. Faults are 'ok' (none), 'lost' (executed, response lost), 'late' (executed
+    by ``run_late``) and 'silent' (not executed, no response).
 
     ``stop_seconds`` is the time that a stop takes; the run keeps its resources until
     then.
@@ -175,6 +175,8 @@
         self.late = []
         self.throttle_faults = []
         self.late_throttles = []
+        self.stop_faults = []
+        self.late_stops = []
         self.is_cut = False
         self.is_gone = False
         self.is_draining = False
@@ -228,6 +230,20 @@
         """Return whether heartbeats of the worker reach its node."""
         return not (self.is_cut or self.is_gone or self.is_down)
 
+    @property
+    def has_faults(self):
+        """Return whether orders are lost, or were left to be executed late."""
+        return any(
+            (
+                self.faults,
+                self.late,
+                self.stop_faults,
+                self.late_stops,
+                self.throttle_faults,
+                self.late_throttles,
+            )
+        )
+
     def resize(self, **changes):
         """Change the capacity of the running worker.
 
@@ -333,6 +349,10 @@
         for order, lease_end_ms, fence, born in late:
             if born == self.born and not self.is_down:
                 self._start(order, lease_end_ms, fence, is_late=True)
+        late_stops, self.late_stops = self.late_stops, []
+        for task, number, fence, born in late_stops:
+            if born == self.born and not self.is_down:
+                self._stop(task, number, fence)
         late_throttles, self.late_throttles = self.late_throttles, []
         for task, number, percent, fence, born in late_throttles:
             if born == self.born and not self.is_down:
@@ -363,10 +383,25 @@
         return Success(RunAccepted(self.clock_ms))
 
     def stop(self, task, number, fence):
-        """Stop a run."""
+        """Stop a run, subject to the next injected fault."""
         match self._check_reachable():
             case Failure() as failure:
                 return failure
+        match self.stop_faults.pop(0) if self.stop_faults else "ok":
+            case "silent":
+                return Failure(WorkerFailure("silent", is_certain=False))
+            case "late":
+                self.late_stops.append((task, number, fence, self.born))
+                return Failure(WorkerFailure("late", is_certain=False))
+            case "lost":
+                self._stop(task, number, fence)
+                return Failure(WorkerFailure("lost", is_certain=False))
+        return self._stop(task, number, fence)
+
+    def _stop(self, task, number, fence):
+        if fence < self.fence:
+            return Failure(RunRejected("fence", self.clock_ms))
+        self.fence = fence
         self.refused_up_to_number[task] = max(
             number, self.refused_up_to_number.get(task, 0)
         )
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -56,6 +56,8 @@
 CANCEL_SECONDS = 3.0
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
+# Time between the resignation of an entry that shuts down and its end, in seconds.
+ENTRY_SHUTDOWN_SECONDS = 2.2
 # Kinds of log lines about unexpected errors.
 ERROR_KINDS = (
     "background-error",
@@ -329,12 +331,15 @@
         self.allows_errors = False
         self._checked_lines = 0
         self.store = RowsStandIn()
-        self.ledger = Ledger()
+        self.ledger = Ledger(get_harmed_at=self._get_harmed_at)
         self.configuration = build_configuration()
         self.operator = None
         if has_operator:
             self.operator = OperatorRows(self.store, self.ledger, clock)
             self.operator.declare(self.configuration)
+        self._harmed_at = clock.now()
+        self._harmed_at_by_node = {}
+        self._oldest_history = 0
         self.incarnations = itertools.count(1)
         self.runner_by_node = {
             f"node-{index}": RunnerStandIn(clock, f"worker-{index}", self.ledger)
@@ -361,11 +366,30 @@
         self.entry_by_name[name] = EntryProcess(self, name, next(self.incarnations))
 
     def kill_entry(self, name):
+        self._harmed_at = self.clock.now()
         entry = self.entry_by_name.pop(name, None)
         for stream in entry.streams if entry is not None else ():
             stream.close_reason = "killed"
             stream.other.close("connection-lost")
 
+    def stop_entry(self, name):
+        """Shut an entry down gracefully; it resigns, and its process ends."""
+        entry = self.entry_by_name.get(name)
+        if entry is not None:
+            entry.dispatcher.is_shutting_down = True
+            self.advance(STEP_SECONDS)
+            entry.election.resign()
+            self.advance(ENTRY_SHUTDOWN_SECONDS)
+            self.kill_entry(name)
+
+    def stop_node(self, name):
+        """Shut a node down gracefully; its process ends."""
+        node = self.node_by_name.get(name)
+        if node is not None:
+            node.is_draining = True
+            self.advance(STEP_SECONDS)
+            self.kill_node(name)
+
     def start_node(self, name):
         self.kill_node(name)
         zone = f"zone-{int(name[-1]) % 2}"
@@ -374,6 +398,7 @@
         self.node_by_name[name] = NodeProcess(self, name, zone, runner)
 
     def kill_node(self, name):
+        self._harmed_at_by_node[name] = self.clock.now()
         node = self.node_by_name.pop(name, None)
         for stream in node.streams if node is not None else ():
             stream.close_reason = "killed"
@@ -436,8 +461,43 @@
         for runner in self.runner_by_node.values():
             runner.update()
         self.machines.check_wave_status(self.store)
+        self._record_faults()
+        self.ledger.check_cancelled_runs(self.clock.now())
         self._check_errors()
 
+    def _get_harmed_at(self, runner):
+        """Return when a fault last affected a worker, its node or the scheduling."""
+        node = next(
+            name for name, item in self.runner_by_node.items() if item is runner
+        )
+        return max(self._harmed_at, self._harmed_at_by_node[node])
+
+    def _record_faults(self):
+        """Record the present faults, those of a node apart from those of the site."""
+        now, store = self.clock.now(), self.store
+        is_history_lost = store.oldest != self._oldest_history
+        self._oldest_history = store.oldest
+        if (
+            is_history_lost
+            or store.is_down
+            or store.faults
+            or store.late
+            or self.without_store
+            or self.without_feeds
+            or not self.entry_by_name
+            or not self.paused.isdisjoint(self.entry_by_name)
+        ):
+            self._harmed_at = now
+        for node, runner in self.runner_by_node.items():
+            if (
+                node in self.paused
+                or runner.is_cut
+                or runner.is_down
+                or runner.has_faults
+                or any(node == name for _, name in self.disconnected_pairs)
+            ):
+                self._harmed_at_by_node[node] = now
+
     def _check_errors(self):
         """Raise an error that a process contained, unless the test provokes it."""
         new_lines = self.lines[self._checked_lines :]
@@ -544,7 +604,7 @@
         self.store.run_late()
         for runner in self.runner_by_node.values():
             runner.is_cut = False
-            runner.faults = []
+            runner.faults, runner.stop_faults = [], []
             runner.run_late()
         for name in self.entry_names:
             if name not in self.entry_by_name:
--- a/tests/site/test_ledger_checks.py
+++ b/tests/site/test_ledger_checks.py
@@ -12,10 +12,12 @@
 from bergamotshore.ports.runner import RunOrder
 from standins.ledger import (
     CANCEL_SECONDS,
+    CONTACT_SECONDS,
     DRAIN_SECONDS,
     EVACUATE_SECONDS,
     MAX_CRASHES,
     MAX_STARTS_AFTER_CRASHES,
+    STOP_SECONDS,
     Ledger,
 )
 from standins.machines import MachinesStandIn
@@ -478,3 +480,82 @@
     store.write([Put(get_wave_status_id(1), encode_wave_status(True))], [])
     machines.check_wave_status(store)
     assert bool(ledger.problems) == (not is_done)
+
+
+@pytest.mark.parametrize(("surplus", "is_reported"), [(0.0, False), (0.1, True)])
+def test_run_that_outlasts_its_cancelled_job_is_reported_once(
+    clock, ledger, runner, surplus, is_reported
+):
+    start(runner, 1)
+    ledger.record_cancellation("job1", clock.now())
+    clock.advance(CANCEL_SECONDS + STOP_SECONDS + surplus)
+    for _ in range(2):
+        ledger.check_cancelled_runs(clock.now())
+    assert len(ledger.problems) == is_reported
+
+
+def test_run_of_a_cancelled_job_is_not_reported_once_it_has_ended(
+    clock, ledger, runner
+):
+    start(runner, 1)
+    ledger.record_cancellation("job1", clock.now())
+    runner.stop(TASK, 1, 1)
+    clock.advance(2 * CANCEL_SECONDS)
+    ledger.check_cancelled_runs(clock.now())
+    assert ledger.problems == []
+
+
+def test_run_started_late_for_a_cancelled_job_has_time_to_be_found(
+    clock, ledger, runner
+):
+    ledger.record_cancellation("job1", clock.now())
+    runner.faults = ["late"]
+    start(runner, 1)
+    clock.advance(CANCEL_SECONDS)
+    runner.run_late()
+    clock.advance(CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS)
+    ledger.check_cancelled_runs(clock.now())
+    assert ledger.problems == []
+    clock.advance(0.1)
+    ledger.check_cancelled_runs(clock.now())
+    assert len(ledger.problems) == 1
+
+
+@pytest.mark.parametrize(("surplus", "is_reported"), [(0.0, False), (0.1, True)])
+def test_run_of_a_cancelled_job_is_reported_after_a_period_without_faults(
+    clock, surplus, is_reported
+):
+    harmed_at = clock.now() + 2 * CANCEL_SECONDS
+    ledger = Ledger(get_harmed_at=lambda runner: min(clock.now(), harmed_at))
+    record_job(ledger)
+    start(RunnerStandIn(clock, "worker-0", ledger), 1)
+    ledger.record_cancellation("job1", clock.now())
+    clock.advance(2 * CANCEL_SECONDS)
+    ledger.check_cancelled_runs(clock.now())
+    assert ledger.problems == []
+    clock.advance(CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS + surplus)
+    ledger.check_cancelled_runs(clock.now())
+    assert len(ledger.problems) == is_reported
+
+
+# Guards against a worker that obeys a stop with an old fence, as none does.
+@pytest.mark.parametrize(("fence", "is_stopped"), [(0, False), (1, True), (2, True)])
+def test_worker_ignores_a_stop_with_a_lower_fence(ledger, runner, fence, is_stopped):
+    start(runner, 1)
+    runner.stop(TASK, 1, fence)
+    assert bool(ledger.live) != is_stopped
+
+
+@pytest.mark.parametrize(
+    ("fault", "is_stopped_at_once", "is_stopped_later"),
+    [("lost", True, True), ("late", False, True), ("silent", False, False)],
+)
+def test_stop_without_an_answer_is_obeyed_at_once_or_late_or_never(
+    ledger, runner, fault, is_stopped_at_once, is_stopped_later
+):
+    start(runner, 1)
+    runner.stop_faults = [fault]
+    assert isinstance(runner.stop(TASK, 1, 1), Failure)
+    assert bool(ledger.live) != is_stopped_at_once
+    runner.run_late()
+    assert bool(ledger.live) != is_stopped_later
--- a/tests/site/timeliness.py
+++ b/tests/site/timeliness.py
@@ -144,9 +144,9 @@
     def _check_gangs(self, now):
         """Check that the members of a gang start together."""
         present_by_run = {}
-        for (_, task), number in self._ledger.live.items():
+        for (_, task), run in self._ledger.live.items():
             if self._ledger.get_step(task).is_gang:
-                key = (task.rsplit(".", 1)[0], number)
+                key = (task.rsplit(".", 1)[0], run.number)
                 present_by_run.setdefault(key, set()).add(task)
         self._gang_since_by_run = {
             key: self._gang_since_by_run.get(key, now) for key in present_by_run
