Judge runs of cancelled jobs in the soak

The soak looked for runs of cancelled jobs only at its end, when leases had ended many of them. The judge uses the clock of the workers throughout.

The new test failed before: the judge reported nothing.

--- a/soak/judges.py
+++ b/soak/judges.py
@@ -1,4 +1,7 @@
-"""Checks of running sites that need time: long-running tasks run again soon."""
+"""Checks of running sites that need time.
+
+Long-running tasks run again soon, and those of cancelled jobs end.
+"""
 
 import threading
 import time
@@ -14,7 +17,9 @@
 
 
 class LongRunningJudge(threading.Thread):
-    """Check that long-running tasks run again while there are no faults.
+    """Check runs while there are no faults.
+
+    Long-running tasks have to run again, and runs of cancelled jobs have to end.
 
     :param workers: List of ``RunnerStandIn``.
     :param ledger: ``Ledger``.
@@ -39,7 +44,7 @@
         while not self.is_stopped:
             time.sleep(POLL_SECONDS)
             with self._lock:
-                self.check(time.monotonic())
+                self.check(self._workers[0].clock.now())
 
     def check(self, now):
         """Check all tasks once.
@@ -48,6 +53,8 @@
         """
         if any(worker.is_down for worker in self._workers):
             self.record_fault(now)
+        if self.calm_since is not None:
+            self._ledger.check_cancelled_runs(now, self.calm_since)
         running = {task for _, task in self._ledger.live}
         for job in sorted(self._evidence.list_long_running_jobs()):
             steps = self._ledger.spec_by_job[job].steps
--- a/soak/run.py
+++ b/soak/run.py
@@ -146,6 +146,8 @@
         status = self.call("DELETE", job_id)
         if status == 200:
             self._evidence.cancelled.add(job_id)
+            with self._site.lock:
+                self._site.ledger.record_cancellation(job_id, self._site.clock.now())
         elif status in (429, 503):
             self._evidence.cancelling.discard(job_id)
         else:
@@ -250,7 +252,7 @@
             if (program.process.poll() or 0) > 0
         ]
         self.site.heal()
-        self.judge.calm_since = time.monotonic()
+        self.judge.calm_since = self.site.clock.now()
         for _ in range(MAX_SETTLE_ATTEMPTS):
             seen = len(self.stalls)
             self._settle()
@@ -276,7 +278,7 @@
             if (gap := time.monotonic() - began) > STALL_SECONDS:
                 at = datetime.now(UTC).isoformat(timespec="milliseconds")
                 self.stalls.append(gap)
-                self.judge.record_fault(time.monotonic())
+                self.judge.record_fault(self.site.clock.now())
                 self.events.append(f"{at} the soak stalled for {gap:.1f} s")
 
     def _inject_fault(self):
@@ -340,7 +342,7 @@
         for stop in self._stops:
             stop.join()
         self.site.heal()
-        self.judge.calm_since = time.monotonic()
+        self.judge.calm_since = self.site.clock.now()
         time.sleep(CALM_PERIOD_SECONDS)
         self.judge.calm_since = None
 
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -212,16 +212,18 @@
                     f"{task} started {now - since:.1f} s after {reason}"
                 )
 
-    def check_cancelled_runs(self, now):
+    def check_cancelled_runs(self, now, harmed_at=-math.inf):
         """Check that no run has outlasted the cancellation of its job for too long.
 
         :param now: Current time, in seconds.
+        :param harmed_at: Time of the last fault that may affect any worker, in seconds.
         """
         for (name, task), run in self.live.items():
             cancelled_at = self.cancelled_at_by_job.get(task.split(".")[0])
             if cancelled_at is None or run.is_reported:
                 continue
-            since = max(cancelled_at, self._get_harmed_at(run.runner) + CONTACT_SECONDS)
+            last_fault_at = max(harmed_at, self._get_harmed_at(run.runner))
+            since = max(cancelled_at, last_fault_at + CONTACT_SECONDS)
             if run.is_late:
                 since = max(since, run.started_at + CONTACT_SECONDS)
             if now > since + CANCEL_SECONDS + STOP_SECONDS:
--- a/tests/test_soak_judges.py
+++ b/tests/test_soak_judges.py
@@ -18,7 +18,7 @@
     LongRunningJudge,
 )
 from soak.run import Evidence
-from standins.ledger import Ledger
+from standins.ledger import CANCEL_SECONDS, CONTACT_SECONDS, STOP_SECONDS, Ledger
 from standins.site import SERVICE, RunnerStandIn
 
 CHANGES = [Change(2, 10.0, 10.1), Change(3, 20.0, 20.1)]
@@ -160,3 +160,18 @@
     else:
         watch.evidence.accepted.clear()
     assert not watch.advance(2 * LIMIT_SECONDS)
+
+
+# Guards against a run that goes on after its job was cancelled and that ends before the
+# soak does.
+@pytest.mark.parametrize("is_calm", [True, False])
+def test_run_of_a_cancelled_job_is_reported_in_a_period_without_faults(watch, is_calm):
+    watch.start_task()
+    watch.worker.lease_end_ms += 3_600_000
+    watch.ledger.record_cancellation(JOB, watch.clock.now())
+    watch.evidence.cancelling.add(JOB)
+    watch.judge.calm_since = watch.clock.now() if is_calm else None
+    watch.advance(CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS - POLL_SECONDS)
+    assert watch.ledger.problems == []
+    watch.advance(3 * POLL_SECONDS)
+    assert len(watch.ledger.problems) == is_calm
