--- a/soak/servers.py
+++ b/soak/servers.py
@@ -207,6 +207,9 @@
         self._is_closed = False
         self._sequence = 0
         self._server = IncarnationServer(self)
+
+    def start(self):
+        """Begin to end tasks and to send heartbeats; node and proxy must be set."""
         for function in (self._run_tasks, self._send_heartbeats):
             threading.Thread(target=function, daemon=True).start()
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -185,6 +185,7 @@
             },
         }
         worker.program = self.node_by_name[name] = Program("node", settings, folder)
+        worker.start()
 
     @property
     def programs(self):
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -12,7 +12,7 @@
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.ports.runner import RunOrder
 from soak.proxy import FaultProxy
-from soak.servers import HOST, WorkerServer
+from soak.servers import HOST, LONGEST_TASK_SECONDS, WorkerServer
 from soak.site import PORTS
 from standins.ledger import Ledger
 from standins.site import SERVICE
@@ -31,8 +31,11 @@
         SystemClock(), "worker-0", "zone", ledger, threading.RLock(), "127.0.0.1:1", "0"
     )
     server.runner.crash_seconds = CRASH_SECONDS
+    # On a busy machine, some time passes before the worker has its node.
+    time.sleep(SETTLE_SECONDS)
     server.program = SimpleNamespace(is_paused=False)
     server.proxy = FaultProxy((HOST, server.port), 0, PORTS.allocate(1)[0])
+    server.start()
     yield server
     server.close()
     server.proxy.close()
@@ -72,3 +75,11 @@
     worker.restart()
     assert isinstance(call(worker, runner, "job1.0.0.1"), Success)
     assert list(worker.runner.run_by_task) == ["job1.0.0.1"]
+
+
+# Guards against a worker whose tasks never end, since its thread met no node at first.
+def test_tasks_end_although_the_node_is_added_later(worker):
+    runner = PlatformRunner(worker.proxy.address, CALL_SECONDS)
+    assert isinstance(call(worker, runner, "job1.0.0.0"), Success)
+    time.sleep(LONGEST_TASK_SECONDS + SETTLE_SECONDS)
+    assert worker.runner.run_by_task == {}
