Play each seed of the soak in a process of its own

A series of 25 seeds (5000 to 5024) lost its stand-ins from the 20th on: 'filedescriptor out of range in select()', since each site leaves its servers behind, about 16 descriptors for 2 entries and 2 nodes.

--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 import argparse
 import http.client
 import json
+import multiprocessing
 import random
 import sys
 import tempfile
@@ -461,28 +462,45 @@
         help="further kinds of faults; they change the faults of a seed",
     )
     options = parser.parse_args()
-    failed = []
-    for seed in range(options.first, options.first + options.seeds):
-        problems, soak, folder = run_seed(
-            seed, options.seconds, options.entries, options.nodes, options.add
-        )
-        evidence = soak.evidence
-        print(
-            f"seed {seed}: {len(evidence.accepted)} accepted,"
-            f" {len(evidence.refused)} refused, {len(evidence.cancelled)} cancelled,"
-            f" {len(soak.site.ledger.starts)} starts, {len(soak.events)} faults,"
-            f" {len(soak.operator.changes)} changes,"
-            f" {soak.config_answers} answers on them,"
-            f" {soak.judge.judged} looks at long-running tasks,"
-            f" {len(soak.stalls)} stalls, {len(problems)} problems",
-            flush=True,
-        )
-        if problems:
-            failed.append(seed)
-            print(f"  logs: {folder}", *problems, sep="\n  ", flush=True)
+    seeds = range(options.first, options.first + options.seeds)
+    failed = [seed for seed in seeds if not _play_in_own_process(seed, options)]
     print(f"failed seeds: {failed or 'none'}")
     return 1 if failed else 0
 
 
+def _play_in_own_process(seed, options):
+    """Run one seed in a new process; return whether it ran without problems.
+
+    The stand-ins of former seeds would use up the file descriptors of one process.
+    """
+    process = multiprocessing.get_context("spawn").Process(
+        target=_play, args=(seed, options)
+    )
+    process.start()
+    process.join()
+    return process.exitcode == 0
+
+
+def _play(seed, options):
+    """Run one seed, print its figures and exit with 1 if there are problems."""
+    problems, soak, folder = run_seed(
+        seed, options.seconds, options.entries, options.nodes, options.add
+    )
+    evidence = soak.evidence
+    print(
+        f"seed {seed}: {len(evidence.accepted)} accepted,"
+        f" {len(evidence.refused)} refused, {len(evidence.cancelled)} cancelled,"
+        f" {len(soak.site.ledger.starts)} starts, {len(soak.events)} faults,"
+        f" {len(soak.operator.changes)} changes,"
+        f" {soak.config_answers} answers on them,"
+        f" {soak.judge.judged} looks at long-running tasks,"
+        f" {len(soak.stalls)} stalls, {len(problems)} problems",
+        flush=True,
+    )
+    if problems:
+        print(f"  logs: {folder}", *problems, sep="\n  ", flush=True)
+    sys.exit(bool(problems))
+
+
 if __name__ == "__main__":
     sys.exit(main())
