Check addresses before anything connects to them

Another writer's row in the table of entries with a port out of range, with a host name or with no address at all was sent on to every node. There EntryLinks.set_addresses raised OverflowError, ValueError or gaierror: the stream ended, addresses behind it in the set weren't connected, and the node got the same list again with the next stream.

Cause: an address was any text until the call that connects to it. Address is now a checked text (IPv4 number, port 1 to 65535). Rows of entries, Peers, the address of the scheduling entry in heartbeats, seeds in the settings and rows of the older role pass AddressReader, which leaves out an invalid one, logs and counts it once, and keeps the rest. Addresses that come so can only fail to connect, which is retried.

--- a/src/bergamotshore/entry/entrylist.py
+++ b/src/bergamotshore/entry/entrylist.py
@@ -4,6 +4,7 @@
 
 from bergamotshore.core.work.leases import LeaseObservation
 from bergamotshore.ports.rows import Expect, Put, RowId
+from bergamotshore.utils.addresses import AddressReader
 
 ENTRIES_TABLE = "entries"
 # Interval at which an entry rewrites its row. Any entry removes a row that has not
@@ -19,26 +20,35 @@
     :param name: Name of this entry.
     :param address: Address on which it accepts streams.
     :param clock: ``Clock``.
+    :param registry: ``Registry``.
     :param log: ``EventLog``.
     """
 
-    def __init__(self, store, name, address, clock, log):
+    def __init__(self, store, name, address, clock, registry, log):
         self._store = store
         self._row = RowId(ENTRIES_TABLE, "", name)
         self._address = address
         self._clock = clock
         self._log = log
+        self._addresses = AddressReader(registry, log)
         self._refresh_at = 0.0
         self._observation_by_name = {}
 
     def read(self):
-        """Return the addresses of all entries, sorted; None when the store fails."""
+        """Return the addresses of all entries, sorted; None when the store fails.
+
+        A row that holds no address is passed over.
+        """
         if self._clock.now() >= self._refresh_at and not self._refresh():
             return None
         match self._store.read(ENTRIES_TABLE, ""):
             case Success(page):
                 rows = [row for row in page.rows if not self._remove_if_expired(row)]
-                return sorted(row.value.decode(errors="replace") for row in rows)
+                return sorted(
+                    self._addresses.read(
+                        row.value.decode(errors="replace") for row in rows
+                    )
+                )
             case Failure(failure):
                 self._log.write("store-failed", "entries", why=str(failure))
                 return None
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -55,7 +55,7 @@
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
-from bergamotshore.utils.addresses import split_address
+from bergamotshore.utils.addresses import AddressReader, split_address
 from bergamotshore.utils.eventlog import EventLog, describe_error
 from bergamotshore.utils.services import run_services
 
@@ -117,7 +117,12 @@
             self.store, self.clock, self.registry, self.log, max_config_age
         )
         self.entries = EntryList(
-            self.store, settings.name, self.address, self.clock, self.log
+            self.store,
+            settings.name,
+            self.address,
+            self.clock,
+            self.registry,
+            self.log,
         )
         self.election = Election(
             self.store,
@@ -272,7 +277,9 @@
     def _connect_seeds(self):
         """Connect to the peers in the settings until the store lists all entries."""
         peer_addresses = [
-            address for address in self.site.peers if address != self.address
+            address
+            for address in AddressReader(self.registry, self.log).read(self.site.peers)
+            if address != self.address
         ]
         self.relay.set_peer_addresses(peer_addresses)
 
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -93,6 +93,20 @@
         super().__init__(f"{address}: {detail}")
 
 
+class AddressInvalidError(BergamotshoreError, ValueError):
+    """A text is no address of an IPv4 host and a port.
+
+    :param text: Text that was read as an address.
+    :param detail: Why it is none.
+    """
+
+    code = "address-invalid"
+
+    def __init__(self, text, detail):
+        super().__init__(f"{text[:80]!r}: {detail}")
+        self.detail = detail[:120]
+
+
 class LogsUnreadableError(BergamotshoreError):
     """A log file cannot be read."""
 
--- a/src/bergamotshore/node/links.py
+++ b/src/bergamotshore/node/links.py
@@ -6,7 +6,6 @@
 
 from bergamotshore.generated.messages import Hello
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream
-from bergamotshore.utils.addresses import split_address
 
 RETRY_MIN_SECONDS = 0.2
 RETRY_MAX_SECONDS = 5.0
@@ -58,7 +57,10 @@
         self._is_stopped = False
 
     def set_addresses(self, addresses):
-        """Replace the known addresses and connect to the new ones."""
+        """Replace the known addresses and connect to the new ones.
+
+        :param addresses: ``Address`` objects.
+        """
         new = set(addresses) - self._addresses
         self._addresses = set(addresses)
         for address in new:
@@ -122,10 +124,9 @@
         )
         if self._is_stopped or not is_missing:
             return
-        host, port = split_address(address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        sock.connect_ex((host, port))
+        sock.connect_ex((address.host, address.port))
         attempt = ConnectAttempt(self, address, sock)
         self.loop.register(sock, selectors.EVENT_WRITE, attempt.handle_ready)
         self.loop.call_later(CONNECT_SECONDS, attempt.abort)
@@ -154,7 +155,7 @@
     """A connection attempt in progress.
 
     :param links: ``EntryLinks``.
-    :param address: Address of the entry as host:port.
+    :param address: ``Address`` of the entry.
     :param sock: Non-blocking socket that is connecting.
     """
 
--- a/src/bergamotshore/node/role.py
+++ b/src/bergamotshore/node/role.py
@@ -35,6 +35,8 @@
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock, Recorder
 from bergamotshore.transport.loop import Loop
+from bergamotshore.utils.addresses import AddressReader
+from bergamotshore.utils.eventlog import EventLog
 from bergamotshore.utils.services import run_services
 
 ENDPOINT_STATUS_TIMEOUT_SECONDS = 2.0
@@ -67,6 +69,7 @@
             self.clock,
             settings.timeline_events,
         )
+        self.addresses = AddressReader(self.registry, EventLog(self.clock))
         self.stopping = threading.Event()
         self.is_draining = False
         self.endpoint_status = None
@@ -162,7 +165,7 @@
     def _start(self):
         self.requests.start()
         self.tasks.start()
-        self.links.set_addresses(self.node.entries)
+        self.links.set_addresses(self.addresses.read(self.node.entries))
 
     def _stop(self):
         """Refuse work, announce it, finish requests, evict tasks, end the session."""
@@ -218,7 +221,7 @@
             match decode_row(stored, EntryRow):
                 case Success(EntryRow(stream_address=address)):
                     addresses.add(address)
-        self.links.set_addresses(addresses)
+        self.links.set_addresses(self.addresses.read(addresses))
 
     def _watch_endpoint(self):
         while not self.stopping.is_set():
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -25,7 +25,7 @@
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.transport.loop import Loop
-from bergamotshore.utils.addresses import split_address
+from bergamotshore.utils.addresses import AddressReader, split_address
 from bergamotshore.utils.eventlog import EventLog, describe_error
 from bergamotshore.utils.services import run_services
 
@@ -82,7 +82,8 @@
             self,
             on_unreachable=self._choose_entries,
         )
-        self.peers = set(self.site.peers)
+        self.addresses = AddressReader(self.registry, self.log)
+        self.peers = set()
         self.leader = ""
         self.leader_stream = None
         self._announced_end = 0
@@ -155,7 +156,7 @@
             choose_peers(
                 self.settings.name,
                 self.peers,
-                self.site.peers,
+                self.addresses.read(self.site.peers),
                 self.leader,
                 self.links.list_unreachable(),
             )
@@ -184,15 +185,16 @@
             case RunOrders():
                 self._handle_orders(message)
             case Peers(addresses=addresses):
-                self.peers = set(addresses)
+                self.peers = self.addresses.read(addresses)
                 self._choose_entries()
             case _:
                 self.registry.count("messages_unexpected_total")
 
     def _handle_heartbeat(self, stream, heartbeat):
         if heartbeat.leader and heartbeat.leader != self.leader:
-            self.leader = heartbeat.leader
-            self._choose_entries()
+            for leader in self.addresses.read([heartbeat.leader]):
+                self.leader = leader
+                self._choose_entries()
         if heartbeat.epoch == 0:
             return
         previous_epoch = self.grant.epoch
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -37,6 +37,7 @@
 from bergamotshore.ports.rows import (
     Expect,
 )
+from bergamotshore.utils.addresses import AddressReader
 from bergamotshore.utils.eventlog import EventLog
 from standins.ledger import Ledger
 from standins.machines import MachinesStandIn
@@ -205,7 +206,7 @@
             self.store,
             name,
             self.incarnation,
-            f"{name}:1",
+            f"10.0.0.{1 + int(name[-1])}:1",
             self.clock,
             self.log,
             can_schedule=self.can_schedule,
@@ -282,6 +283,7 @@
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
         self.loop = InlineLoop()
         self.links = NodeLinks(self)
+        self.addresses = AddressReader(self.registry, self.log)
         self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
         self.starts = self.stops = InlineExecutor()
         self.is_draining = False
--- a/tests/site/test_peers.py
+++ b/tests/site/test_peers.py
@@ -14,6 +14,7 @@
     REFRESH_SECONDS,
     EntryList,
 )
+from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.links import UNREACHABLE_SECONDS, EntryLinks
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.utils.eventlog import EventLog
@@ -77,23 +78,27 @@
     return RowsStandIn()
 
 
+A, B = "10.0.0.1:1", "10.0.0.2:1"
+
+
 def build_list(store, clock, name):
     log = EventLog(clock, emit=lambda line: None)
-    return EntryList(store, name, f"{name}:1", clock, log)
+    address = {"a": A, "b": B}[name]
+    return EntryList(store, name, address, clock, Registry(), log)
 
 
 def test_entries_find_each_other_and_forget_removed_ones(store, clock):
     first, second = build_list(store, clock, "a"), build_list(store, clock, "b")
     second.read()
-    assert first.read() == ["a:1", "b:1"]
+    assert first.read() == [A, B]
     for _ in range(int(1.2 * ENTRY_EXPIRY_SECONDS / REFRESH_SECONDS)):
         clock.advance(REFRESH_SECONDS / 2)
         first.read()
         clock.advance(REFRESH_SECONDS / 2)
-        assert first.read() == ["a:1", "b:1"]
+        assert first.read() == [A, B]
     clock.advance(ENTRY_EXPIRY_SECONDS)
-    assert first.read() == ["a:1"]
-    assert second.read() == ["a:1", "b:1"]
+    assert first.read() == [A]
+    assert second.read() == [A, B]
 
 
 def test_the_list_of_entries_is_unknown_while_the_store_is_down(store, clock):
@@ -101,4 +106,4 @@
     store.is_down = True
     assert entry_list.read() is None
     store.is_down = False
-    assert entry_list.read() == ["a:1"]
+    assert entry_list.read() == [A]
