Turn every error of a decoder into its typed failure

Content with 5,000 nested arrays in a field that nobody reads raised RecursionError, which is no MsgspecError, from every JSON decoder of the platform: pages of the store, heartbeats, lists of runs and of VMs, advice, operator's rows, submissions. An unreadable row of a closed job or of the counts raised from the reader that asked for it. A number that fits the sender's format but not ours (a Lamport clock of 2^64 - 1, a field of a heartbeat of 10^30) was accepted and raised OverflowError in each later message. A stored job of 2^31 tasks was read and took all memory.

Cause: each decoder listed the exceptions that it expected, and bounds were set for some fields only. core/decoding.py is the one place that decodes; it raises DecodingError for all that content can cause. Numbers of messages, of the platform's answers, of stored jobs and of their progress have bounds, and a job has at most 1,000,000 tasks over all its occurrences. A row under the key of another job is invalid.

--- a/src/bergamotshore/adapters/endpoint.py
+++ b/src/bergamotshore/adapters/endpoint.py
@@ -1,8 +1,8 @@
 """Client of the endpoint on the same VM, over HTTP."""
 
-import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
 from bergamotshore.exceptions import EndpointAnswerLost, EndpointNotReached
 from bergamotshore.ports.endpoint import EndpointAnswer, EndpointStatus
@@ -48,7 +48,6 @@
 
 
 def _decode_status(body):
-    try:
-        return Success(msgspec.json.decode(body, type=EndpointStatus))
-    except msgspec.MsgspecError as error:
-        return Failure(EndpointNotReached(str(error)))
+    return read_json(body, EndpointStatus).alt(
+        lambda error: EndpointNotReached(str(error))
+    )
--- a/src/bergamotshore/adapters/rowwrites.py
+++ b/src/bergamotshore/adapters/rowwrites.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import read_json
 from bergamotshore.exceptions import (
     Conflict,
     PlatformAnswerInvalid,
@@ -34,10 +35,9 @@
     """
     if table_row.version == 0:
         return Success(None)
-    try:
-        return Success(msgspec.json.decode(table_row.value, type=row_type))
-    except msgspec.MsgspecError as error:
-        return Failure(PlatformAnswerInvalid(f"{table_row.key}: {error}"))
+    return read_json(table_row.value, row_type).alt(
+        lambda error: PlatformAnswerInvalid(f"{table_row.key}: {error}")
+    )
 
 
 def write_rows(table, operation, checks, writes):
--- a/src/bergamotshore/adapters/table.py
+++ b/src/bergamotshore/adapters/table.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
 from bergamotshore.exceptions import (
     Conflict,
@@ -110,10 +111,9 @@
 
 
 def _decode(body, answer_type):
-    try:
-        return Success(msgspec.json.decode(body, type=answer_type))
-    except msgspec.MsgspecError as error:
-        return Failure(PlatformAnswerInvalid(str(error)))
+    return read_json(body, answer_type).alt(
+        lambda error: PlatformAnswerInvalid(str(error))
+    )
 
 
 def _decode_rows(answer):
--- a/src/bergamotshore/adapters/worker.py
+++ b/src/bergamotshore/adapters/worker.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.ports.worker import WorkerStatus, WorkerTask
@@ -66,7 +67,6 @@
 def _decode(content, answer_type):
     if answer_type is None:
         return Success(None)
-    try:
-        return Success(msgspec.json.decode(content, type=answer_type))
-    except msgspec.MsgspecError as error:
-        return Failure(WorkerFailure(str(error), is_certain=False))
+    return read_json(content, answer_type).alt(
+        lambda error: WorkerFailure(str(error), is_certain=False)
+    )
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -4,6 +4,14 @@
 
 import msgspec
 
+from bergamotshore.core.decoding import decode_msgpack
+from bergamotshore.exceptions import DecodingError
+
+# Largest number that every message and every float can hold.
+MAX_NUMBER = 2**53
+# Most tasks of a job, over all its occurrences: each takes memory once it is due.
+MAX_TASKS = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -178,9 +186,48 @@
 def decode_spec(content):
     """Decode a ``JobSpec``.
 
-    :raises msgspec.MsgspecError: if the content is not an encoded job.
+    :raises DecodingError: if the content is not an encoded job.
+    """
+    spec = decode_msgpack(content, JobSpec)
+    if problem := find_problem(spec):
+        raise DecodingError(problem)
+    return spec
+
+
+def find_problem(spec):
+    """Return why a job can't be run; empty if it can.
+
+    :param spec: ``JobSpec``.
     """
-    return msgspec.msgpack.decode(content, type=JobSpec)
+    times = (spec.first_at, spec.interval, spec.accepted_at)
+    if not all(0 <= value <= MAX_NUMBER for value in times):
+        return "a time is out of range"
+    if not 0 <= spec.repeats <= MAX_TASKS or not 0 <= spec.retries <= MAX_NUMBER:
+        return "repeats or retries are out of range"
+    for number, step in enumerate(spec.steps):
+        if problem := _find_step_problem(step):
+            return f"step {number}: {problem}"
+    if max(1, spec.repeats) * sum(step.tasks for step in spec.steps) > MAX_TASKS:
+        return f"more than {MAX_TASKS} tasks in all"
+    return ""
+
+
+def _find_step_problem(step):
+    if not 1 <= step.tasks <= MAX_TASKS:
+        return "number of tasks is out of range"
+    sizes = (
+        step.cpu,
+        step.memory,
+        step.accelerators,
+        step.estimate,
+        step.per_worker,
+        step.goal_ms,
+    )
+    if not all(0 <= size <= MAX_NUMBER for size in sizes):
+        return "a number is out of range"
+    if not -1 <= step.may_miss <= MAX_NUMBER:
+        return "number of tasks that may be missing is out of range"
+    return ""
 
 
 _DEFAULTS = msgspec.to_builtins(Step(tasks=1))
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -1,10 +1,16 @@
 """Job progress: state of tasks and runs, and which steps are ready to run."""
 
 from dataclasses import dataclass, field
+from typing import Annotated, Literal
 
 import msgspec
 
+from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.model import TaskRef
+from bergamotshore.exceptions import DecodingError
+
+# Stored numbers are bounded, so that they can be sent in messages.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 @dataclass(slots=True)
@@ -44,6 +50,17 @@
     failed_run: int = 0
 
 
+class EncodedTask(msgspec.Struct, frozen=True, array_like=True):
+    """Stored state of a task, as an array from whose end fields may be missing."""
+
+    is_done: Literal[0, 1] = 0
+    failures: Count = 0
+    last_run: Count = 0
+    checkpoint: str = ""
+    runs: list[tuple[Count, str, str, Count]] = []
+    failed_run: Count = 0
+
+
 class JobProgress:
     """State of one job, changed only through its methods.
 
@@ -293,22 +310,19 @@
 def restore_progress(progress, content):
     """Load an encoded state into a new ``JobProgress``.
 
-    :raises ValueError: if the content is not an encoded state of the job.
+    :raises DecodingError: if the content is not an encoded state of the job.
     """
-    try:
-        finished, outcome, occurrences = msgspec.msgpack.decode(
-            content, type=tuple[int, str, dict[int, list[list[list]]]]
-        )
-        tasks_by_occurrence = {
-            occurrence: [[_decode_task(task) for task in tasks] for tasks in steps]
-            for occurrence, steps in occurrences.items()
-        }
-    except (msgspec.MsgspecError, TypeError) as error:
-        raise ValueError(str(error)) from error
+    finished, outcome, occurrences = decode_msgpack(
+        content, tuple[Count, str, dict[Count, list[list[EncodedTask]]]]
+    )
+    tasks_by_occurrence = {
+        occurrence: [[_decode_task(task) for task in tasks] for tasks in steps]
+        for occurrence, steps in occurrences.items()
+    }
     shape = [step.tasks for step in progress.spec.steps]
     for steps in tasks_by_occurrence.values():
         if [len(tasks) for tasks in steps] != shape:
-            raise ValueError("state of a job with other steps")
+            raise DecodingError("state of a job with other steps")
     progress.finished_occurrences = finished
     progress.outcome = outcome
     progress.tasks_by_occurrence = tasks_by_occurrence
@@ -325,16 +339,11 @@
 
 
 def _decode_task(content):
-    if not content:
-        return Task()
-    if len(content) == 1:
-        return Task(is_done=True)
-    is_done, failures, last_run, checkpoint, runs, *failed_run = content
     return Task(
-        bool(is_done),
-        failures,
-        last_run,
-        checkpoint,
-        [Run(*r) for r in runs],
-        *failed_run,
+        bool(content.is_done),
+        content.failures,
+        content.last_run,
+        content.checkpoint,
+        [Run(*run) for run in content.runs],
+        content.failed_run,
     )
--- a/src/bergamotshore/entry/configuration.py
+++ b/src/bergamotshore/entry/configuration.py
@@ -21,9 +21,11 @@
     merge_document,
     strip_version,
 )
+from bergamotshore.core.decoding import decode_json
 from bergamotshore.core.ramp import is_admitted
 from bergamotshore.exceptions import (
     Conflict,
+    DecodingError,
     PlatformAnswerInvalid,
     StaleSection,
     ZoneUnknown,
@@ -326,8 +328,8 @@
                 return Failure(PlatformAnswerInvalid(f"section {team} is missing"))
         section_type = SiteSection if team == SITE else Section
         try:
-            section = msgspec.json.decode(row.text, type=section_type)
-        except msgspec.MsgspecError as error:
+            section = decode_json(row.text, section_type)
+        except DecodingError as error:
             return Failure(PlatformAnswerInvalid(f"section {team}: {error}"))
         if team == SITE:
             site = section
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -5,11 +5,13 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.leases import (
     LeaderLease,
     LeaseObservation,
     get_last_echo_time,
 )
+from bergamotshore.exceptions import DecodingError
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 LEADER_ROW = RowId("leader", "", "scheduler")
@@ -193,8 +195,8 @@
         self.row = None
         if stored is not None:
             try:
-                self.row = msgspec.msgpack.decode(stored.value, type=LeaderRow)
-            except msgspec.MsgspecError as error:
+                self.row = decode_msgpack(stored.value, LeaderRow)
+            except DecodingError as error:
                 self._log.write("leader-row-invalid", "leader", why=str(error))
         return stored
 
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -3,16 +3,30 @@
 from collections import deque
 from dataclasses import dataclass
 from statistics import median
+from typing import Annotated
 from zlib import crc32
 
 import msgspec
 from returns.result import Failure, Success
 
-from bergamotshore.core.work.model import decode_spec, encode_spec, get_job_key
-from bergamotshore.exceptions import PlatformUnavailable, PlatformUncertain
+from bergamotshore.core.decoding import call_decoder, decode_msgpack
+from bergamotshore.core.work.model import (
+    MAX_NUMBER,
+    decode_spec,
+    encode_spec,
+    get_job_key,
+)
+from bergamotshore.exceptions import (
+    DecodingError,
+    PlatformAnswerInvalid,
+    PlatformUnavailable,
+    PlatformUncertain,
+)
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 JOBS, RUNS, CLOSED, FENCE = "jobs", "runs", "closed", "fence"
+CLOSED_STATES = ("done", "failed", "cancelled")
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 CANCEL_SUFFIX = "/cancel"
 # The store runs the transactions of a partition one at a time. While it is slow, each
 # takes up to 0.8 s, so 9 submissions per second need 8 partitions; more would split the
@@ -195,17 +209,29 @@
             return self._get(get_row_id(RUNS, key)).map(
                 lambda row: "pending" if row is None else "running"
             )
-        return self._get(get_row_id(CLOSED, key)).map(
-            lambda row: None if row is None else decode_closed(row.value).state
-        )
+        return self._get(get_row_id(CLOSED, key)).bind(_decode_closed_state)
 
     def get_waiting_counts(self):
         """Return a ``Result`` of the number of waiting jobs by queue."""
-        return self._get(COUNTS_ROW).map(_decode_counts)
+        return self._get(COUNTS_ROW).bind(_decode_counts)
 
 
 def _decode_counts(row):
-    return {} if row is None else msgspec.msgpack.decode(row.value, type=dict[str, int])
+    if row is None:
+        return Success({})
+    try:
+        return Success(decode_msgpack(row.value, dict[str, Count]))
+    except DecodingError as error:
+        return Failure(PlatformAnswerInvalid(f"{row.id.key}: {error}"))
+
+
+def _decode_closed_state(row):
+    if row is None:
+        return Success(None)
+    try:
+        return Success(decode_closed(row.value).state)
+    except DecodingError as error:
+        return Failure(PlatformAnswerInvalid(f"{row.id.key}: {error}"))
 
 
 def encode_closed(closed):
@@ -216,15 +242,19 @@
 def decode_closed(content):
     """Decode a ``ClosedJob``; one without a time is treated as closed long ago.
 
-    :raises ValueError: if the bytes are not a valid row.
+    :raises DecodingError: if the bytes are not a valid row.
     """
-    state, _, closed_at = content.decode().partition(" ")
-    return ClosedJob(state, float(closed_at or 0.0))
+    state, _, time = call_decoder(content.decode).partition(" ")
+    closed_at = call_decoder(float, time or 0.0)
+    if state not in CLOSED_STATES or not 0 <= closed_at <= MAX_NUMBER:
+        raise DecodingError("state or time of a closed job is invalid")
+    return ClosedJob(state, closed_at)
 
 
 def decode_job_row(row):
-    """Return the ``JobSpec`` in a row, None if it is invalid."""
+    """Return the ``JobSpec`` in a row, None if it is invalid or that of another job."""
     try:
-        return decode_spec(row.value)
-    except msgspec.MsgspecError:
+        spec = decode_spec(row.value)
+    except DecodingError:
         return None
+    return spec if spec.key == row.id.key else None
--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.leases import LEASE_SECONDS
 from bergamotshore.core.work.upkeep import (
     CLAIMED,
@@ -371,10 +372,10 @@
             (
                 int(row.id.key),
                 row.version,
-                msgspec.msgpack.decode(row.value, type=WaveRow),
+                decode_msgpack(row.value, WaveRow),
             )
             for row in page.rows
         ]
-    except (ValueError, msgspec.MsgspecError) as error:
+    except ValueError as error:
         return Failure(PlatformAnswerInvalid(f"rows of waves: {error}"))
     return Success(rows)
--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -1,10 +1,12 @@
 """Start of a term: fence off the predecessor, then read the open jobs."""
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.progress import restore_progress
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
@@ -15,10 +17,15 @@
     decode_job_row,
     get_fence_id,
 )
-from bergamotshore.exceptions import BergamotshoreError, PlatformUnavailable
+from bergamotshore.exceptions import (
+    BergamotshoreError,
+    DecodingError,
+    PlatformUnavailable,
+)
 from bergamotshore.ports.rows import Expect, Put, RowPage, RowsConflict
 
 PAGE_ROWS = 500
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 # Interference factors as (latency-critical image, best-effort image, factor), then the
 # lowest latency of each image, in ms.
 INTERFERENCE_STATE = tuple[list[tuple[str, str, float]], list[tuple[str, float]]]
@@ -102,8 +109,8 @@
 def _decode_epoch(row):
     """Return the term in a fence row; 0 for an unreadable row, which is replaced."""
     try:
-        return msgspec.msgpack.decode(row.value, type=int)
-    except msgspec.MsgspecError:
+        return decode_msgpack(row.value, Epoch)
+    except DecodingError:
         return 0
 
 
@@ -153,8 +160,8 @@
     if not stored:
         return None
     try:
-        return msgspec.msgpack.decode(stored[0].value, type=INTERFERENCE_STATE)
-    except msgspec.MsgspecError:
+        return decode_msgpack(stored[0].value, INTERFERENCE_STATE)
+    except DecodingError:
         return None
 
 
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -93,6 +93,12 @@
         super().__init__(f"{address}: {detail}")
 
 
+class DecodingError(BergamotshoreError, ValueError):
+    """Content from outside the process is not what its format describes."""
+
+    code = "decoding"
+
+
 class AddressInvalidError(BergamotshoreError, ValueError):
     """A text is no address of an IPv4 host and a port.
 
--- a/src/bergamotshore/platform/advice.py
+++ b/src/bergamotshore/platform/advice.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import Amount, read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpClient
 from bergamotshore.exceptions import PlatformAnswerInvalid, PlatformUnavailable
 
@@ -11,7 +12,7 @@
     """Answer of the service; ``allowed`` has pairs of worker name and ticket."""
 
     allowed: list[tuple[str, str]] = []
-    valid_ms: float = 0
+    valid_ms: Amount = 0
 
 
 class AdviceClient:
@@ -42,8 +43,8 @@
 
 
 def _decode(body):
-    try:
-        answer = msgspec.json.decode(body, type=WireAdvice)
-    except msgspec.MsgspecError as error:
-        return Failure(PlatformAnswerInvalid(str(error)))
-    return Success((dict(answer.allowed), answer.valid_ms / 1000))
+    return (
+        read_json(body, WireAdvice)
+        .map(lambda answer: (dict(answer.allowed), answer.valid_ms / 1000))
+        .alt(lambda error: PlatformAnswerInvalid(str(error)))
+    )
--- a/src/bergamotshore/platform/jobs.py
+++ b/src/bergamotshore/platform/jobs.py
@@ -3,7 +3,8 @@
 import msgspec
 from returns.result import Failure, Success
 
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.adapters.decoding import Count, read_json
+from bergamotshore.core.work.model import JobSpec, Step, find_problem
 from bergamotshore.exceptions import SubmissionInvalid
 
 MAX_SPEC_BYTES = 4000
@@ -51,9 +52,9 @@
 
     steps: list[WireStep]
     spec: str = ""
-    repeats: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeats: Count = 0
+    start_at_ms: Count = 0
+    interval_ms: Count = 0
 
 
 def decode_submission(body, queue, job_id, now):
@@ -62,27 +63,29 @@
     :param queue: ``Queue`` that the job was submitted to.
     :param now: Current wall-clock time, in seconds.
     """
-    try:
-        job = msgspec.json.decode(body, type=WireJob)
-    except msgspec.MsgspecError as error:
-        return Failure(SubmissionInvalid(str(error)))
+    match read_json(body, WireJob):
+        case Success(job):
+            pass
+        case Failure(error):
+            return Failure(SubmissionInvalid(str(error)))
     problem = _find_problem(job)
     if problem:
         return Failure(SubmissionInvalid(problem))
-    return Success(
-        JobSpec(
-            queue=queue.name,
-            job_id=job_id,
-            service=queue.service,
-            payload=job.spec,
-            steps=tuple(_decode_step(step) for step in job.steps),
-            retries=queue.retries,
-            repeats=job.repeats,
-            first_at=job.start_at_ms / 1000,
-            interval=job.interval_ms / 1000,
-            accepted_at=now,
-        )
+    spec = JobSpec(
+        queue=queue.name,
+        job_id=job_id,
+        service=queue.service,
+        payload=job.spec,
+        steps=tuple(_decode_step(step) for step in job.steps),
+        retries=queue.retries,
+        repeats=job.repeats,
+        first_at=job.start_at_ms / 1000,
+        interval=job.interval_ms / 1000,
+        accepted_at=now,
     )
+    if problem := find_problem(spec):
+        return Failure(SubmissionInvalid(problem))
+    return Success(spec)
 
 
 def _find_problem(job):
--- a/src/bergamotshore/platform/machines.py
+++ b/src/bergamotshore/platform/machines.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
 from bergamotshore.exceptions import (
     PlatformAnswerInvalid,
@@ -110,10 +111,9 @@
 
 
 def _decode(body, answer_type):
-    try:
-        return Success(msgspec.json.decode(body, type=answer_type))
-    except msgspec.MsgspecError as error:
-        return Failure(PlatformAnswerInvalid(str(error)))
+    return read_json(body, answer_type).alt(
+        lambda error: PlatformAnswerInvalid(str(error))
+    )
 
 
 def _decode_machine(item):
--- a/src/bergamotshore/platform/operator.py
+++ b/src/bergamotshore/platform/operator.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import Amount, Count, Rank, read_json
 from bergamotshore.core.work.site import (
     AdvicePolicy,
     Queue,
@@ -27,9 +28,9 @@
     worker named in the request, ``valid_ms`` the validity of a ticket.
     """
 
-    decide_ms: float = 0
-    period_ms: float = 0
-    valid_ms: float = 0
+    decide_ms: Amount = 0
+    period_ms: Amount = 0
+    valid_ms: Amount = 0
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -44,11 +45,11 @@
     host: str
     prefix: str
     service: str
-    timeout_ms: float = 3000
-    slo_ms: float = 0
-    priority: int = 0
-    retries: int = 1
-    extension: float = 1.0
+    timeout_ms: Amount = 3000
+    slo_ms: Amount = 0
+    priority: Rank = 0
+    retries: Count = 1
+    extension: Amount = 1.0
     advice: WireAdvice | None = None
 
 
@@ -67,7 +68,7 @@
 class WireConfig(msgspec.Struct, frozen=True):
     """The configuration of the site."""
 
-    version: int
+    version: Count
     routes: list[WireRoute] = []
     services: list[WireService] = []
 
@@ -75,18 +76,19 @@
 class WireWave(msgspec.Struct, frozen=True):
     """A maintenance wave; at most ``max_count`` machines may be down at once."""
 
-    wave: int
+    wave: Count
     machines: list[str] = []
-    duration_s: float = 0
-    max_count: int = 1
+    duration_s: Amount = 0
+    max_count: Count = 1
 
 
 def decode_configuration(content):
     """Return ``Result`` of the ``SiteConfiguration`` in the content of a row."""
-    try:
-        config = msgspec.json.decode(content, type=WireConfig)
-    except msgspec.MsgspecError as error:
-        return Failure(OperatorRowInvalid(CONFIG_KEY, str(error)))
+    match read_json(content, WireConfig):
+        case Success(config):
+            pass
+        case Failure(error):
+            return Failure(OperatorRowInvalid(CONFIG_KEY, str(error)))
     queues = tuple(_decode_queue(route) for route in config.routes)
     service_by_name = {
         item.name: ServicePool(item.name, item.admission_check, item.standby)
@@ -117,10 +119,11 @@
 
 def decode_wave(key, content):
     """Return ``Result`` of the ``Wave`` in the content of a row."""
-    try:
-        wave = msgspec.json.decode(content, type=WireWave)
-    except msgspec.MsgspecError as error:
-        return Failure(OperatorRowInvalid(key, str(error)))
+    match read_json(content, WireWave):
+        case Success(wave):
+            pass
+        case Failure(error):
+            return Failure(OperatorRowInvalid(key, str(error)))
     return Success(
         Wave(wave.wave, tuple(wave.machines), wave.duration_s, wave.max_count)
     )
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -1,11 +1,11 @@
 """Client of the platform's workers, and the format of their heartbeats."""
 
 from dataclasses import dataclass
-from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import Amount, Count, read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
 from bergamotshore.core.work.model import build_worker_size
 from bergamotshore.exceptions import ReportInvalid, WorkerFailure
@@ -21,9 +21,6 @@
 
 HEARTBEAT_PATH = "/instances/"
 REASON_BY_STATUS = {400: "invalid", 421: "other-life", 429: "busy", 503: "busy"}
-# Numbers from outside are bounded, so that they can be passed on in messages.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-Amount = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 STATE_DRAINING = "draining"
 WORKER_STATES = {"ready", STATE_DRAINING}
 
@@ -34,9 +31,9 @@
     ``born`` is the start time of the worker's incarnation.
     """
 
-    clock_ms: int = 0
+    clock_ms: Count = 0
     reason: str = "invalid"
-    born: int = 0
+    born: Count = 0
 
 
 class WireRun(msgspec.Struct, frozen=True, array_like=True):
@@ -89,10 +86,10 @@
     version: str = ""
     machine: str = ""
     seq: Count = 0
-    clock_ms: float | None = None
-    slots: int = 0
-    warmup_left_ms: float = 0
-    remaining_ms: float = 0
+    clock_ms: Amount | None = None
+    slots: Count = 0
+    warmup_left_ms: Amount = 0
+    remaining_ms: Amount = 0
     labels: list[str] = []
 
 
@@ -219,10 +216,9 @@
 
 
 def _decode(body, answer_type):
-    try:
-        return Success(msgspec.json.decode(body, type=answer_type))
-    except msgspec.MsgspecError as error:
-        return Failure(WorkerFailure(str(error), is_certain=False))
+    return read_json(body, answer_type).alt(
+        lambda error: WorkerFailure(str(error), is_certain=False)
+    )
 
 
 def _decode_listing(answer):
@@ -243,10 +239,11 @@
     :param worker: Name of the worker, from the path.
     :param body: Request body.
     """
-    try:
-        report = msgspec.json.decode(body, type=WireReport)
-    except msgspec.MsgspecError as error:
-        return Failure(ReportInvalid(str(error)))
+    match read_json(body, WireReport):
+        case Success(report):
+            pass
+        case Failure(error):
+            return Failure(ReportInvalid(str(error)))
     if not worker or report.state not in WORKER_STATES:
         return Failure(
             ReportInvalid(f"invalid worker name or state: {worker!r}, {report.state!r}")
--- a/src/bergamotshore/platform/store.py
+++ b/src/bergamotshore/platform/store.py
@@ -1,12 +1,12 @@
 """``RowStore`` backed by the platform's metadata store."""
 
 import base64
-import binascii
 import urllib.parse
 
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.adapters.decoding import Count, read_json, read_value
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
 from bergamotshore.exceptions import (
     PlatformAnswerInvalid,
@@ -31,14 +31,14 @@
     key: str
     part: str = ""
     value: str = ""
-    ver: int = 0
+    ver: Count = 0
     deleted: bool = False
 
 
 class WireAnswer(msgspec.Struct, frozen=True):
     """Answer to every call about rows; ``ver`` is the newest version of the store."""
 
-    ver: int = 0
+    ver: Count = 0
     rows: list[WireRow] = []
     truncated: bool = False
 
@@ -125,12 +125,16 @@
 
 def decode_page(body):
     """Return ``Result`` of the ``RowPage`` in the body of an answer."""
-    try:
-        answer = msgspec.json.decode(body, type=WireAnswer)
-        rows = [_decode_row(row) for row in answer.rows]
-    except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
-        return Failure(PlatformAnswerInvalid(str(error)))
-    return Success(RowPage(rows, answer.ver, answer.truncated))
+    return (
+        read_json(body, WireAnswer)
+        .bind(lambda answer: read_value(_decode_answer, answer))
+        .alt(lambda error: PlatformAnswerInvalid(str(error)))
+    )
+
+
+def _decode_answer(answer):
+    rows = [_decode_row(row) for row in answer.rows]
+    return RowPage(rows, answer.ver, answer.truncated)
 
 
 def _decode_row(row):
--- a/src/bergamotshore/transport/codec.py
+++ b/src/bergamotshore/transport/codec.py
@@ -5,11 +5,19 @@
 import msgpack
 import msgspec
 
-from bergamotshore.exceptions import MalformedMessageError, UnknownMessageError
+from bergamotshore.core.decoding import call_decoder, convert
+from bergamotshore.exceptions import (
+    DecodingError,
+    MalformedMessageError,
+    UnknownMessageError,
+)
 from bergamotshore.generated.messages import TYPES_BY_TAG
 
 TAG_BY_TYPE = {message_type: tag for tag, message_type in TYPES_BY_TAG.items()}
 FRAME_LENGTH = 3
+# A process continues from the highest clock that it received, so there must be room for
+# its own messages in 64 bits.
+MAX_CLOCK = 2**53
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +64,8 @@
         """
         try:
             self._unpacker.feed(content)
-            values = list(self._unpacker)
-        except (msgpack.exceptions.UnpackException, ValueError) as error:
+            values = call_decoder(list, self._unpacker)
+        except (msgpack.exceptions.UnpackException, DecodingError) as error:
             raise MalformedMessageError(str(error)) from error
         return [_decode_frame(value) for value in values]
 
@@ -66,12 +74,14 @@
     if not isinstance(value, list) or len(value) != FRAME_LENGTH:
         raise MalformedMessageError("not an array of tag, clock and fields")
     tag, clock, fields = value
-    if not isinstance(tag, int) or not isinstance(clock, int) or clock < 0:
+    if not isinstance(tag, int) or not isinstance(clock, int):
         raise MalformedMessageError("tag or clock is not a number")
+    if not 0 <= clock <= MAX_CLOCK:
+        raise MalformedMessageError("clock is out of range")
     message_type = TYPES_BY_TAG.get(tag)
     if message_type is None:
         raise UnknownMessageError(f"tag {tag}")
     try:
-        return Frame(clock, msgspec.convert(fields, type=message_type))
-    except msgspec.ValidationError as error:
+        return Frame(clock, convert(fields, message_type))
+    except DecodingError as error:
         raise MalformedMessageError(f"{message_type.__name__}: {error}") from error
