Read the rows of a page one by one

One row whose value isn't base64, or that has a version or a field of another type, made the whole page an invalid answer: whoever follows the table heard of no change as long as the row was there, and a conflict that named it became an invalid answer too.

Each row is now decoded alone. One that can't be read stays among the rows with an empty value, which every table's reader already refuses for that row alone, so that a conditional write, a fence, a cancel or a closed data centre isn't taken for absent; a row without a readable version gets that of the page, which makes conditional writes fail. One that can't be identified is left out. Both are logged (row-invalid) and counted (rows_invalid_total).

--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -111,7 +111,7 @@
         self.machine_executor = ThreadPoolExecutor(1, "machines")
         self.relay_executor = ThreadPoolExecutor(RELAY_THREADS, "relay")
         self.relay, self.client = self._build_client()
-        self.store = PlatformRowStore(self.client)
+        self.store = PlatformRowStore(self.client, self.registry, self.log)
         max_config_age = self.site.config_within_ms / 1000
         self.follower = SiteFollower(
             self.store, self.clock, self.registry, self.log, max_config_age
--- a/src/bergamotshore/platform/store.py
+++ b/src/bergamotshore/platform/store.py
@@ -21,6 +21,8 @@
     StoredRow,
 )
 
+# Longer descriptions of a row are cut in log lines.
+MAX_LOGGED_CHARACTERS = 300
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -35,11 +37,25 @@
     deleted: bool = False
 
 
+class WireRowId(msgspec.Struct, frozen=True):
+    """Identifier of a row of which the rest can't be read."""
+
+    table: str
+    key: str
+    part: str = ""
+
+
+class WireRowVersion(msgspec.Struct, frozen=True):
+    """Version of a row of which the rest can't be read."""
+
+    ver: Count
+
+
 class WireAnswer(msgspec.Struct, frozen=True):
     """Answer to every call about rows; ``ver`` is the newest version of the store."""
 
     ver: Count = 0
-    rows: list[WireRow] = []
+    rows: list[msgspec.Raw] = []
     truncated: bool = False
 
 
@@ -47,10 +63,14 @@
     """Call the store over HTTP, with one persistent connection per thread.
 
     :param client: ``RelayedClient``, or an object with the same ``call``.
+    :param registry: ``Registry``.
+    :param log: ``EventLog``.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, registry, log):
         self._client = client
+        self._registry = registry
+        self._log = log
 
     def transact(self, expects, puts, deletes, timeout=None):
         """Apply all changes or none; see the port."""
@@ -91,7 +111,9 @@
         path = f"{path}?{urllib.parse.urlencode(query)}"
         match self._client.call("GET", path, timeout=timeout, may_probe=may_probe):
             case Success(HttpAnswer(status=200, body=body)):
-                return decode_page(body)
+                return decode_page(body).map(
+                    lambda page: self._record_problems(query["table"], page)
+                )
             case Success(HttpAnswer(status=410)):
                 return Failure(HistoryLost())
             case Success(HttpAnswer(status=status)):
@@ -99,6 +121,12 @@
             case Failure(failure):
                 return Failure(PlatformUnavailable(failure.detail))
 
+    def _record_problems(self, table, page):
+        for problem in page.problems:
+            self._registry.count("rows_invalid_total", table=table)
+            self._log.write("row-invalid", table, why=problem[:MAX_LOGGED_CHARACTERS])
+        return page
+
 
 def decode_transaction(outcome):
     """Return the ``Result`` of a transaction, given that of its HTTP call."""
@@ -124,17 +152,30 @@
 
 
 def decode_page(body):
-    """Return ``Result`` of the ``RowPage`` in the body of an answer."""
+    """Return ``Result`` of the ``RowPage`` in the body of an answer.
+
+    A row that can't be read is there without a value, so that nobody takes it for
+    absent; one that can't be identified is left out.
+    """
     return (
         read_json(body, WireAnswer)
-        .bind(lambda answer: read_value(_decode_answer, answer))
+        .map(_decode_answer)
         .alt(lambda error: PlatformAnswerInvalid(str(error)))
     )
 
 
 def _decode_answer(answer):
-    rows = [_decode_row(row) for row in answer.rows]
-    return RowPage(rows, answer.ver, answer.truncated)
+    rows, problems = [], []
+    for content in answer.rows:
+        wire_row = read_json(content, WireRow)
+        match wire_row.bind(lambda row: read_value(_decode_row, row)):
+            case Success(row):
+                rows.append(row)
+            case Failure(error):
+                row = _decode_unreadable_row(content, answer.ver)
+                rows += [row] if row is not None else []
+                problems.append(f"{row.id if row is not None else 'unknown'}: {error}")
+    return RowPage(rows, answer.ver, answer.truncated, tuple(problems))
 
 
 def _decode_row(row):
@@ -142,5 +183,20 @@
     return StoredRow(RowId(row.table, row.part, row.key), row.ver, value, row.deleted)
 
 
+def _decode_unreadable_row(content, page_version):
+    """Return a row without its value; None if it can't be identified.
+
+    If its version can't be read either, that of the page makes conditional writes fail.
+    """
+    match read_json(content, WireRowId):
+        case Success(row_id):
+            version = read_json(content, WireRowVersion).map(lambda row: row.ver)
+            return StoredRow(
+                RowId(row_id.table, row_id.part, row_id.key),
+                version.value_or(page_version),
+            )
+    return None
+
+
 def _encode_row_id(row_id):
     return {"table": row_id.table, "part": row_id.part, "key": row_id.key}
--- a/src/bergamotshore/ports/rows.py
+++ b/src/bergamotshore/ports/rows.py
@@ -59,11 +59,14 @@
     :param rows: List of ``StoredRow``.
     :param version: Latest version of the store at the time of the read.
     :param is_partial: Whether more rows match.
+    :param problems: Descriptions of rows that can't be read. Those that could be
+        identified are among ``rows``, with an empty value.
     """
 
     rows: list
     version: int
     is_partial: bool = False
+    problems: tuple = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/site/oneentry.py
+++ b/tests/site/oneentry.py
@@ -142,7 +142,7 @@
             registry,
             log,
         )
-        store = PlatformRowStore(client)
+        store = PlatformRowStore(client, registry, log)
         self.follower = SiteFollower(store, clock, registry, log, CONFIG_SECONDS)
         self.app = SubmissionApp(
             JobRows(store, clock, self.advance),
--- a/tests/test_odd_content.py
+++ b/tests/test_odd_content.py
@@ -45,7 +45,7 @@
 from bergamotshore.platform.operator import decode_configuration, decode_wave
 from bergamotshore.platform.runner import PlatformRunner, parse_heartbeat
 from bergamotshore.platform.store import decode_page, decode_transaction
-from bergamotshore.ports.rows import Put, RowId
+from bergamotshore.ports.rows import Put, RowId, StoredRow
 from bergamotshore.ports.runner import Acknowledgement, RunOrder, WorkerIncarnation
 from bergamotshore.transport.codec import Decoder, encode_message
 from bergamotshore.utils.eventlog import EventLog
@@ -449,3 +449,37 @@
     for frame in frames:
         # What was read can be sent on.
         encode_message(frame.message, frame.clock + 1)
+
+
+ODD_ROWS = [
+    {"value": "not base64!"},
+    {"value": 5},
+    {"ver": 10**30},
+    {"ver": -1},
+    {"deleted": "no"},
+]
+
+
+# Guards against readers that follow nothing as long as one odd row is there, or that
+# take the odd row for absent.
+@pytest.mark.parametrize("odd", ODD_ROWS, ids=str)
+def test_an_odd_row_of_a_page_is_there_without_a_value(odd):
+    other = {**WIRE_ROW, "key": "odd", **odd}
+    body = encode_json({**PAGE, "rows": [WIRE_ROW, other]})
+    first, second = decode_page(body).unwrap().rows
+    assert first == StoredRow(RowId("t", "", "k"), 3, b"a")
+    assert (second.id.key, second.value) == ("odd", b"")
+    assert second.version in (3, PAGE["ver"])
+
+
+@pytest.mark.parametrize("odd", [5, None, [], {}, {"key": 5}, {"table": "t"}], ids=str)
+def test_a_row_that_is_not_identified_takes_no_other_with_it(odd):
+    page = decode_page(encode_json({**PAGE, "rows": [odd, WIRE_ROW]})).unwrap()
+    assert [row.id.key for row in page.rows] == ["k"]
+
+
+# Guards against a conflict that is lost with one odd row in its answer.
+def test_an_odd_row_in_a_conflict_leaves_it_a_conflict():
+    body = encode_json({"rows": [WIRE_ROW, {**WIRE_ROW, "value": 5}]})
+    failure = decode_transaction(Success(HttpAnswer(412, "", body))).failure()
+    assert [row.version for row in failure.rows] == [3, 3]
