Tell of stored jobs that a successor can't read

A scheduling entry that took over passed over a row of a job that it couldn't read without a log line or a count, and knew the job no more: only its callers still saw it as pending. It is now logged (job-row-invalid), counted and left out for the term, like a job whose state of runs can't be read.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -336,6 +336,8 @@
         now = self.clock.now()
         if open_jobs.interference_state is not None:
             self.cluster.interference.restore(open_jobs.interference_state)
+        for key, version in open_jobs.unreadable:
+            self._exclude_job(key, version, "unreadable")
         for spec in open_jobs.specs:
             version, restore = open_jobs.progress_by_key.get(spec.key, (0, None))
             try:
@@ -343,7 +345,7 @@
             except StateError:
                 raise
             except Exception as error:
-                self._exclude_job(spec, version, error)
+                self._exclude_job(spec.key, version, describe_error(error))
 
     def _restore_job(self, open_jobs, spec, version, restore, now):
         progress = JobProgress(spec)
@@ -355,13 +357,11 @@
         self.cluster.add_progress(progress)
         self.cluster.allocate_restored(progress, now)
 
-    def _exclude_job(self, spec, version, error):
+    def _exclude_job(self, key, version, why):
         """Leave out a job whose state can't be read: tasks of it may have run."""
         self.registry.count("job_rows_invalid_total")
-        self.log.write(
-            "job-row-invalid", spec.key, version=version, why=describe_error(error)
-        )
-        self._excluded_jobs.add(spec.key)
+        self.log.write("job-row-invalid", key, version=version, why=why)
+        self._excluded_jobs.add(key)
 
     def _handle_event(self, event):
         now = self.clock.now()
--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -52,6 +52,7 @@
 
     :param version: Version of the store before the first read.
     :param specs: List of ``JobSpec``.
+    :param unreadable: Key and row version of each job whose row can't be read.
     :param cancelled: Keys of cancelled jobs.
     :param progress_by_key: Pair of row version and function that restores a
         ``JobProgress``, by job key.
@@ -61,6 +62,7 @@
 
     version: int = 0
     specs: list = field(default_factory=list)
+    unreadable: list = field(default_factory=list)
     cancelled: set = field(default_factory=set)
     progress_by_key: dict = field(default_factory=dict)
     interference_state: list | None = None
@@ -124,6 +126,7 @@
     partitions = list(parallel_map(lambda part: _read_part(store, part), PARTS))
     for partition in partitions:
         open_jobs.specs += partition.specs
+        open_jobs.unreadable += partition.unreadable
         open_jobs.cancelled |= partition.cancelled
         open_jobs.progress_by_key |= partition.progress_by_key
     # Partitions are read at different versions; following the changes from the lowest
@@ -144,6 +147,8 @@
         spec = decode_job_row(row)
         if spec is not None:
             open_jobs.specs.append(spec)
+        else:
+            open_jobs.unreadable.append((key, row.version))
     for row in _read_table(store, RUNS, part, open_jobs):
         open_jobs.progress_by_key[row.id.key] = (
             row.version,
