Check the addresses of submitted work in the settings

Addresses under "site" were not checked: a host name or a port out of range ended the process with a traceback instead of a settings problem with its path, or failed with each call. IPv6 numbers passed the check although every socket is an IPv4 one. The check uses Address now and covers ready, heartbeats, metrics, advice and machines. Peers may be outdated: an invalid one is left out when they are used. A reload with a problem leaves the former settings in force, as before.

--- a/src/bergamotshore/conf/settings.py
+++ b/src/bergamotshore/conf/settings.py
@@ -1,17 +1,14 @@
 """Loading and validation of the settings of a process."""
 
-import ipaddress
 from pathlib import Path
 
 from returns.result import Failure, Success
 
 from bergamotshore.conf.loading import load_text
 from bergamotshore.conf.problems import Problem
-from bergamotshore.exceptions import SettingsError
+from bergamotshore.exceptions import AddressInvalidError, SettingsError
 from bergamotshore.generated.settings import HINTS_BY_TYPE, Settings
-from bergamotshore.utils.addresses import split_address
-
-MAX_PORT = 65535
+from bergamotshore.utils.addresses import Address
 
 
 def load_settings(text):
@@ -100,6 +97,10 @@
             address_by_path[f"node.{name}"] = getattr(settings.node, name)
         for index, address in enumerate(settings.node.entries):
             address_by_path[f"node.entries.{index}"] = address
+    if settings.site is not None:
+        # Peers may be outdated, so an invalid one is left out when they are used.
+        for name in ("ready", "heartbeats", "metrics", "advice", "machines"):
+            address_by_path[f"site.{name}"] = getattr(settings.site, name)
     return [
         Problem(
             "settings.E013",
@@ -113,11 +114,10 @@
     ]
 
 
-def is_address(address):
-    """Return whether a text is an IP address and a port, as IP:port."""
+def is_address(text):
+    """Return whether a text is an IPv4 address and a port, as IP:port."""
     try:
-        host, port = split_address(address)
-        ipaddress.ip_address(host)
-    except ValueError:
+        Address(text)
+    except AddressInvalidError:
         return False
-    return 0 < port <= MAX_PORT
+    return True
--- a/tests/conf/test_loading.py
+++ b/tests/conf/test_loading.py
@@ -70,6 +70,14 @@
             ("settings.E013", 0, "entry.callers"),
         ),
         (NODE.replace(":3", ":x"), ("settings.E013", 0, "node.endpoint")),
+        (NODE.replace(":3", ":99999"), ("settings.E013", 0, "node.endpoint")),
+        (NODE.replace("127.0.0.1:3", "[::1]:3"), ("settings.E013", 0, "node.endpoint")),
+        (
+            NODE + 'site: {heartbeats: "node.example:1"}\n',
+            ("settings.E013", 0, "site.heartbeats"),
+        ),
+        (ENTRY + 'site: {ready: "127.0.0.1:0"}\n', ("settings.E013", 0, "site.ready")),
+        (ENTRY + 'site: {advice: "rubbish"}\n', ("settings.E013", 0, "site.advice")),
     ],
 )
 def test_problems_of_settings_have_identifier_line_and_path(text, expected):
