--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -1,10 +1,12 @@
 """Start of a term: fence off the predecessor, then read the open jobs."""
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.progress import restore_progress
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
@@ -15,10 +17,15 @@
     decode_job_row,
     get_fence_id,
 )
-from bergamotshore.exceptions import BergamotshoreError, PlatformUnavailable
+from bergamotshore.exceptions import (
+    BergamotshoreError,
+    DecodingError,
+    PlatformUnavailable,
+)
 from bergamotshore.ports.rows import Expect, Put, RowPage, RowsConflict
 
 PAGE_ROWS = 500
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 # Interference factors as (latency-critical image, best-effort image, factor), then the
 # lowest latency of each image, in ms.
 INTERFERENCE_STATE = tuple[list[tuple[str, str, float]], list[tuple[str, float]]]
@@ -45,6 +52,7 @@
 
     :param version: Version of the store before the first read.
     :param specs: List of ``JobSpec``.
+    :param unreadable: Key and row version of each job whose row can't be read.
     :param cancelled: Keys of cancelled jobs.
     :param progress_by_key: Pair of row version and function that restores a
         ``JobProgress``, by job key.
@@ -54,6 +62,7 @@
 
     version: int = 0
     specs: list = field(default_factory=list)
+    unreadable: list = field(default_factory=list)
     cancelled: set = field(default_factory=set)
     progress_by_key: dict = field(default_factory=dict)
     interference_state: list | None = None
@@ -102,8 +111,8 @@
 def _decode_epoch(row):
     """Return the term in a fence row; 0 for an unreadable row, which is replaced."""
     try:
-        return msgspec.msgpack.decode(row.value, type=int)
-    except msgspec.MsgspecError:
+        return decode_msgpack(row.value, Epoch)
+    except DecodingError:
         return 0
 
 
@@ -117,6 +126,7 @@
     partitions = list(parallel_map(lambda part: _read_part(store, part), PARTS))
     for partition in partitions:
         open_jobs.specs += partition.specs
+        open_jobs.unreadable += partition.unreadable
         open_jobs.cancelled |= partition.cancelled
         open_jobs.progress_by_key |= partition.progress_by_key
     # Partitions are read at different versions; following the changes from the lowest
@@ -137,6 +147,8 @@
         spec = decode_job_row(row)
         if spec is not None:
             open_jobs.specs.append(spec)
+        else:
+            open_jobs.unreadable.append((key, row.version))
     for row in _read_table(store, RUNS, part, open_jobs):
         open_jobs.progress_by_key[row.id.key] = (
             row.version,
@@ -153,8 +165,8 @@
     if not stored:
         return None
     try:
-        return msgspec.msgpack.decode(stored[0].value, type=INTERFERENCE_STATE)
-    except msgspec.MsgspecError:
+        return decode_msgpack(stored[0].value, INTERFERENCE_STATE)
+    except DecodingError:
         return None
 
 
