Log runs that go on after the end of their jobs

What callers saw: a task of a cancelled job that runs on.

The scheduling entry now has a line of its own for each run that is there 2 s after the end of its job, or that belongs to no known job, with what keeps it (no stream to the node, silent node, silent worker, stop not carried out), and one when it is gone. It changes no decision.

tests/site/test_outlasting.py: 3 of its 4 cases fail without the line in the dispatcher; the fourth guards against lines for runs that are stopped in time.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -16,6 +16,7 @@
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
+from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
@@ -195,6 +196,7 @@
         self._slow_keys = frozenset()
         self._downtime = DowntimeTracker()
         self._downtime_checked_at = 0.0
+        self._outlasting = OutlastingRunTracker()
 
     def _build_row(self, row_id):
         return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
@@ -487,6 +489,8 @@
                 self._update_slow_workers(now)
             with self.collector.containing("maintenance", "waves"):
                 self.maintenance.step(self.cluster, self.site.wave_by_number, now)
+            with self.collector.containing("outlasting", "runs"):
+                self._log_outlasting(now)
         view = PlanView(
             self.cluster,
             self.site,
@@ -591,6 +595,28 @@
         for name, seconds in resumed:
             self.log.write("task-up", name, seconds=seconds)
 
+    def _log_outlasting(self, now):
+        """Log the runs that go on long after the end of their jobs, and their ends."""
+        outlasting, gone = self._outlasting.update(self.cluster, now)
+        for run in outlasting:
+            self.registry.count("runs_outlasting_total", reason=run.reason)
+            self.log.write(
+                "run-outlasting",
+                run.name,
+                run=run.number,
+                node=run.node,
+                seconds=run.seconds,
+                why=run.reason,
+            )
+        for run in gone:
+            self.log.write(
+                "run-gone",
+                run.name,
+                run=run.number,
+                node=run.node,
+                seconds=run.seconds,
+            )
+
     def _log_completion(self, completion):
         self.registry.count("runs_ended_total", outcome=completion.outcome)
         self.log.write(
