--- a/tests/site/test_cancelled_runs.py
+++ b/tests/site/test_cancelled_runs.py
@@ -64,6 +64,14 @@
             if is_due and isinstance(self.simulation.cancel(job_id), Success):
                 del self.due_at_by_job[job_id]
 
+    def cancel_unheard(self):
+        """Cancel a job before any entry can read the change from the history."""
+        jobs = sorted(self.due_at_by_job)
+        if jobs:
+            job_id = self.random.choice(jobs)
+            self.due_at_by_job[job_id] = 0.0
+            self.cancel_due()
+
     def inject_fault(self):
         """Inject one fault, or take one back."""
         simulation, rng = self.simulation, self.random
@@ -90,6 +98,7 @@
             case 9:
                 runner.run_late()
             case 10:
+                self.cancel_unheard()
                 simulation.store.compact()
             case 11:
                 simulation.store.faults = [
