--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -19,7 +19,13 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
-from standins.ledger import CANCEL_SECONDS, DRAIN_SECONDS, EVACUATE_SECONDS
+from standins.ledger import (
+    CANCEL_SECONDS,
+    CONTACT_SECONDS,
+    DRAIN_SECONDS,
+    EVACUATE_SECONDS,
+    STOP_SECONDS,
+)
 from standins.site import REDUCTION_NOTICE_SECONDS
 from tests.fakes import FakeClock
 from tests.site.simulation import Simulation
@@ -155,6 +161,36 @@
             job_id
         )
 
+    @rule(
+        kind=st.sampled_from(sorted(STEPS_BY_KIND)),
+        wait=st.sampled_from([0.4, 0.8, 1.5]),
+        then=SECONDS,
+    )
+    def submit_and_cancel_soon(self, kind, wait, then):
+        self.submit(kind, "queue", wait)
+        job_id = f"{kind}{self.job_count}"
+        if job_id in self.kind_by_job:
+            self._cancel(job_id)
+        self.simulation.advance(then)
+
+    @rule(node=NODE, away=SECONDS, then=SECONDS)
+    def stop_and_start_node(self, node, away, then):
+        """Shut a node down gracefully and start it some time later."""
+        self.simulation.stop_node(node)
+        self.simulation.advance(away)
+        self.simulation.start_node(node)
+        self.simulation.advance(then)
+
+    @rule(node=NODE, fault=st.sampled_from(["lost", "late", "silent"]), then=SECONDS)
+    def lose_next_stop(self, node, fault, then):
+        self.simulation.runner_by_node[node].stop_faults = [fault]
+        self.simulation.advance(then)
+
+    @rule()
+    def let_judged_time_pass(self):
+        """Let the time pass after which runs of cancelled jobs are judged."""
+        self.simulation.advance(CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS + 0.2)
+
     @rule(
         node=NODE,
         outcome=st.sampled_from(["done", "done", "failed", "stopped"]),
