Keep the number of a term unique when its row can't be read

A row of the scheduling entry that nobody can read was taken for absent: its lease counted as free at once, although its holder may be at work, and the next term got number 1 again. Where the former term had that number, both shared their fence, so neither was kept from writing; after later terms, the fences refused one term after another until the number had grown past them.

Now the lease of such a row counts until it lapses, like any other. Each term begins with a write, whose version comes from one counter, so the number of a term is at most the version of its row, and the next term takes that version plus one.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -90,6 +90,7 @@
         self._stands_back_until = 0.0
         self._abandoned_epoch = 0
         self._version = 0
+        self._is_unreadable = False
         self._observation = LeaseObservation()
 
     @property
@@ -124,7 +125,9 @@
         if self._free_since is None:
             self._free_since = now
         if self._can_schedule() and now - self._free_since >= self._candidacy_delay:
-            epoch = self.row.epoch + 1 if self.row is not None else 1
+            # Each term begins with a write, so the number of a term in a row that can't
+            # be read is at most the version of that row. Without a row, it is 0.
+            epoch = 1 + (self.row.epoch if self.row is not None else version)
             is_free = self._is_free()
             is_alone = self.row is not None and self.row.is_alone
             if version and not (is_free and is_alone):
@@ -179,10 +182,14 @@
     def _is_free(self):
         """Return whether no process can hold the lease, regardless of its age.
 
+        An unreadable row may be that of a holder that is at work.
+
         A row of this process, which doesn't hold the lease, was written by a call
         without an answer.
         """
-        return self.row is None or self.row.name in ("", self.name)
+        if self.row is None:
+            return not self._is_unreadable
+        return self.row.name in ("", self.name)
 
     def _read(self):
         outcome = self._store.read(
@@ -193,10 +200,12 @@
     def _decode_page(self, page):
         stored = next((row for row in page.rows if row.id == LEADER_ROW), None)
         self.row = None
+        self._is_unreadable = False
         if stored is not None:
             try:
                 self.row = decode_msgpack(stored.value, LeaderRow)
             except DecodingError as error:
+                self._is_unreadable = True
                 self._log.write("leader-row-invalid", "leader", why=str(error))
         return stored
 
