Count crashes under tasks, try suspects alone and give the culprit up

Callers saw jobs of all classes fail while one task crashed worker after worker: a run that is lost with its worker is no end, so the task waited again at once, with the rank that it had, and was the first one at the next worker.

The scheduling entry now counts, for each task, the crashes of workers that a run of it may have caused. Such a task is started where no other suspect is on trial, and no other task starts there for a second, so that the next crash convicts it. After three crashes with no other suspect in question, or four in any case, its job is failed. The count has a row of its own, written with the state of the job: former revisions can't read a longer state of a task.

The state machine of tests/site gets a rule that submits jobs with a task that crashes workers, at once or after 0.3 s; this changes the examples that its seed gives.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -78,6 +78,7 @@
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
+        self.crash_suspects = set()
 
     def reserve(self, node, reservation):
         """Reserve a worker for one step until the reservation expires.
@@ -142,6 +143,13 @@
         """Add a job with its ``JobProgress``."""
         self.job_by_key[progress.key] = progress
         self.key_by_id[progress.spec.job_id] = progress.key
+        self.crash_suspects.update(progress.list_crashed())
+
+    def count_crashes(self, ref):
+        """Return how many crashes of workers are counted for a task."""
+        progress = self.job_by_key.get(ref.job)
+        task = progress.get_task(ref) if progress is not None else None
+        return task.crashes if task is not None and not task.is_done else 0
 
     @changes_state
     def allocate_restored(self, progress, now):
--- a/src/bergamotshore/core/work/copies.py
+++ b/src/bergamotshore/core/work/copies.py
@@ -65,6 +65,8 @@
     task = progress.get_task(run.ref)
     if task is None or task.is_done or len(task.runs) >= MAX_RUNS_PER_TASK:
         return None
+    if task.crashes:
+        return None
     sign = find_late_sign(run, worker, view)
     return LateRun(worker, run, progress, sign) if sign else None
 
--- /dev/null
+++ b/src/bergamotshore/core/work/crashes.py
@@ -0,0 +1,170 @@
+"""Tasks under which workers crash: which ones are suspected, tried alone or given up.
+
+Several tasks run on a worker when it crashes, and at most one has crashed it. The tasks
+that have just started are suspected. A suspect is started again where it meets no other
+suspect and no new task, so that the next crash convicts it or its survival clears it.
+"""
+
+from dataclasses import dataclass
+
+# A run that has worked for this long is on trial no more, in seconds. Workers list
+# their runs every 0.4 s.
+TRIAL_SECONDS = 1.0
+# A long-running task that has worked for this long is no suspect any more, in seconds.
+CLEARED_SECONDS = 10.0
+# Crashes of workers under a suspect after which its job has failed: if no other suspect
+# may have caused the last one, and in any case. The platform allows this from the
+# second crash on, and two more starts after the third.
+MAX_CRASHES = 3
+MAX_SHARED_CRASHES = 4
+# Share of the workers of a service that may hold a suspect on trial at the same time.
+MAX_TRIAL_SHARE = 0.5
+# After this wait, a suspect is placed like any other task, in seconds: a task that has
+# capacity has to be started within 3 s.
+MAX_TRIAL_WAIT_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashedRun:
+    """A run that is suspected of having crashed its worker.
+
+    :param name: Name of the task at workers.
+    :param number: Number of the run.
+    :param crashes: Crashes that are counted for the task now.
+    :param is_given_up: Whether its job has failed by this crash.
+    """
+
+    name: str
+    number: int
+    crashes: int
+    is_given_up: bool
+
+
+def record_crash(cluster, worker, doubtful):
+    """Count a crash of a worker for the runs that may have caused it.
+
+    Has to be called before the runs of the worker are released.
+
+    :param cluster: ``ClusterState``.
+    :param worker: ``WorkerState`` that has crashed.
+    :param doubtful: Keys of runs whose order got no answer.
+    :returns: List of ``CrashedRun``.
+    """
+    present = [
+        allocation
+        for allocation in worker.allocation_by_key.values()
+        if allocation.is_started or allocation.key in doubtful
+    ]
+    crashed = []
+    suspected = _list_suspected(cluster, worker, present)
+    limit = MAX_CRASHES if len(suspected) == 1 else MAX_SHARED_CRASHES
+    for allocation in suspected:
+        progress = cluster.job_by_key.get(allocation.ref.job)
+        if progress is None or progress.outcome or progress.is_cancelled:
+            continue
+        crashes = progress.record_crash(allocation.ref, limit)
+        cluster.crash_suspects.add(allocation.ref)
+        crashed.append(
+            CrashedRun(
+                allocation.name,
+                allocation.number,
+                crashes,
+                is_given_up=crashes >= limit,
+            )
+        )
+    return crashed
+
+
+def _list_suspected(cluster, worker, present):
+    """Return the young runs, or else all; of these, the earlier suspects if any."""
+    young = [run for run in present if _is_young(worker, run)]
+    candidates = young or present
+    suspects = [run for run in candidates if cluster.count_crashes(run.ref)]
+    return suspects or candidates
+
+
+def _is_young(worker, allocation):
+    return (
+        not allocation.is_started
+        or worker.reported_at - allocation.started_at < TRIAL_SECONDS
+    )
+
+
+class Trials:
+    """Suspects on trial at the workers, within one planning pass.
+
+    :param view: ``PlanView``.
+    """
+
+    def __init__(self, view):
+        self._view = view
+        self.nodes = set()
+        if view.cluster.crash_suspects:
+            self._collect()
+
+    def _collect(self):
+        cluster, now = self._view.cluster, self._view.now
+        for ref in list(cluster.crash_suspects):
+            progress = cluster.job_by_key.get(ref.job)
+            task = progress.get_task(ref) if progress is not None else None
+            if task is None or task.is_done or not task.crashes:
+                cluster.crash_suspects.discard(ref)
+                continue
+            is_lasting = progress.spec.steps[ref.step].is_lasting
+            for run in task.runs:
+                age = _get_age(cluster, progress, ref, run, now)
+                if age < TRIAL_SECONDS:
+                    self.nodes.add(run.node)
+                elif is_lasting and age > CLEARED_SECONDS:
+                    progress.clear_crashes(ref)
+
+    def is_suspect(self, ref):
+        """Return whether a task is suspected of crashing workers."""
+        return (
+            ref in self._view.cluster.crash_suspects
+            and self._view.cluster.count_crashes(ref) > 0
+        )
+
+    def list_open(self, workers):
+        """Return the workers that hold no suspect on trial."""
+        if not self.nodes:
+            return workers
+        return [worker for worker in workers if worker.node not in self.nodes]
+
+    def choose_worker(self, item, workers, counts):
+        """Return the worker on which a crash under a suspect harms least, or None.
+
+        :param item: ``WaitingStep`` of the suspect.
+        :param workers: Candidate ``WorkerState`` objects.
+        :param counts: Number of tasks of the step by node.
+        """
+        on_trial = sum(1 for worker in workers if worker.node in self.nodes)
+        limit = max(1, int(len(workers) * MAX_TRIAL_SHARE))
+        if on_trial >= limit and not item.step.is_lasting:
+            return None
+        step = item.step
+        fitting = [
+            worker
+            for worker in self.list_open(workers)
+            if worker.fits(step)
+            and not (step.per_worker and counts.get(worker.node, 0) >= step.per_worker)
+        ]
+        return min(fitting, key=_get_harm, default=None)
+
+    def record(self, worker):
+        """Record that a suspect is to start on a worker."""
+        self.nodes.add(worker.node)
+
+
+def _get_age(cluster, progress, ref, run, now):
+    """Return how long a run has worked, in seconds; 0 while that isn't known."""
+    worker = cluster.worker_by_node.get(run.node)
+    for allocation in worker.allocation_by_key.values() if worker is not None else ():
+        if allocation.ref == ref and allocation.number == run.number:
+            return now - allocation.started_at if allocation.is_started else 0.0
+    return 0.0
+
+
+def _get_harm(worker):
+    lasting = sum(run.step.is_lasting for run in worker.allocation_by_key.values())
+    return (lasting, len(worker.allocation_by_key))
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from bergamotshore.core.work.copies import list_late_runs
+from bergamotshore.core.work.crashes import MAX_TRIAL_WAIT_SECONDS, Trials
 from bergamotshore.core.work.gangs import place_gang
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.placing import choose_least_disturbed_worker, choose_worker
@@ -40,13 +41,13 @@
     """
     waiting = list_waiting(view)
     view.cluster.record_waiting(waiting, view.now)
-    starts = StartPlan(group_workers(view))
+    starts = StartPlan(group_workers(view), Trials(view))
     for item in waiting:
         try:
             _plan_item(view, item, starts)
         except Exception as error:
             _leave_out(view, item, starts, error)
-    starts.claimed += _place_overdue_tasks(view, waiting)
+    starts.claimed += _place_overdue_tasks(view, waiting, starts.trials)
     return starts.claimed, starts.questions
 
 
@@ -55,12 +56,14 @@
     """Starts planned so far in a pass.
 
     :param workers_by_service: ``WorkerState`` objects by service.
+    :param trials: ``Trials`` of suspects.
     :param claimed: Pairs of worker and ``Allocation``.
     :param questions: ``AdviceQuery`` objects.
     :param unplaceable: ``UnplaceableSizes``.
     """
 
     workers_by_service: dict
+    trials: Trials
     claimed: list = field(default_factory=list)
     questions: list = field(default_factory=list)
     unplaceable: object = field(default_factory=lambda: UnplaceableSizes())
@@ -82,8 +85,8 @@
         for worker, allocation in placed:
             allocation.ticket = _get_ticket(view, item, worker)
     else:
-        placed = _place_tasks(view, item, workers)
-        if len(placed) < len(item.refs):
+        placed, is_short = _place_tasks(view, item, workers, starts.trials)
+        if is_short:
             starts.unplaceable.record(item, view.cluster)
     starts.claimed += placed
 
@@ -127,7 +130,7 @@
     return True
 
 
-def _place_overdue_tasks(view, waiting):
+def _place_overdue_tasks(view, waiting, trials):
     """Claim workers in quarantine for long-running tasks that have waited too long."""
     overdue = [
         item
@@ -143,7 +146,7 @@
             workers = _list_open(view, item, workers_by_service)
             if _needs_advice(item, view.cluster):
                 workers = _list_permitted(view, item, workers)
-            claimed += _place_tasks(view, item.refresh(), workers)
+            claimed += _place_tasks(view, item.refresh(), workers, trials)[0]
     return claimed
 
 
@@ -256,23 +259,47 @@
     return view.cluster.advice.plan_query(item.key, name, fitting, view.now)
 
 
-def _place_tasks(view, item, workers):
+def _place_tasks(view, item, workers, trials):
+    """Claim workers for the tasks of a step.
+
+    :returns: Pair of a list of claims and whether no worker has capacity for more;
+        workers that are closed because of a trial may have it.
+    """
     claimed = []
     counts = count_runs_by_node(item)
+    waited = view.now - view.cluster.get_waiting_since(item)
+    has_waited = waited > MAX_TRIAL_WAIT_SECONDS
+    is_short = False
     for ref in item.refs:
-        worker = choose_worker(item.step, workers, counts, view.cluster.interference)
-        if worker is None and _is_starving(view, item):
-            worker = choose_least_disturbed_worker(
-                item.step, workers, view.cluster.interference
-            )
+        is_on_trial = trials.is_suspect(ref) and not has_waited
+        if is_on_trial:
+            worker = trials.choose_worker(item, workers, counts)
+            if worker is None:
+                continue
+            trials.record(worker)
+        elif is_short:
+            continue
+        else:
+            worker = _choose_worker(view, item, workers, counts, trials, has_waited)
         if worker is None:
-            break
+            is_short = True
+            continue
         ticket = _get_ticket(view, item, worker)
         allocation = view.cluster.claim(ref, worker, view.now)
         allocation.ticket = ticket
         claimed.append((worker, allocation))
         counts[worker.node] = counts.get(worker.node, 0) + 1
-    return claimed
+    return claimed, is_short and (has_waited or not trials.nodes)
+
+
+def _choose_worker(view, item, workers, counts, trials, has_waited):
+    """Return a worker for a task that isn't on trial, or None."""
+    step, interference = item.step, view.cluster.interference
+    open_workers = workers if has_waited else trials.list_open(workers)
+    worker = choose_worker(step, open_workers, counts, interference)
+    if worker is None and _is_starving(view, item):
+        worker = choose_least_disturbed_worker(step, open_workers, interference)
+    return worker
 
 
 def _is_starving(view, item):
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -34,6 +34,7 @@
     :param runs: List of ``Run`` that may be active.
     :param failed_run: Number of the latest run of its gang that was counted as failed;
         0 for tasks outside gangs.
+    :param crashes: Number of crashes of workers that one of its runs may have caused.
     """
 
     is_done: bool = False
@@ -42,6 +43,7 @@
     checkpoint: str = ""
     runs: list = field(default_factory=list)
     failed_run: int = 0
+    crashes: int = 0
 
 
 class JobProgress:
@@ -238,6 +240,34 @@
         if task.failures >= retries and not step.is_lasting and not task.is_done:
             self.outcome = "failed"
 
+    def record_crash(self, ref, max_crashes):
+        """Count a crash of a worker that a run of a task may have caused.
+
+        :param max_crashes: Crashes after which the job has failed.
+        :returns: Number of crashes counted for the task.
+        """
+        task = self.get_task(ref)
+        task.crashes += 1
+        self.revision += 1
+        if task.crashes >= max_crashes and not task.is_done and not self.outcome:
+            self.outcome = "failed"
+        return task.crashes
+
+    def clear_crashes(self, ref):
+        """Forget the crashes counted for a task."""
+        self.get_task(ref).crashes = 0
+        self.revision += 1
+
+    def list_crashed(self):
+        """Return references to the unfinished tasks for which crashes are counted."""
+        return [
+            TaskRef(self.key, occurrence, step, index)
+            for occurrence, steps in self.tasks_by_occurrence.items()
+            for step, tasks in enumerate(steps)
+            for index, task in enumerate(tasks)
+            if task.crashes and not task.is_done
+        ]
+
     def _mark_done(self, ref, step):
         steps = self.tasks_by_occurrence[ref.occurrence]
         members = steps[ref.step] if step.is_gang else [steps[ref.step][ref.index]]
@@ -314,6 +344,30 @@
     progress.tasks_by_occurrence = tasks_by_occurrence
 
 
+def encode_crashes(progress):
+    """Encode the crashes counted for the tasks of a job; empty if there are none.
+
+    They have a row of their own: earlier revisions can't read a longer encoded task.
+    """
+    crashed = [
+        [ref.occurrence, ref.step, ref.index, progress.get_task(ref).crashes]
+        for ref in progress.list_crashed()
+    ]
+    return msgspec.msgpack.encode(crashed) if crashed else b""
+
+
+def restore_crashes(progress, content):
+    """Load encoded crashes into the restored state of a job.
+
+    :raises msgspec.MsgspecError: if the content is not an encoded list of crashes.
+    """
+    rows = msgspec.msgpack.decode(content, type=list[tuple[int, int, int, int]])
+    for occurrence, step, index, crashes in rows:
+        task = progress.get_task(TaskRef(progress.key, occurrence, step, index))
+        if task is not None:
+            task.crashes = crashes
+
+
 def _encode_task(task):
     if task.is_done and not task.runs:
         return [1]
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -13,10 +13,11 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.containment import ErrorCollector
+from bergamotshore.core.work.crashes import record_crash
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
-from bergamotshore.core.work.progress import JobProgress
+from bergamotshore.core.work.progress import JobProgress, restore_crashes
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
@@ -350,11 +351,24 @@
         if restore is not None:
             restore(progress)
             self.writer.record_restored(spec.key, version)
+            self._restore_crashes(progress, open_jobs.crashes_by_key.get(spec.key))
         if spec.key in open_jobs.cancelled:
             progress.cancel()
         self.cluster.add_progress(progress)
         self.cluster.allocate_restored(progress, now)
 
+    def _restore_crashes(self, progress, content):
+        """Restore the crashes counted for a job; an unreadable row counts none."""
+        if content is None:
+            return
+        self.writer.record_restored_crashes(progress.key, content)
+        try:
+            restore_crashes(progress, content)
+        except msgspec.MsgspecError as error:
+            self.log.write(
+                "crashes-unreadable", progress.key, why=describe_error(error)
+            )
+
     def _exclude_job(self, spec, version, error):
         """Leave out a job whose state can't be read: tasks of it may have run."""
         self.registry.count("job_rows_invalid_total")
@@ -421,6 +435,8 @@
             # A node that restarted tells only that its worker's leases have expired.
             self._release_worker(worker, "worker-lapsed", now)
             return
+        if self._has_crashed(worker, stream, report, now):
+            self._record_crash(worker, report)
         if worker.stream is not stream:
             worker.stream = stream
             worker.forget_limits()
@@ -430,6 +446,40 @@
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
 
+    def _has_crashed(self, worker, stream, report, now):
+        """Return whether a report shows that a worker has crashed.
+
+        A node that was away as well has lost its machine, and a worker that drains or
+        is down for maintenance ends by a decision of the operator.
+        """
+        if worker.stream is not stream or worker.incarnation is None:
+            return False
+        is_over = (
+            report.is_gone or report.born != worker.incarnation.started_ms
+        ) and not worker.is_draining
+        return is_over and worker.node not in self.maintenance.get_evacuating_nodes(
+            self.cluster, now
+        )
+
+    def _record_crash(self, worker, report):
+        doubtful = (
+            set()
+            if report.born != worker.incarnation.started_ms
+            else {tuple(key) for key in report.doubtful}
+        )
+        for run in record_crash(self.cluster, worker, doubtful):
+            self.registry.count("run_crashes_total")
+            self.log.write(
+                "crash-counted",
+                run.name,
+                run=run.number,
+                node=worker.node,
+                crashes=run.crashes,
+            )
+            if run.is_given_up:
+                self.registry.count("tasks_given_up_total")
+                self.log.write("task-given-up", run.name, crashes=run.crashes)
+
     def _release_worker(self, worker, reason, now):
         if worker.allocation_by_key:
             self.log.write(
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -13,6 +13,7 @@
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 JOBS, RUNS, CLOSED, FENCE = "jobs", "runs", "closed", "fence"
+CRASHES = "crashes"
 CANCEL_SUFFIX = "/cancel"
 # The store runs the transactions of a partition one at a time. While it is slow, each
 # takes up to 0.8 s, so 9 submissions per second need 8 partitions; more would split the
--- a/src/bergamotshore/entry/jobwriter.py
+++ b/src/bergamotshore/entry/jobwriter.py
@@ -1,11 +1,12 @@
 """Builds the scheduling entry's transactions, one for all changes of a partition."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from bergamotshore.core.work.progress import encode_progress
+from bergamotshore.core.work.progress import encode_crashes, encode_progress
 from bergamotshore.entry.jobrows import (
     CLOSED,
+    CRASHES,
     JOBS,
     RUNS,
     ClosedJob,
@@ -17,7 +18,7 @@
 )
 from bergamotshore.ports.rows import Expect, Put, RowsConflict
 
-# The store accepts 100 entries per call; closing a job needs up to five.
+# The store accepts 100 entries per call; closing a job needs up to six.
 MAX_BATCH_ENTRIES = 90
 # The store accepts 1 MB per call, and encoding enlarges values by a third.
 MAX_BATCH_BYTES = 500_000
@@ -34,6 +35,7 @@
     :param deletes: List of ``RowId``.
     :param revision_by_key: Revision by job key, for jobs that stay open.
     :param closing: Keys of the jobs that it closes.
+    :param crashes_by_key: Content of the rows of crashes that it changes, by job key.
     """
 
     epoch: int
@@ -42,6 +44,7 @@
     deletes: list
     revision_by_key: dict
     closing: list
+    crashes_by_key: dict = field(default_factory=dict)
 
 
 class JobWriter:
@@ -61,6 +64,7 @@
         self._fence_version_by_part = {}
         self._row_version_by_key = {}
         self._written_revision_by_key = {}
+        self._crashes_by_key = {}
         self._closed_keys = OrderedDict()
 
     def set_fence(self, part, version):
@@ -71,6 +75,10 @@
         """Record the version of the row that a job was restored from."""
         self._row_version_by_key[key] = version
 
+    def record_restored_crashes(self, key, content):
+        """Record the content of a job's row of crashes."""
+        self._crashes_by_key[key] = content
+
     def is_closed(self, key):
         """Return whether a job was closed in this term."""
         return key in self._closed_keys
@@ -112,7 +120,22 @@
         batch.expects.append(Expect(row_id, self._row_version_by_key.get(key, 0)))
         batch.puts.append(Put(row_id, value))
         batch.revision_by_key[key] = progress.revision
-        return len(value)
+        return len(value) + self._add_crashes(batch, key, progress)
+
+    def _add_crashes(self, batch, key, progress):
+        """Add the row of counted crashes if it changes; return its size."""
+        content = encode_crashes(progress)
+        if content == self._crashes_by_key.get(key, b""):
+            return 0
+        row_id = get_row_id(CRASHES, key)
+        if content:
+            batch.puts.append(Put(row_id, content))
+        else:
+            batch.deletes.append(row_id)
+        batch.crashes_by_key[key] = content
+        # Unknown until the write is confirmed.
+        self._crashes_by_key[key] = None
+        return len(content)
 
     def _add_closing(self, batch, key, progress):
         row_id = get_row_id(RUNS, key)
@@ -123,6 +146,8 @@
         batch.deletes.append(get_row_id(JOBS, key))
         if version:
             batch.deletes.append(row_id)
+        if self._crashes_by_key.get(key, b"") != b"":
+            batch.deletes.append(get_row_id(CRASHES, key))
         if progress.is_cancelled:
             batch.deletes.append(get_cancel_id(key))
         batch.closing.append(key)
@@ -132,7 +157,9 @@
         for key, revision in batch.revision_by_key.items():
             self._row_version_by_key[key] = version
             self._written_revision_by_key[key] = revision
+        self._crashes_by_key.update(batch.crashes_by_key)
         for key in batch.closing:
+            self._crashes_by_key.pop(key, None)
             self._row_version_by_key.pop(key, None)
             self._written_revision_by_key.pop(key, None)
             self._closed_keys[key] = True
--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -8,6 +8,7 @@
 from bergamotshore.core.work.progress import restore_progress
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
+    CRASHES,
     INTERFERENCE_ROW,
     JOBS,
     PARTS,
@@ -48,6 +49,7 @@
     :param cancelled: Keys of cancelled jobs.
     :param progress_by_key: Pair of row version and function that restores a
         ``JobProgress``, by job key.
+    :param crashes_by_key: Content of the row of counted crashes by job key.
     :param interference_state: Interference model of the predecessor; None if there is
         none.
     """
@@ -56,6 +58,7 @@
     specs: list = field(default_factory=list)
     cancelled: set = field(default_factory=set)
     progress_by_key: dict = field(default_factory=dict)
+    crashes_by_key: dict = field(default_factory=dict)
     interference_state: list | None = None
 
 
@@ -119,6 +122,7 @@
         open_jobs.specs += partition.specs
         open_jobs.cancelled |= partition.cancelled
         open_jobs.progress_by_key |= partition.progress_by_key
+        open_jobs.crashes_by_key |= partition.crashes_by_key
     # Partitions are read at different versions; following the changes from the lowest
     # one misses none.
     open_jobs.version = min(partition.version for partition in partitions)
@@ -142,6 +146,8 @@
             row.version,
             _build_restore_function(row),
         )
+    for row in _read_table(store, CRASHES, part, open_jobs):
+        open_jobs.crashes_by_key[row.id.key] = row.value
     return open_jobs
 
 
--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -82,6 +82,8 @@
 ]
 # Has two tasks for each worker, one after the other, and needs little capacity.
 WIDE_STEP = Step(tasks=2 * NODES, cpu=100, memory=1, estimate=1.0, per_worker=1)
+# Time of work after which a task crashes its worker, in seconds.
+CRASH_DELAYS = st.sampled_from([0.0, 0.3])
 # Times shorter and longer than those after which nothing may start.
 EVACUATION_TIMES = st.sampled_from([1.0, EVACUATE_SECONDS + 0.2])
 DRAIN_TIMES = st.sampled_from([0.4, DRAIN_SECONDS + 0.2])
@@ -143,6 +145,16 @@
             self.kind_by_job[job_id] = (kind, queue)
         self.simulation.advance(then)
 
+    @rule(delay=CRASH_DELAYS, then=SECONDS)
+    def submit_crashing(self, delay, then):
+        """Submit a job of which one task crashes the workers that start it."""
+        self.job_count += 1
+        job_id = f"crashing{self.job_count}"
+        self.simulation.ledger.record_crashing(f"{job_id}.0.0.0", delay)
+        if isinstance(self.simulation.submit(job_id, (TASK,)), Success):
+            self.kind_by_job[job_id] = ("plain", "queue")
+        self.simulation.advance(then)
+
     @precondition(lambda self: self.kind_by_job)
     @rule(data=st.data(), then=SECONDS)
     def cancel(self, data, then):
