Try tasks with two crashes alone, however long they have waited

With two crashes it now waits for a worker without a trial, other tasks take workers with a trial only when no other has room, and a crash counts for those of the young runs with most earlier crashes.

The test failed before: the culprit crashed 4 workers instead of 3.

--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -19,8 +19,9 @@
 MAX_SHARED_CRASHES = 4
 # Share of the workers of a service that may hold a suspect on trial at the same time.
 MAX_TRIAL_SHARE = 0.5
-# After this wait, a suspect is placed like any other task, in seconds: a task that has
-# capacity has to be started within 3 s.
+# After this wait, in seconds, a suspect of one crash is placed like any other task, and
+# the share of workers on trial doesn't bind the others: a task that has capacity has to
+# be started within 3 s.
 MAX_TRIAL_WAIT_SECONDS = 2.0
 
 
@@ -76,11 +77,15 @@
 
 
 def _list_suspected(cluster, worker, present):
-    """Return the young runs, or else all; of these, the earlier suspects if any."""
+    """Return the young runs, or else all; of these, those with most earlier crashes."""
     young = [run for run in present if _is_young(worker, run)]
     candidates = young or present
-    suspects = [run for run in candidates if cluster.count_crashes(run.ref)]
-    return suspects or candidates
+    counts = [cluster.count_crashes(run.ref) for run in candidates]
+    return [
+        run
+        for run, count in zip(candidates, counts, strict=True)
+        if count == max(counts)
+    ]
 
 
 def _is_young(worker, allocation):
@@ -118,12 +123,14 @@
                 elif is_lasting and age > CLEARED_SECONDS:
                     progress.clear_crashes(ref)
 
-    def is_suspect(self, ref):
-        """Return whether a task is suspected of crashing workers."""
-        return (
-            ref in self._view.cluster.crash_suspects
-            and self._view.cluster.count_crashes(ref) > 0
-        )
+    def has_to_be_tried(self, ref, has_waited):
+        """Return whether a task may start only where no other suspect is on trial.
+
+        :param has_waited: Whether it has waited for a trial for too long.
+        """
+        if ref not in self._view.cluster.crash_suspects:
+            return False
+        return self._view.cluster.count_crashes(ref) > (1 if has_waited else 0)
 
     def list_open(self, workers):
         """Return the workers that hold no suspect on trial."""
@@ -131,16 +138,17 @@
             return workers
         return [worker for worker in workers if worker.node not in self.nodes]
 
-    def choose_worker(self, item, workers, counts):
+    def choose_worker(self, item, workers, counts, has_waited):
         """Return the worker on which a crash under a suspect harms least, or None.
 
         :param item: ``WaitingStep`` of the suspect.
         :param workers: Candidate ``WorkerState`` objects.
         :param counts: Number of tasks of the step by node.
+        :param has_waited: Whether the suspect has waited for too long.
         """
         on_trial = sum(1 for worker in workers if worker.node in self.nodes)
         limit = max(1, int(len(workers) * MAX_TRIAL_SHARE))
-        if on_trial >= limit and not item.step.is_lasting:
+        if on_trial >= limit and not (item.step.is_lasting or has_waited):
             return None
         step = item.step
         fitting = [
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -271,9 +271,8 @@
     has_waited = waited > MAX_TRIAL_WAIT_SECONDS
     is_short = False
     for ref in item.refs:
-        is_on_trial = trials.is_suspect(ref) and not has_waited
-        if is_on_trial:
-            worker = trials.choose_worker(item, workers, counts)
+        if trials.has_to_be_tried(ref, has_waited):
+            worker = trials.choose_worker(item, workers, counts, has_waited)
             if worker is None:
                 continue
             trials.record(worker)
@@ -295,8 +294,11 @@
 def _choose_worker(view, item, workers, counts, trials, has_waited):
     """Return a worker for a task that isn't on trial, or None."""
     step, interference = item.step, view.cluster.interference
-    open_workers = workers if has_waited else trials.list_open(workers)
+    open_workers = trials.list_open(workers)
     worker = choose_worker(step, open_workers, counts, interference)
+    if worker is None and has_waited:
+        open_workers = workers
+        worker = choose_worker(step, open_workers, counts, interference)
     if worker is None and _is_starving(view, item):
         worker = choose_least_disturbed_worker(step, open_workers, interference)
     return worker
--- a/tests/site/test_crashes.py
+++ b/tests/site/test_crashes.py
@@ -221,3 +221,20 @@
 def list_encoded_tasks(progress):
     _, _, occurrences = msgspec.msgpack.decode(encode_progress(progress))
     return [task for steps in occurrences.values() for tasks in steps for task in tasks]
+
+
+# Guards against trials that tell nothing: a task that has waited long while workers are
+# short was placed among other suspects again, and its next crash convicted nobody.
+def test_task_with_two_crashes_is_tried_alone_however_long_it_waits(clock):
+    simulation = Simulation(clock, nodes=2)
+    simulation.advance(1.0)
+    simulation.ledger.record_crashing(CULPRIT, 0.1)
+    for number in range(3):
+        simulation.submit(f"harmless{number}", (TAG, TAG))
+    simulation.submit("deadly", (TAG,))
+    work(simulation, 60.0)
+    assert simulation.get_state("deadly") == "failed"
+    assert count_crashes(simulation) == MAX_CRASHES
+    for number in range(3):
+        assert simulation.get_state(f"harmless{number}") == "done"
+    assert simulation.ledger.problems == []
