Count a crash for all young runs, whichever of them is most suspected

A crash now counts for each run that may have caused it. Only the one with most crashes is given up after three; others after four. A suspect goes where the fewest young runs are.

The new test failed before: the second run had no crash counted.

--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -12,9 +12,9 @@
 TRIAL_SECONDS = 1.0
 # A long-running task that has worked for this long is no suspect any more, in seconds.
 CLEARED_SECONDS = 10.0
-# Crashes of workers under a suspect after which its job has failed: if no other suspect
-# may have caused the last one, and in any case. The platform allows this from the
-# second crash on, and two more starts after the third.
+# Crashes of workers under a suspect after which its job has failed: if no other run
+# that may have caused the last one has as many, and in any case. The platform allows
+# this from the second crash on, and two more starts after the third.
 MAX_CRASHES = 3
 MAX_SHARED_CRASHES = 4
 # Share of the workers of a service that may hold a suspect on trial at the same time.
@@ -57,9 +57,11 @@
         if allocation.is_started or allocation.key in doubtful
     ]
     crashed = []
-    suspected = _list_suspected(cluster, worker, present)
-    limit = MAX_CRASHES if len(suspected) == 1 else MAX_SHARED_CRASHES
-    for allocation in suspected:
+    suspected = [run for run in present if _is_young(worker, run)] or present
+    counts = [cluster.count_crashes(run.ref) for run in suspected]
+    for allocation, count in zip(suspected, counts, strict=True):
+        is_first = count == max(counts) and counts.count(count) == 1
+        limit = MAX_CRASHES if is_first else MAX_SHARED_CRASHES
         progress = cluster.job_by_key.get(allocation.ref.job)
         if progress is None or progress.outcome or progress.is_cancelled:
             continue
@@ -76,18 +78,6 @@
     return crashed
 
 
-def _list_suspected(cluster, worker, present):
-    """Return the young runs, or else all; of these, those with most earlier crashes."""
-    young = [run for run in present if _is_young(worker, run)]
-    candidates = young or present
-    counts = [cluster.count_crashes(run.ref) for run in candidates]
-    return [
-        run
-        for run, count in zip(candidates, counts, strict=True)
-        if count == max(counts)
-    ]
-
-
 def _is_young(worker, allocation):
     return (
         not allocation.is_started
@@ -174,5 +164,8 @@
 
 
 def _get_harm(worker):
-    lasting = sum(run.step.is_lasting for run in worker.allocation_by_key.values())
-    return (lasting, len(worker.allocation_by_key))
+    runs = worker.allocation_by_key.values()
+    lasting = sum(run.step.is_lasting for run in runs)
+    # A crash is counted for young runs as well.
+    young = sum(_is_young(worker, run) for run in runs)
+    return (lasting, young, len(runs))
--- a/tests/site/test_crashes.py
+++ b/tests/site/test_crashes.py
@@ -3,9 +3,14 @@
 import msgspec
 import pytest
 
-from bergamotshore.core.work.crashes import CLEARED_SECONDS, MAX_CRASHES
-from bergamotshore.core.work.model import Step
+from bergamotshore.core.work.crashes import (
+    CLEARED_SECONDS,
+    MAX_CRASHES,
+    record_crash,
+)
+from bergamotshore.core.work.model import Step, TaskRef
 from bergamotshore.core.work.progress import encode_progress
+from bergamotshore.core.work.workers import WorkerState
 from bergamotshore.entry.jobrows import CRASHES, get_row_id
 from bergamotshore.ports.rows import Put
 from standins.ledger import MAX_CRASHES as MAX_LEDGER_CRASHES
@@ -238,3 +243,28 @@
     for number in range(3):
         assert simulation.get_state(f"harmless{number}") == "done"
     assert simulation.ledger.problems == []
+
+
+# Guards against a culprit that is started beside a suspect each time: while the suspect
+# was blamed for the crashes, nobody counted those of the culprit.
+def test_crash_beside_an_earlier_suspect_is_counted_for_both(simulation):
+    simulation.ledger.record_crashing(CULPRIT, 0.5)
+    simulation.submit("suspect", (Step(tasks=1, cpu=240, memory=100),))
+    simulation.submit("deadly", (Step(tasks=1, cpu=240, memory=100),))
+    work(simulation, 0.3)
+    cluster = simulation.leader.dispatcher.cluster
+    suspect, culprit = [
+        TaskRef(f"queue/{job_id}", 0, 0, 0) for job_id in ("suspect", "deadly")
+    ]
+    cluster.job_by_key["queue/suspect"].record_crash(suspect, MAX_CRASHES)
+    runs = [
+        allocation
+        for worker in cluster.worker_by_node.values()
+        for allocation in worker.allocation_by_key.values()
+    ]
+    worker = WorkerState("node", "zone")
+    for allocation in runs:
+        worker.allocate(allocation)
+    record_crash(cluster, worker, set())
+    assert cluster.count_crashes(suspect) == 2
+    assert cluster.count_crashes(culprit) == 1
