--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -26,6 +26,7 @@
 
 JOBS, RUNS, CLOSED, FENCE = "jobs", "runs", "closed", "fence"
 CLOSED_STATES = ("done", "failed", "cancelled")
+CRASHES = "crashes"
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 CANCEL_SUFFIX = "/cancel"
 # The store runs the transactions of a partition one at a time. While it is slow, each
