--- a/src/bergamotshore/entry/entrylist.py
+++ b/src/bergamotshore/entry/entrylist.py
@@ -44,11 +44,11 @@
         match self._store.read(ENTRIES_TABLE, ""):
             case Success(page):
                 rows = [row for row in page.rows if not self._remove_if_expired(row)]
-                return sorted(
-                    self._addresses.read(
-                        row.value.decode(errors="replace") for row in rows
-                    )
+                addresses = self._addresses.read(
+                    row.value.decode(errors="replace") for row in rows
                 )
+                # Messages take plain text only.
+                return sorted(str(address) for address in addresses)
             case Failure(failure):
                 self._log.write("store-failed", "entries", why=str(failure))
                 return None
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -55,7 +55,7 @@
 from bergamotshore.timeline.recorder import LamportClock
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
-from bergamotshore.utils.addresses import AddressReader, split_address
+from bergamotshore.utils.addresses import Address, AddressReader, split_address
 from bergamotshore.utils.eventlog import EventLog, describe_error
 from bergamotshore.utils.services import run_services
 
@@ -410,7 +410,9 @@
         if peers is None:
             return
         self._next_peers_at = self.clock.now() + PEERS_INTERVAL_SECONDS
-        peer_addresses = [address for address in peers if address != self.address]
+        peer_addresses = [
+            Address(address) for address in peers if address != self.address
+        ]
         self.loop.call(self.relay.set_peer_addresses, peer_addresses)
         if peers != self.peers:
             self.peers = peers
--- a/tests/site/test_odd_addresses.py
+++ b/tests/site/test_odd_addresses.py
@@ -8,6 +8,7 @@
 from bergamotshore.generated.settings import Node, Platform, Settings, Site
 from bergamotshore.node.site import SiteNodeRole
 from bergamotshore.ports.rows import Put, RowId
+from bergamotshore.transport.codec import Decoder, encode_message
 from standins.site import RowsStandIn
 from tests.fakes import FakeStream
 from tests.site.test_peers import A, build_list
@@ -91,3 +92,10 @@
     entry_list = build_list(store, clock, "a")
     assert entry_list.read() == [A]
     assert entry_list.read() == [A]
+
+
+# Guards against checked addresses that end each stream when they are sent on.
+def test_addresses_of_entries_can_be_sent_to_nodes(clock):
+    addresses = build_list(RowsStandIn(), clock, "a").read()
+    message = Peers(addresses=addresses)
+    assert Decoder(1000).feed(encode_message(message, 1))[0].message == message
