Keep what a later call has shown about silent connections

What callers saw: a connection that had gone silent was used, and its call timed out, although another call had shown it before.

Cause: the time of the newest call that had timed out was set by whichever call timed out last, so that an earlier, longer call took back what a later, shorter one had shown.

The newest time is kept. The test fails without the change.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -119,7 +119,10 @@
             content = _read_body(response)
         except (OSError, http.client.HTTPException) as error:
             if isinstance(error, TimeoutError) and connection is former_connection:
-                self._timed_out_call_sent_at = started_at
+                # An earlier call may time out later.
+                self._timed_out_call_sent_at = max(
+                    self._timed_out_call_sent_at, started_at
+                )
             self._discard_connection()
             return Failure(HttpFailure(repr(error), was_sent=True))
         self._local.answered_at = time.monotonic()
