Bound each read of a cancellation by the time that its caller has left

What callers saw: with a store whose connections are silent, a cancellation was answered after 3.05 s, when its caller had left; entries have 2.4 s.

Cause: the repeated read had the whole timeout of a call each time. The reads now get the time that is left. The test fails without the change.

--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -38,6 +38,9 @@
 COUNTS_ROW = RowId("counts", "", "waiting")
 # A slow store takes up to 1.2 s for a write.
 WRITE_TIMEOUT_SECONDS = 1.6
+READ_TIMEOUT_SECONDS = 1.5
+# Timeout of a call that is made right before its caller's deadline, in seconds.
+MIN_TIMEOUT_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.4
 # Write latencies are used for this long; a store stays slow for seconds at a time.
 LATENCY_WINDOW_SECONDS = 2.0
@@ -172,7 +175,7 @@
         is_uncertain = False
         pause = INITIAL_PAUSE_SECONDS
         while True:
-            remaining = max(0.1, deadline - self._clock.now())
+            remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
             timeout = min(WRITE_TIMEOUT_SECONDS, remaining)
             sent_at = self._clock.now()
             outcome = self._store.transact(expects, puts, [], timeout)
@@ -189,21 +192,24 @@
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
     def _get_until(self, row_id, deadline):
-        """Retry a read until it is answered.
+        """Retry a read until it is answered, or the deadline has passed.
 
         One connection may have gone silent while the store answers on others.
         """
         pause = INITIAL_PAUSE_SECONDS
         while True:
-            outcome = self._get(row_id)
+            remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
+            outcome = self._get(row_id, min(READ_TIMEOUT_SECONDS, remaining))
             is_late = self._clock.now() + pause >= deadline
             if isinstance(outcome, Success) or is_late:
                 return outcome
             self._pause(pause)
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
-    def _get(self, row_id):
-        page = self._store.read(row_id.table, row_id.part, row_id.key, limit=1)
+    def _get(self, row_id, timeout=None):
+        page = self._store.read(
+            row_id.table, row_id.part, row_id.key, limit=1, timeout=timeout
+        )
         return page.map(
             lambda page: next((row for row in page.rows if row.id == row_id), None)
         )
--- a/tests/site/test_cancellations.py
+++ b/tests/site/test_cancellations.py
@@ -188,6 +188,27 @@
     assert outcome == Success(True)
 
 
+class SilentStore:
+    """Store that answers no read."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def read(self, *arguments, timeout=None, **options):
+        """Wait for the timeout of the call."""
+        self._clock.advance(timeout or READ_TIMEOUT_SECONDS)
+        return Failure(PlatformUnavailable("no answer"))
+
+
+# Guards against a cancellation that is answered after its caller has left.
+def test_cancellation_is_refused_in_time_if_no_read_is_answered(clock):
+    rows = JobRows(SilentStore(clock), clock, clock.advance)
+    deadline = clock.now() + CALL_SECONDS
+    outcome = rows.cancel("queue", "job", deadline)
+    assert isinstance(outcome.failure(), PlatformUnavailable)
+    assert clock.now() <= deadline
+
+
 # Guards against a cancellation that is answered long after its caller has left.
 def test_cancellation_is_refused_in_time_if_the_store_does_not_answer(clock):
     simulation = Simulation(clock)
