Announce cancelled jobs by key, and forget them after a limited time

Causes: announcements named jobs by id, which is unique within a queue only; and a node forgot cancelled jobs only when it heard of another one.

Announcements hold the keys of the rows, and nodes forget by time. Both tests fail without the change. Tasks of workers have no queue in their name, so that a node still stops what it has of either job for 15 s; the scheduling entry starts it again.

--- a/src/bergamotshore/core/work/cancellations.py
+++ b/src/bergamotshore/core/work/cancellations.py
@@ -6,6 +6,7 @@
 is not accepted again under the same id while its final state is kept.
 """
 
+from bergamotshore.core.work.model import get_job_id
 from bergamotshore.core.work.stops import STOP_RETRY_SECONDS
 
 # Time for which an entry announces a cancellation, in seconds: as long as the runs of a
@@ -32,23 +33,23 @@
         self._announced_at_by_job = {}
         self._stopped_at_by_key = {}
 
-    def record(self, job_ids, now):
+    def record(self, job_keys, now):
         """Record announced jobs.
 
-        :returns: List of those that are new.
+        :returns: List of the ids of those that are new.
         """
-        self._announced_at_by_job = keep_recent(
-            self._announced_at_by_job, now, RETENTION_SECONDS
-        )
+        self._forget_old(now)
+        job_ids = [get_job_id(key) for key in job_keys]
         new = [job for job in job_ids if job not in self._announced_at_by_job]
         self._announced_at_by_job.update(dict.fromkeys(job_ids, now))
         return new
 
-    def includes(self, task):
+    def includes(self, task, now):
         """Return whether the job of a task was cancelled recently.
 
         :param task: Name of the task.
         """
+        self._forget_old(now)
         return task.split(".", 1)[0] in self._announced_at_by_job
 
     def choose_stops(self, runs, now):
@@ -61,7 +62,13 @@
         self._stopped_at_by_key = keep_recent(
             self._stopped_at_by_key, now, STOP_RETRY_SECONDS
         )
-        keys = [(run.task, run.number) for run in runs if self.includes(run.task)]
+        keys = [(run.task, run.number) for run in runs if self.includes(run.task, now)]
         due = [key for key in keys if key not in self._stopped_at_by_key]
         self._stopped_at_by_key.update(dict.fromkeys(due, now))
         return due
+
+    def _forget_old(self, now):
+        if self._announced_at_by_job:
+            self._announced_at_by_job = keep_recent(
+                self._announced_at_by_job, now, RETENTION_SECONDS
+            )
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -176,6 +176,11 @@
     return f"{queue}/{job_id}"
 
 
+def get_job_id(key):
+    """Return the id of a job within its queue; ids hold no slash."""
+    return key.rpartition("/")[2]
+
+
 def encode_spec(spec):
     """Encode a job specification, leaving out step fields that have their default."""
     value = msgspec.to_builtins(spec)
--- a/src/bergamotshore/entry/cancellations.py
+++ b/src/bergamotshore/entry/cancellations.py
@@ -23,27 +23,27 @@
     def __init__(self, clock):
         self._clock = clock
         self._lock = threading.Lock()
-        self._recorded_at_by_job = {}
+        self._recorded_at_by_key = {}
 
-    def record(self, job_id):
-        """Record a cancelled job.
+    def record(self, key):
+        """Record the key of a cancelled job.
 
         :returns: False if it was known; it is not announced again then, so that two
             entries do not repeat each other's announcements for ever.
         """
         now = self._clock.now()
         with self._lock:
-            self._recorded_at_by_job = keep_recent(
-                self._recorded_at_by_job, now, RETENTION_SECONDS
+            self._recorded_at_by_key = keep_recent(
+                self._recorded_at_by_key, now, RETENTION_SECONDS
             )
-            is_new = job_id not in self._recorded_at_by_job
+            is_new = key not in self._recorded_at_by_key
             if is_new:
-                self._recorded_at_by_job[job_id] = now
+                self._recorded_at_by_key[key] = now
             return is_new
 
     def list_announced(self):
-        """Return the ids of the jobs to announce, the latest ones if there are many."""
+        """Return the keys of the jobs to announce; the latest if there are many."""
         now = self._clock.now()
         with self._lock:
-            recent = keep_recent(self._recorded_at_by_job, now, ANNOUNCE_SECONDS)
+            recent = keep_recent(self._recorded_at_by_key, now, ANNOUNCE_SECONDS)
         return list(recent)[-MAX_ANNOUNCED:]
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -106,7 +106,7 @@
 class JobCancelled:
     """The cancellation of a job was stored, here or by another entry."""
 
-    job_id: str
+    key: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -409,8 +409,8 @@
                         with self.collector.containing("rows", row.id.key):
                             self._handle_row(row)
                     self.freshness.jobs_confirmed_at = requested_at
-            case JobCancelled(job_id=job_id):
-                self._cancel_job(self.cluster.key_by_id.get(job_id, ""))
+            case JobCancelled(key=key):
+                self._cancel_job(key)
             case WriteFinished():
                 self._handle_write_result(event, now)
             case MaintenanceEvent():
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -360,13 +360,13 @@
 
     def _handle_entry_heartbeat(self, peer, heartbeat):
         self.election.record_entry(peer.name, peer.incarnation, heartbeat.echo)
-        for job_id in heartbeat.cancelled:
-            self.record_cancellation(job_id)
+        for key in heartbeat.cancelled:
+            self.record_cancellation(key)
 
-    def record_cancellation(self, job_id):
+    def record_cancellation(self, key):
         """Announce a stored cancellation, and apply it if this entry schedules."""
-        if self.cancellations.record(job_id) and self.election.lease.epoch:
-            self.dispatcher.post(JobCancelled(job_id))
+        if self.cancellations.record(key) and self.election.lease.epoch:
+            self.dispatcher.post(JobCancelled(key))
 
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream.
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.model import get_job_key
 from bergamotshore.entry.wsgi import reply
 from bergamotshore.exceptions import PlatformUncertain
 from bergamotshore.platform.jobs import (
@@ -66,7 +67,7 @@
     :param registry: ``Registry``.
     :param log: ``EventLog``.
     :param is_store_reachable: Returns whether the store currently accepts calls.
-    :param on_cancelled: Called with the id of each job whose cancellation was stored.
+    :param on_cancelled: Called with the key of each job whose cancellation was stored.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         registry,
         log,
         is_store_reachable=lambda: True,
-        on_cancelled=lambda job_id: None,
+        on_cancelled=lambda key: None,
     ):
         self._rows = rows
         self._site = site
@@ -195,7 +196,7 @@
     def _cancel(self, call):
         match self._rows.cancel(call.queue.name, call.job_id, call.deadline):
             case Success(True):
-                self._on_cancelled(call.job_id)
+                self._on_cancelled(get_job_key(call.queue.name, call.job_id))
                 self._log_answer(
                     "job-cancelled", call.job_id, call.applied, queue=call.queue.name
                 )
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -198,10 +198,10 @@
             if key in running_keys
         ]
 
-    def record_cancelled(self, job_ids):
+    def record_cancelled(self, job_keys):
         """Record jobs that were cancelled; return the calls that stop their runs."""
         with self._lock:
-            new = self._cancelled_jobs.record(job_ids, self.clock.now())
+            new = self._cancelled_jobs.record(job_keys, self.clock.now())
         for job_id in new:
             self.log.write("cancel-announced", job_id)
         return self.list_cancelled_stops()
@@ -267,7 +267,7 @@
             self._resolve(key, "stopped-before")
             return
         with self._lock:
-            is_cancelled = self._cancelled_jobs.includes(order.task)
+            is_cancelled = self._cancelled_jobs.includes(order.task, now)
         if is_cancelled:
             self._resolve(key, "job-cancelled")
             return
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -18,7 +18,7 @@
     RenewalGrant,
     get_grant_seconds,
 )
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.model import JobSpec, Step, get_job_key
 from bergamotshore.core.work.site import Queue, ServicePool, SiteConfiguration
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import Dispatcher
@@ -587,7 +587,7 @@
             case Success(True):
                 self.ledger.record_cancellation(job_id, self.clock.now())
                 for entry in self._list_answering_entries()[-1:]:
-                    entry.record_cancellation(job_id)
+                    entry.record_cancellation(get_job_key(queue, job_id))
         return outcome
 
     def _list_answering_entries(self):
--- a/tests/site/test_cancellations.py
+++ b/tests/site/test_cancellations.py
@@ -5,7 +5,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from bergamotshore.core.work.cancellations import CancelledJobs
+from bergamotshore.core.work.cancellations import RETENTION_SECONDS, CancelledJobs
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.stops import STOP_RETRY_SECONDS
 from bergamotshore.entry.cancellations import MAX_ANNOUNCED, RecentCancellations
@@ -82,7 +82,7 @@
 # on its way to the node.
 def test_node_refuses_to_start_a_task_of_an_announced_job(site):
     node = next(iter(site.node_by_name.values()))
-    node.run_manager.record_cancelled(["late"])
+    node.run_manager.record_cancelled(["queue/late"])
     site.submit("late", WATCH).unwrap()
     site.advance(1.0)
     on_node = node.runner.run_by_task
@@ -97,7 +97,7 @@
         ListedRun("job.0.0.0", 1, "", 0, 0.0),
         ListedRun("other.0.0.0", 1, "", 0, 0),
     ]
-    jobs.record(["job"], clock.now())
+    jobs.record(["queue/job"], clock.now())
     assert jobs.choose_stops(runs, clock.now()) == [("job.0.0.0", 1)]
     assert jobs.choose_stops(runs, clock.now()) == []
     clock.advance(STOP_RETRY_SECONDS)
@@ -156,7 +156,7 @@
     statuses = []
     list(app(environ, lambda status, headers: statuses.append(status)))
     assert statuses[0].startswith("200") == is_stored
-    assert announced == (["job"] if is_stored else [])
+    assert announced == (["queue/job"] if is_stored else [])
 
 
 class SilentOnceStore:
@@ -219,3 +219,26 @@
     outcome = rows.cancel("queue", "job", deadline)
     assert isinstance(outcome.failure(), PlatformUnavailable)
     assert clock.now() <= deadline
+
+
+# Guards against a cancellation that ends a running job of another queue with the same
+# id, which is shown as cancelled though nobody cancelled it.
+def test_cancellation_spares_the_state_of_a_job_of_another_queue(clock):
+    simulation = Simulation(clock, entries=3)
+    simulation.advance(1.0)
+    simulation.submit("watch", WATCH).unwrap()
+    simulation.submit("watch", WATCH, queue="batch").unwrap()
+    simulation.advance(2.0)
+    simulation.cancel("watch").unwrap()
+    simulation.advance(5.0)
+    assert simulation.rows.get_state("batch", "watch").unwrap() == "running"
+
+
+# Guards against a node that refuses a job for ever because no other one is cancelled.
+def test_cancelled_job_is_forgotten_after_its_retention(clock):
+    jobs = CancelledJobs()
+    jobs.record(["queue/job"], clock.now())
+    clock.advance(RETENTION_SECONDS + 1.0)
+    run = ListedRun("job.0.0.0", 1, "", 0, 0.0)
+    assert jobs.choose_stops([run], clock.now()) == []
+    assert not jobs.includes("job.0.0.0", clock.now())
