Announce a cancellation at once, again when it is repeated, and for a lease's time

Causes: a cancellation waited for the next heartbeat, was announced for 3 s only, and a repeated one counted as known.

The entry now sends its heartbeats before it answers, at most one round more in 0.5 s, announces for 6.5 s, after which the leases of a node that heard nothing are over, and announces a repeated cancellation again.

--- a/src/bergamotshore/core/work/cancellations.py
+++ b/src/bergamotshore/core/work/cancellations.py
@@ -9,9 +9,9 @@
 from bergamotshore.core.work.model import get_job_id
 from bergamotshore.core.work.stops import STOP_RETRY_SECONDS
 
-# Time for which an entry announces a cancellation, in seconds: as long as the runs of a
-# cancelled job may go on.
-ANNOUNCE_SECONDS = 3.0
+# Time for which an entry announces a cancellation, in seconds. The leases of a node
+# that hears nothing for longer have expired.
+ANNOUNCE_SECONDS = 6.5
 # Time for which a cancellation is remembered, in seconds. It exceeds the longest lease
 # of a run, and the time that an announcement takes through all entries.
 RETENTION_SECONDS = 15.0
--- a/src/bergamotshore/entry/cancellations.py
+++ b/src/bergamotshore/entry/cancellations.py
@@ -1,5 +1,6 @@
 """Announcement of cancelled jobs by an entry to nodes and other entries."""
 
+import math
 import threading
 
 from bergamotshore.core.work.cancellations import (
@@ -8,6 +9,9 @@
     keep_recent,
 )
 
+# Shortest time between two announcements beside the periodic ones, in seconds: that of
+# heartbeats, so that cancellations at most double their number.
+ANNOUNCE_INTERVAL_SECONDS = 0.5
 # Largest number of announced jobs, which bounds the size of a heartbeat.
 MAX_ANNOUNCED = 200
 
@@ -24,6 +28,21 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._recorded_at_by_key = {}
+        self._announced_at = -math.inf
+
+    def forget(self, key):
+        """Forget a job, so that it is announced again once it is recorded."""
+        with self._lock:
+            self._recorded_at_by_key.pop(key, None)
+
+    def is_announcement_due(self):
+        """Return whether a further announcement may be sent now; it counts as sent."""
+        now = self._clock.now()
+        with self._lock:
+            is_due = now - self._announced_at >= ANNOUNCE_INTERVAL_SECONDS
+            if is_due:
+                self._announced_at = now
+            return is_due
 
     def record(self, key):
         """Record the key of a cancelled job.
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -154,7 +154,7 @@
             self.registry,
             self.log,
             lambda: self.client.is_reachable,
-            self.record_cancellation,
+            self.record_stored_cancellation,
         )
         self.caller_server = HttpServer(
             self.app,
@@ -363,10 +363,22 @@
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
 
+    def record_stored_cancellation(self, key):
+        """Announce a cancellation that this entry has just stored, also a repeated one.
+
+        Nodes hear of it before the caller, since this process may end right after.
+        """
+        self.cancellations.forget(key)
+        self.record_cancellation(key)
+
     def record_cancellation(self, key):
         """Announce a stored cancellation, and apply it if this entry schedules."""
-        if self.cancellations.record(key) and self.election.lease.epoch:
+        if not self.cancellations.record(key):
+            return
+        if self.election.lease.epoch:
             self.dispatcher.post(JobCancelled(key))
+        if self.cancellations.is_announcement_due():
+            self.directory.send_heartbeats()
 
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream.
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -458,10 +458,10 @@
             self.next_heartbeat_at = self.clock.now() + HEARTBEAT_SECONDS
             self._send_heartbeats()
         for _ in range(2):
-            self._deliver()
+            self.deliver()
             for process in self._list_unpaused():
                 process.step()
-        self._deliver()
+        self.deliver()
         for runner in self.runner_by_node.values():
             runner.update()
         self.machines.check_wave_status(self.store)
@@ -547,7 +547,8 @@
                 ),
             )
 
-    def _deliver(self):
+    def deliver(self):
+        """Deliver the messages that were sent."""
         for process in self._list_unpaused():
             for stream in list(process.streams):
                 pair = (
@@ -587,7 +588,7 @@
             case Success(True):
                 self.ledger.record_cancellation(job_id, self.clock.now())
                 for entry in self._list_answering_entries()[-1:]:
-                    entry.record_cancellation(get_job_key(queue, job_id))
+                    entry.record_stored_cancellation(get_job_key(queue, job_id))
         return outcome
 
     def _list_answering_entries(self):
--- a/tests/site/test_cancellations.py
+++ b/tests/site/test_cancellations.py
@@ -5,7 +5,11 @@
 import pytest
 from returns.result import Failure, Success
 
-from bergamotshore.core.work.cancellations import RETENTION_SECONDS, CancelledJobs
+from bergamotshore.core.work.cancellations import (
+    ANNOUNCE_SECONDS,
+    RETENTION_SECONDS,
+    CancelledJobs,
+)
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.stops import STOP_RETRY_SECONDS
 from bergamotshore.entry.cancellations import MAX_ANNOUNCED, RecentCancellations
@@ -242,3 +246,59 @@
     run = ListedRun("job.0.0.0", 1, "", 0, 0.0)
     assert jobs.choose_stops([run], clock.now()) == []
     assert not jobs.includes("job.0.0.0", clock.now())
+
+
+# Guards against runs that go on because the scheduling entry ended right after it had
+# stored and acknowledged a cancellation, before its next heartbeat.
+@pytest.mark.parametrize("since_renewal", [0.0, 0.2, 0.4, 0.6])
+def test_cancellation_by_a_scheduling_entry_that_ends_at_once_takes_effect(
+    site, since_renewal
+):
+    site.advance(since_renewal)
+    site.rows.cancel("queue", "watch", site.clock.now() + CALL_SECONDS).unwrap()
+    site.leader.record_stored_cancellation("queue/watch")
+    # What was sent arrives after the end of its sender.
+    site.deliver()
+    site.kill_entry(site.leader.name)
+    site.advance(CANCEL_SECONDS + STOP_SECONDS)
+    assert list_running(site) == []
+
+
+# Guards against heartbeats that grow in number with the number of cancellations.
+def test_many_cancellations_cost_few_further_heartbeats(site):
+    entry = site.leader
+    sent = []
+    entry.directory._send_heartbeat = sent.append
+    for number in range(100):
+        entry.record_cancellation(f"queue/job{number}")
+    assert len(sent) == len(site.node_by_name)
+
+
+# Guards against a run that goes on for ever because its node was away, or restarted,
+# while the cancellation of its job was announced and nobody scheduled.
+@pytest.mark.parametrize("away", [1.0, 2.5, 4.5])
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_node_that_was_away_stops_runs_of_a_cancelled_job(site, away, is_restarted):
+    hang(site)
+    nodes = list(site.node_by_name)
+    for node in nodes:
+        if is_restarted:
+            site.kill_node(node)
+        for entry in site.entry_by_name:
+            site.disconnect(entry, node)
+    site.cancel("watch").unwrap()
+    site.advance(away)
+    site.heal()
+    for node in nodes if is_restarted else ():
+        site.start_node(node)
+    site.advance(CANCEL_SECONDS + STOP_SECONDS)
+    assert list_running(site) == []
+
+
+# Guards against a repeated cancellation that is acknowledged and not announced.
+def test_repeated_cancellation_is_announced_again(site):
+    entry = site.leader
+    entry.record_stored_cancellation("queue/watch")
+    site.advance(ANNOUNCE_SECONDS + 1.0)
+    entry.record_stored_cancellation("queue/watch")
+    assert entry.cancellations.list_announced() == ["queue/watch"]
