Hear announcements of cancellations on streams to peers as well

Cause: an entry ignored heartbeats on the streams that it opens itself to relay calls. The test fails without the change.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -152,6 +152,7 @@
     :param executor: Runs calls of peers.
     :param clock: ``Clock``.
     :param cancellations: ``RecentCancellations`` that are announced to the peers.
+    :param on_cancelled: Called with the key of each job that a peer announces.
     """
 
     def __init__(
@@ -164,8 +165,10 @@
         executor,
         clock,
         cancellations,
+        on_cancelled,
     ):
         self._cancellations = cancellations
+        self._on_cancelled = on_cancelled
         self._direct = direct
         self._executor = executor
         self._clock = clock
@@ -284,12 +287,16 @@
         self.links.record_close(stream)
 
     def on_message(self, stream, message):
-        """Complete the pending call that a peer answered."""
-        if isinstance(message, StoreAnswer):
-            with self._lock:
-                future = self._future_by_call_id.get(message.call_id)
-            if future is not None and not future.done():
-                future.set_result(message)
+        """Complete the pending call that a peer answered; note what it announces."""
+        match message:
+            case StoreAnswer():
+                with self._lock:
+                    future = self._future_by_call_id.get(message.call_id)
+                if future is not None and not future.done():
+                    future.set_result(message)
+            case Heartbeat(cancelled=keys):
+                for key in keys:
+                    self._on_cancelled(key)
 
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream."""
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -182,6 +182,7 @@
             self.relay_executor,
             self.clock,
             self.cancellations,
+            self.record_cancellation,
         )
         client = RelayedClient(
             direct, relay, timeout, self.clock, self.registry, self.log
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -7,13 +7,19 @@
 from bergamotshore.adapters.http import HttpAnswer
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.relay import PEER_BACKOFF_SECONDS, StoreRelay
-from bergamotshore.generated.messages import StoreAnswer
+from bergamotshore.generated.messages import Heartbeat, StoreAnswer
 from bergamotshore.timeline.recorder import LamportClock
 from tests.fakes import FakeStream
 
 
 @pytest.fixture
-def relay(clock, loop, links, executor):
+def announced():
+    """Return the list of jobs that peers have announced as cancelled."""
+    return []
+
+
+@pytest.fixture
+def relay(clock, loop, links, executor, announced):
     settings = SimpleNamespace(name="entry-0", zone="zone-a", stream=None)
     relay = StoreRelay(
         loop,
@@ -24,6 +30,7 @@
         executor,
         clock,
         RecentCancellations(clock),
+        announced.append,
     )
     relay.links = links
     return relay
@@ -95,3 +102,11 @@
         assert relay.call("GET", "/x", b"", 1.0).unwrap() == HttpAnswer(
             503, "application/json", b"{}"
         )
+
+
+# Guards against an entry of a large site that hears of no cancellation: no other entry
+# connects to it, but it connects to some.
+def test_announcements_on_streams_that_an_entry_opened_are_heard(relay, announced):
+    heartbeat = Heartbeat(sent_at=1.0, cancelled=["queue/job"])
+    relay.on_message(FakeStream("entry-1"), heartbeat)
+    assert announced == ["queue/job"]
