Read the table of jobs while its feed gets no answers

What callers saw, found by the review: while the feed of jobs got no answers and all other calls did, the scheduling entry renewed its lease, knew of no new job and of no cancellation, and was not replaced: a job was not started within 15 s.

Cause: a failed poll of the feed was only ever followed by the same poll; the follower of the operator's rows falls back to a whole read.

After two failures in a row the table is read instead. The test fails without the change.

--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -82,6 +82,9 @@
 # An entry reports itself as not ready after this time without an answer from the store,
 # in seconds.
 MAX_READY_STATE_AGE_SECONDS = 2.5
+# Consecutive failures of the feed of jobs after which the table is read instead; a
+# single one also happens when a connection goes silent.
+MAX_FEED_FAILURES = 2
 
 
 class SiteEntryRole:
@@ -460,25 +463,33 @@
             with self._surviving("job-feed"):
                 version = self._follow_jobs(version, epoch)
 
+    # Consecutive failures of the feed of jobs.
+    _feed_failures = 0
+
     def _follow_jobs(self, version, epoch):
         """Follow or read the jobs table once.
 
+        The table is read as a whole if the feed gets no answers: the store may reject
+        calls that wait, and serve others.
+
         :returns: Version to continue from, 0 to read the whole table.
         """
         asked_at = self.clock.now()
-        if version:
+        if version and self._feed_failures < MAX_FEED_FAILURES:
             times = get_poll_times(self.freshness.max_jobs_age)
             outcome = self.store.follow(JOBS, version, times.wait, times.timeout)
         else:
             outcome = read_job_rows(self.store)
         match outcome:
             case Success(page):
+                self._feed_failures = 0
                 self.dispatcher.post(RowsChanged(page.rows, asked_at, epoch))
                 return page.version
             case Failure(HistoryLost()):
                 self.log.write("history-lost", JOBS, version=version)
                 return 0
             case Failure(failure):
+                self._feed_failures += 1
                 self.registry.count("store_failures_total", code=failure.code)
                 self.log.write(
                     "store-failed",
--- a/tests/site/test_cancellations.py
+++ b/tests/site/test_cancellations.py
@@ -302,3 +302,14 @@
     site.advance(ANNOUNCE_SECONDS + 1.0)
     entry.record_stored_cancellation("queue/watch")
     assert entry.cancellations.list_announced() == ["queue/watch"]
+
+
+# Guards against jobs that are never started, and cancellations that never take effect,
+# because the scheduling entry gets no answers from its feed and renews its lease.
+def test_jobs_are_read_while_the_feed_gets_no_answers(site):
+    lose_feed(site)
+    site.rows.cancel("queue", "watch", site.clock.now() + CALL_SECONDS).unwrap()
+    site.submit("late").unwrap()
+    site.advance(10.0)
+    assert list_running(site) == []
+    assert [task for task, _ in site.running if task.startswith("late")]
