Clear a long-running task of crashes once it has worked for twice the trial

What callers could see: a long-running task that harmed nobody was given up, its job shown as failed, after workers had crashed under it for other reasons every few seconds.

Cause: it was cleared after 10 s of work only, while a task that crashes workers does so within the trial of 1 s, so that crashes from elsewhere added up.

--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -10,8 +10,9 @@
 # A run that has worked for this long is on trial no more, in seconds. Workers list
 # their runs every 0.4 s.
 TRIAL_SECONDS = 1.0
-# A long-running task that has worked for this long is no suspect any more, in seconds.
-CLEARED_SECONDS = 10.0
+# A long-running task that has worked for this long is no suspect any more, in seconds:
+# twice the trial. Crashes that come from elsewhere must not add up over its life.
+CLEARED_SECONDS = 2.0
 # Crashes of workers under a suspect after which its job has failed: if no other run
 # that may have caused the last one has as many, and in any case. The platform allows
 # this from the second crash on, and two more starts after the third.
