Log what a node knows of its worker when it ends, and what a wait is counted from

Logic is unchanged.

- worker-gone: a node tells the connected entries that its worker is gone, with their number.
- node-left: what a node knows of its worker when it is told to end.
- worker-end-heard: an entry was told of the end of a worker, and by whom.
- node-silent: from when the wait for a node was counted.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -512,8 +512,15 @@
             worker.is_reachable = now - last_heard < HEARTBEAT_TIMEOUT_SECONDS
             if worker.allocation_by_key:
                 self._release_ended(worker, now)
-            heard_at = max(self.term_started_at, self.election.last_echo_at, last_heard)
+            heard_at, counted = max(
+                (self.term_started_at, "term"),
+                (self.election.last_echo_at, "echoes"),
+                (last_heard, "node"),
+            )
             if worker.allocation_by_key and now - heard_at > lapse_seconds:
+                self.log.write(
+                    "node-silent", worker.node, counted=counted, seconds=now - heard_at
+                )
                 self._release_worker(worker, "node-silent", now)
 
     def _release_ended(self, worker, now):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -356,12 +356,17 @@
                     self._handle_entry_heartbeat(stream.peer, message)
             case RunReport() | RunResults():
                 if isinstance(message, RunReport):
-                    self.directory.record_report(stream, message)
+                    self._record_report(stream, message)
                 if self.election.lease.epoch:
                     self.dispatcher.post(NodeMessage(stream, message))
             case _:
                 self.registry.count("messages_unexpected_total")
 
+    def _record_report(self, stream, report):
+        if self.directory.record_report(stream, report):
+            node = stream.peer.name
+            self.log.write("worker-end-heard", node, born=report.born, source="node")
+
     def _handle_entry_heartbeat(self, peer, heartbeat):
         self.election.record_entry(peer.name, peer.incarnation, heartbeat.echo)
         for key in heartbeat.cancelled:
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -50,6 +50,7 @@
         """Record whether a node reports its worker as gone.
 
         :param report: ``RunReport``.
+        :returns: Whether it newly does.
         """
         with self._lock:
             ended = self._ended_incarnations_by_node.setdefault(
@@ -57,8 +58,10 @@
             )
             if report.is_gone and report.born not in ended:
                 ended.append(report.born)
-            elif not report.is_gone and report.born in ended:
+                return True
+            if not report.is_gone and report.born in ended:
                 ended.remove(report.born)
+            return False
 
     def get_ended_incarnations(self, node):
         """Return the start times of a node's workers that are gone, in ms."""
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -123,6 +123,13 @@
     def _stop(self):
         """Shut down without stopping the runs: their lease outlasts a restart."""
         self.is_draining = True
+        self.log.write(
+            "node-left",
+            self.settings.name,
+            born=self.run_manager.incarnation,
+            gone=bool(self.run_manager.ended_incarnation),
+            answers=self.run_manager.is_answering,
+        )
         for executor in (self.starts, self.stops):
             executor.shutdown(wait=True, cancel_futures=True)
         threading.Event().wait(SHUTDOWN_SECONDS / 10)
@@ -248,6 +255,9 @@
             # This node may have left when a later scheduling entry looks for its runs.
             self._announced_end = end
             self.links.broadcast(report)
+            if end:
+                entries = len(self.links.list_streams())
+                self.log.write("worker-gone", report.worker, born=end, entries=entries)
             return
         stream = self.leader_stream
         if stream is not None and stream.is_open:
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -165,9 +165,12 @@
 
     def broadcast(self, message):
         """Send a message to every connected entry."""
-        for stream in self._node.streams:
-            if stream.is_open:
-                stream.send(message)
+        for stream in self.list_streams():
+            stream.send(message)
+
+    def list_streams(self):
+        """Return the open streams."""
+        return [stream for stream in self._node.streams if stream.is_open]
 
     def record_open(self, stream):
         """Do nothing."""
