Reproduce long-running tasks lost with a worker that leaves before its node

- a node that is told to end behind a call without an answer says nothing of its worker, which has left;
- entries that start after the node has left never learn that the worker is gone, and wait for the lease of a node that they never heard;
- that wait is counted from the start of the term, although the process of the former term had ended long before.

--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -4,6 +4,7 @@
 processes are fakes. Time only passes in ``advance``.
 """
 
+import io
 import itertools
 import queue
 import random
@@ -34,7 +35,7 @@
 from bergamotshore.generated.messages import Heartbeat, Hello
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
-from bergamotshore.node.site import SiteNodeRole
+from bergamotshore.node.site import HeartbeatApp, SiteNodeRole
 from bergamotshore.ports.rows import (
     Expect,
 )
@@ -311,7 +312,9 @@
             self.registry,
             self.log,
         )
+        self.heartbeat_app = HeartbeatApp(self.run_manager, self.registry, self.log)
         self.streams = []
+        self.calls_delayed_until = 0.0
 
     def _choose_entries(self):
         """Do nothing; the simulation opens the streams."""
@@ -321,7 +324,17 @@
             report = self.runner.build_report(self.zone)
             self.run_manager.record_heartbeat(report)
             self.runner.ledger.record_heartbeat(report, self.clock.now())
-        self._renew_lease()
+        if self.clock.now() >= self.calls_delayed_until:
+            self._renew_lease()
+
+    def receive_farewell(self):
+        """Receive the last heartbeat of the worker, which says that it ends."""
+        environ = {
+            "REQUEST_METHOD": "DELETE",
+            "PATH_INFO": f"/instances/{self.runner.name}",
+            "wsgi.input": io.BytesIO(),
+        }
+        self.heartbeat_app(environ, lambda status, headers: None)
 
 
 class Simulation:
@@ -411,6 +424,21 @@
             stream.close_reason = "killed"
             stream.other.close("connection-lost")
 
+    def lose_worker(self, node):
+        """Let the worker beside a node end for good, without a farewell."""
+        self.runner_by_node[node].begin_incarnation()
+        self.runner_by_node[node].is_gone = True
+
+    def take_worker_away(self, node):
+        """Let the worker beside a node end for good after a farewell."""
+        self.node_by_name[node].receive_farewell()
+        self.lose_worker(node)
+
+    def delay_calls(self, node, seconds):
+        """Let the call that renews a worker's lease wait for its answer for a time."""
+        until = self.clock.now() + seconds
+        self.node_by_name[node].calls_delayed_until = until
+
     def disconnect(self, entry, node):
         """Block all messages between an entry and a node."""
         self.disconnected_pairs.add((entry, node))
--- /dev/null
+++ b/tests/site/test_leaving_nodes.py
@@ -0,0 +1,138 @@
+"""Long-running tasks whose worker leaves and whose node ends right after it."""
+
+import pytest
+
+from soak.judges import MISSING_SECONDS, RESTART_SECONDS
+from tests.site.test_promises import LONG_RUNNING
+
+# Pause between the end of a worker and that of its node, in seconds.
+NODE_LEAVES_SECONDS = 1.0
+# A call to a worker that waits for an end may go without an answer for this time, in
+# seconds.
+HANGING_CALL_SECONDS = 1.9
+# A task that has not run for this time is lost, in seconds.
+LOST_SECONDS = RESTART_SECONDS + MISSING_SECONDS
+BOTH_RUN = ["job.0.0.0", "job.0.0.1"]
+
+
+@pytest.fixture
+def site(simulation):
+    """Return a simulation in which both tasks of a long-running job run."""
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    assert list_running(simulation) == BOTH_RUN
+    return simulation
+
+
+def list_running(simulation):
+    return [task for task, _ in simulation.running]
+
+
+def find_node(simulation, task):
+    return next(
+        node
+        for node, runner in simulation.runner_by_node.items()
+        if task in runner.run_by_task
+    )
+
+
+def lose_worker_and_node(simulation):
+    """Take away a worker that runs a task together with its node."""
+    node = find_node(simulation, BOTH_RUN[0])
+    simulation.lose_worker(node)
+    simulation.kill_node(node)
+
+
+# Guards against waiting for the lease of a worker whose node was told to end while a
+# call to the worker that had left was still without an answer.
+@pytest.mark.parametrize("is_farewell_lost", [False, True])
+def test_node_that_ends_behind_a_hanging_call_tells_that_its_worker_is_gone(
+    site, is_farewell_lost
+):
+    node = find_node(site, BOTH_RUN[0])
+    site.delay_calls(node, HANGING_CALL_SECONDS)
+    if is_farewell_lost:
+        site.lose_worker(node)
+    else:
+        site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    site.stop_node(node)
+    site.advance(RESTART_SECONDS - NODE_LEAVES_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against an end of a worker that only former entries were told: those that
+# schedule afterwards waited for the lease of a node that they never heard of.
+def test_entries_that_restart_one_after_another_learn_the_ends_of_workers(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    site.store.is_down = True
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    site.stop_node(node)
+    site.start_entry(first)
+    site.advance(1.5)
+    site.kill_entry(second)
+    site.advance(1.0)
+    site.start_entry(second)
+    site.advance(1.0)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against the same at a standby that takes over from the entry that was told.
+def test_standby_that_started_after_a_node_left_knows_that_its_worker_is_gone(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    site.store.is_down = True
+    node = find_node(site, BOTH_RUN[0])
+    site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    site.stop_node(node)
+    site.start_entry(second)
+    site.advance(1.5)
+    site.kill_entry(first)
+    site.advance(1.0)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against counting the wait for a node that is lost from the start of a term that
+# began long after the process of the former term had ended.
+def test_wait_for_a_lost_node_is_counted_from_the_start_of_a_process_that_came_back(
+    site,
+):
+    site.store.is_down = True
+    lose_worker_and_node(site)
+    for entry in site.entry_names:
+        site.kill_entry(entry)
+    site.advance(0.5)
+    for entry in site.entry_names:
+        site.start_entry(entry)
+        site.advance(0.5)
+    site.advance(2.5)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against counting it from the takeover of another entry, which had heard before
+# that the process of the former term had ended.
+def test_wait_for_a_lost_node_is_counted_from_the_answer_of_the_next_process(site):
+    former = site.leader.name
+    site.kill_entry(former)
+    lose_worker_and_node(site)
+    site.without_store.add(former)
+    site.advance(0.2)
+    site.start_entry(former)
+    site.advance(LOST_SECONDS - 0.2)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
