Check at once whether a worker that took leave has ended, and tell before leaving

Callers saw a long-running task down for over 6 s after its worker and, a second later, its node had left.

Cause: the farewell of a worker was only logged. That a worker is gone shows by two refused connections, behind the call that renews its lease, which may wait for 1.9 s if its connection goes silent. A node that was told to end meanwhile told nothing, so the runs counted as alive until the lease of the node had certainly expired.

Now a farewell makes the node check with new connections, beside that call, until the worker refuses them or three seconds have passed; a node that is told to end checks twice more and tells all entries before it closes its streams. A call that was sent before the proof and fails after it doesn't take it back. The farewell itself proves nothing: a late or forged one releases no run.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -97,6 +97,19 @@
                 )
         return outcome
 
+    def is_refusing(self, timeout):
+        """Return whether the server refuses a new connection, which is closed at once.
+
+        :param timeout: Time for the connection, in seconds.
+        """
+        try:
+            socket.create_connection((self.host, self.port), timeout).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def _call_once(self, method, path, body, headers, timeout, required):
         started_at = time.monotonic()
         former_connection = getattr(self._local, "connection", None)
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -1,5 +1,6 @@
 """Orders to the worker beside a node, its lease and orders of unknown outcome."""
 
+import math
 import threading
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -25,6 +26,8 @@
 # Consecutive refused connections that prove that no worker process is listening. A
 # worker that doesn't accept a connection in time may still work on.
 REFUSALS_UNTIL_DOWN = 2
+# Time for which a worker that takes leave is expected to end, in seconds.
+FAREWELL_SECONDS = 3.0
 # Leases end within 2% of the node's renewal grant, 0.12 s for the longest grant. Runs
 # still listed after this margin are stopped, in time for the scheduler, which waits
 # 0.5 s more.
@@ -89,6 +92,8 @@
         self._lease = WorkerLease(grant, clock.now())
         self._refused_connections = 0
         self._is_worker_down = False
+        self._state_known_at = -math.inf
+        self._farewell_at = -math.inf
         self._speed_limits = SpeedLimits(
             runner, lambda: self._fence, self._void_fence, registry, log
         )
@@ -338,7 +343,8 @@
         except Exception as error:
             self.registry.count("service_errors_total", service="hold")
             self.log.write("service-error", "hold", why=describe_error(error))
-            self._record_failure(WorkerFailure("unexpected error", is_certain=False))
+            failure = WorkerFailure("unexpected error", is_certain=False)
+            self._record_failure(failure, self.clock.now())
             return RETRY_SECONDS
 
     def _hold(self):
@@ -366,14 +372,50 @@
                 if isinstance(failure, WorkerFailure) and failure.is_certain:
                     with self._lock:
                         self._lease.withdraw(extension)
-                self._record_failure(failure)
+                self._record_failure(failure, sent_at)
                 return RETRY_SECONDS
 
-    def _record_failure(self, failure):
+    def record_farewell(self, worker):
+        """Record that the worker takes leave, which proves nothing by itself."""
+        self.log.write("worker-left", worker)
+        self._farewell_at = self.clock.now()
+
+    def is_end_expected(self):
+        """Return whether the worker has taken leave and is not known to be gone."""
+        is_recent = self.clock.now() - self._farewell_at < FAREWELL_SECONDS
+        return is_recent and not self._is_worker_down
+
+    def check_connection(self):
+        """Check whether the worker refuses a new connection.
+
+        Unlike the call that renews the lease, this does not wait for a worker that has
+        stopped answering.
+
+        :returns: Whether it does.
+        """
+        sent_at = self.clock.now()
+        is_refused = self.runner.is_refusing()
+        if is_refused:
+            failure = WorkerFailure("refused", is_certain=True, is_refused=True)
+            self._record_failure(failure, sent_at)
+        return is_refused
+
+    def _record_failure(self, failure, sent_at):
+        """Record a failed call, unless the state of the worker is known since.
+
+        A call may end without an answer after another one has shown that the worker is
+        gone, or that it answers.
+        """
         is_refused = isinstance(failure, WorkerFailure) and failure.is_refused
-        self._refused_connections = self._refused_connections + 1 if is_refused else 0
-        was_answering, self.is_answering = self.is_answering, False
-        self._is_worker_down = self._refused_connections >= REFUSALS_UNTIL_DOWN
+        with self._lock:
+            if sent_at < self._state_known_at:
+                return
+            refusals = self._refused_connections + 1 if is_refused else 0
+            self._refused_connections = refusals
+            was_answering, self.is_answering = self.is_answering, False
+            self._is_worker_down = refusals >= REFUSALS_UNTIL_DOWN
+            if self._is_worker_down:
+                self._state_known_at = self.clock.now()
         if was_answering:
             self.log.write("worker-silent", "worker", why=str(failure))
         self.on_change()
@@ -391,6 +433,7 @@
             self._lease.record_clock(now, listing.clock_ms)
             self._reported_size.record_clock(sent_at, listing.clock_ms)
             self._refused_connections, self._is_worker_down = 0, False
+            self._state_known_at = now
             self.is_answering = True
             listed_keys = {(run.task, run.number) for run in listing.running}
             listed_keys |= {
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -20,7 +20,7 @@
 from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.links import EntryLinks
-from bergamotshore.node.runs import RunManager
+from bergamotshore.node.runs import REFUSALS_UNTIL_DOWN, RunManager
 from bergamotshore.platform.runner import PlatformRunner, parse_heartbeat
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock
@@ -41,6 +41,8 @@
 UNACKNOWLEDGED_POLL_SECONDS = 0.05
 # Pause after an unexpected error in the thread that renews the lease, in seconds.
 ERROR_PAUSE_SECONDS = 0.25
+# Interval of the checks whether a worker that takes leave has ended, in seconds.
+END_CHECK_SECONDS = 0.1
 # Time for calls in flight at shutdown; the streams close after a tenth of it.
 SHUTDOWN_SECONDS = 1.0
 
@@ -102,7 +104,12 @@
         :returns: True when no service failed.
         """
         self.loop.call(self._choose_entries)
-        services = [self.loop.run, self.heartbeat_server.run, self._run_lease_renewal]
+        services = [
+            self.loop.run,
+            self.heartbeat_server.run,
+            self._run_lease_renewal,
+            self._run_end_checks,
+        ]
         is_success = run_services(
             self.settings.name,
             services,
@@ -123,6 +130,7 @@
     def _stop(self):
         """Shut down without stopping the runs: their lease outlasts a restart."""
         self.is_draining = True
+        self._tell_end_before_leaving(threading.Event().wait)
         self.log.write(
             "node-left",
             self.settings.name,
@@ -137,6 +145,34 @@
         self.heartbeat_server.stop()
         self.loop.stop()
 
+    def _tell_end_before_leaving(self, pause):
+        """Tell the entries if the worker is gone; nobody can tell them afterwards.
+
+        :param pause: Function that sleeps for a number of seconds.
+        """
+        for _ in range(REFUSALS_UNTIL_DOWN):
+            if not self._check_connection():
+                return
+            pause(END_CHECK_SECONDS)
+
+    def _run_end_checks(self):
+        """Check beside calls that wait whether a worker that took leave has ended."""
+        while not self.stopping.wait(END_CHECK_SECONDS):
+            self._check_expected_end()
+
+    def _check_expected_end(self):
+        if self.run_manager.is_end_expected():
+            self._check_connection()
+
+    def _check_connection(self):
+        """Return whether the worker refuses a new connection."""
+        try:
+            return self.run_manager.check_connection()
+        except Exception as error:
+            self.registry.count("service_errors_total", service="end-check")
+            self.log.write("service-error", "end-check", why=describe_error(error))
+            return False
+
     def _run_lease_renewal(self):
         while not self.stopping.is_set():
             try:
@@ -295,7 +331,7 @@
         body = environ["wsgi.input"].read()
         match parse_heartbeat(method, path, body):
             case Success(str() as worker):
-                self.log.write("worker-left", worker)
+                self.run_manager.record_farewell(worker)
             case Success(report):
                 self.run_manager.record_heartbeat(report)
             case Failure(failure):
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -19,6 +19,8 @@
     WorkerReport,
 )
 
+# Time for a connection to the worker, which is on the same VM, in seconds.
+CONNECT_SECONDS = 0.3
 HEARTBEAT_PATH = "/instances/"
 REASON_BY_STATUS = {400: "invalid", 421: "other-life", 429: "busy", 503: "busy"}
 STATE_DRAINING = "draining"
@@ -165,6 +167,10 @@
                 return self._read_listing(answer)
         return self._read_listing(self._call("/hold", request, "", timeout))
 
+    def is_refusing(self):
+        """Return whether a new connection is refused; see the port."""
+        return self._client.is_refusing(CONNECT_SECONDS)
+
     def _read_listing(self, answer):
         """Decode a listing and record on which connection its incarnation answered."""
         outcome = _read_answer(answer, WireListing).map(_decode_listing)
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -198,3 +198,10 @@
         :param wait_ms: Maximum time to wait for a completion, in milliseconds.
         :returns: ``Result`` of ``WorkerListing``; failures are those of ``start``.
         """
+
+    def is_refusing(self):
+        """Return whether nothing accepts a new connection at the worker's address.
+
+        Does not wait for calls of other threads. A connection that is neither accepted
+        nor refused in time counts as accepted.
+        """
--- a/standins/site.py
+++ b/standins/site.py
@@ -323,6 +323,11 @@
             return Failure(WorkerFailure("silent", is_certain=False))
         return Success(None)
 
+    def is_refusing(self):
+        """Return whether a new connection would be refused."""
+        self.update()
+        return self.is_gone or self.is_down
+
     def start(self, order, lease_end_ms, fence, worker):
         """Start a run, subject to the next injected fault."""
         match self._check_reachable():
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -195,3 +195,13 @@
 def test_odd_row_of_a_listing_is_a_failure_of_the_worker(runner, worker, row):
     worker.running = [row]
     assert not renew(runner, Acknowledgement()).failure().is_certain
+
+
+# Guards against waiting for a call without an answer to learn that a worker has ended.
+def test_connections_are_refused_once_nothing_listens_at_the_address(worker, runner):
+    assert not runner.is_refusing()
+    worker.silence_connections()
+    assert not runner.is_refusing()
+    worker.shutdown()
+    worker.server_close()
+    assert runner.is_refusing()
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -326,6 +326,12 @@
             self.runner.ledger.record_heartbeat(report, self.clock.now())
         if self.clock.now() >= self.calls_delayed_until:
             self._renew_lease()
+        self._check_expected_end()
+
+    def stop(self):
+        """Begin to shut down."""
+        self.is_draining = True
+        self._tell_end_before_leaving(lambda seconds: None)
 
     def receive_farewell(self):
         """Receive the last heartbeat of the worker, which says that it ends."""
@@ -406,7 +412,7 @@
         """Shut a node down gracefully; its process ends."""
         node = self.node_by_name.get(name)
         if node is not None:
-            node.is_draining = True
+            node.stop()
             self.advance(STEP_SECONDS)
             self.kill_node(name)
 
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bergamotshore.exceptions import WorkerFailure
 from soak.judges import MISSING_SECONDS, RESTART_SECONDS
 from tests.site.test_promises import LONG_RUNNING
 
@@ -62,6 +63,32 @@
     assert site.ledger.problems == []
 
 
+# Guards against giving up the runs of a worker on its word alone: a farewell may be
+# late or come from another sender.
+def test_runs_of_a_worker_that_takes_leave_and_goes_on_are_kept(site):
+    node = find_node(site, BOTH_RUN[0])
+    for _ in range(3):
+        site.node_by_name[node].receive_farewell()
+        site.delay_calls(node, HANGING_CALL_SECONDS)
+        site.advance(HANGING_CALL_SECONDS)
+    assert len(site.ledger.starts) == len(BOTH_RUN)
+    assert list_running(site) == BOTH_RUN
+
+
+# Guards against taking back the end of a worker because a call that was sent before it
+# ends without an answer.
+def test_call_that_fails_late_does_not_take_back_the_end_of_a_worker(site):
+    node = find_node(site, BOTH_RUN[0])
+    manager = site.node_by_name[node].run_manager
+    site.delay_calls(node, HANGING_CALL_SECONDS)
+    sent_at = site.clock.now()
+    site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    assert manager.ended_incarnation
+    manager._record_failure(WorkerFailure("timed out", is_certain=False), sent_at)
+    assert manager.ended_incarnation
+
+
 # Guards against an end of a worker that only former entries were told: those that
 # schedule afterwards waited for the lease of a node that they never heard of.
 def test_entries_that_restart_one_after_another_learn_the_ends_of_workers(site):
