Let entries pass on to each other which workers are gone

Callers saw long-running tasks down for over 6 s after the worker and the node of their run had left, while entries were restarted one after another.

Cause: a node tells the end of its worker to the entries that are connected at that moment. An entry that started after the node had left never heard of it and kept the runs until the last lease had certainly expired, counted from the start of its own term.

A node that has ever told an end sends its state to each entry that connects, so that an end that was taken back is known there too; an end that was taken back is never learnt again from others.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -528,7 +528,7 @@
 
         The node may have told so before this term, and have left since.
         """
-        ended = self.directory.get_ended_incarnations(worker.node)
+        ended = self.directory.ends.get_ended_incarnations(worker.node)
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
             self.log.write(
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -152,7 +152,8 @@
     :param executor: Runs calls of peers.
     :param clock: ``Clock``.
     :param cancellations: ``RecentCancellations`` that are announced to the peers.
-    :param on_cancelled: Called with the key of each job that a peer announces.
+    :param worker_ends: ``WorkerEnds`` that are passed on to the peers.
+    :param on_heartbeat: Called with the peer and each heartbeat that it sends.
     """
 
     def __init__(
@@ -165,10 +166,12 @@
         executor,
         clock,
         cancellations,
-        on_cancelled,
+        worker_ends,
+        on_heartbeat,
     ):
         self._cancellations = cancellations
-        self._on_cancelled = on_cancelled
+        self._worker_ends = worker_ends
+        self._on_heartbeat = on_heartbeat
         self._direct = direct
         self._executor = executor
         self._clock = clock
@@ -294,9 +297,8 @@
                     future = self._future_by_call_id.get(message.call_id)
                 if future is not None and not future.done():
                     future.set_result(message)
-            case Heartbeat(cancelled=keys):
-                for key in keys:
-                    self._on_cancelled(key)
+            case Heartbeat():
+                self._on_heartbeat(stream.peer, message)
 
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream."""
@@ -304,6 +306,7 @@
             sent_at=self._clock.now(),
             echo=stream.peer_clock,
             cancelled=self._cancellations.list_announced(),
+            worker_ends=self._worker_ends.list_announced(),
         )
 
 
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -116,6 +116,7 @@
         self.machine_executor = ThreadPoolExecutor(1, "machines")
         self.relay_executor = ThreadPoolExecutor(RELAY_THREADS, "relay")
         self.cancellations = RecentCancellations(self.clock)
+        self.directory = StreamDirectory(self.clock, self._send_heartbeat)
         self.relay, self.client = self._build_client()
         self.store = PlatformRowStore(self.client, self.registry, self.log)
         max_config_age = self.site.config_within_ms / 1000
@@ -142,7 +143,6 @@
             ),
             self.can_schedule,
         )
-        self.directory = StreamDirectory(self.clock, self._send_heartbeat)
         self.freshness = StateFreshness(
             self.follower.state,
             get_max_age(self.site.evacuate_within_ms / 1000),
@@ -185,7 +185,8 @@
             self.relay_executor,
             self.clock,
             self.cancellations,
-            self.record_cancellation,
+            self.directory.ends,
+            self._handle_entry_heartbeat,
         )
         client = RelayedClient(
             direct, relay, timeout, self.clock, self.registry, self.log
@@ -371,6 +372,11 @@
         self.election.record_entry(peer.name, peer.incarnation, heartbeat.echo)
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
+        for end in heartbeat.worker_ends:
+            if self.directory.ends.record_passed_on(end):
+                self.log.write(
+                    "worker-end-heard", end.node, born=end.born, source=peer.name
+                )
 
     def record_stored_cancellation(self, key):
         """Announce a cancellation that this entry has just stored, also a repeated one.
@@ -398,6 +404,7 @@
         echo = stream.peer_clock
         now = self.clock.now()
         epoch = self.dispatcher.epoch if self.election.lease.may_echo(now) else 0
+        is_entry = stream.peer is not None and stream.peer.role == "entry"
         return Heartbeat(
             sent_at=now,
             echo=echo,
@@ -405,6 +412,7 @@
             epoch=epoch,
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
+            worker_ends=self.directory.ends.list_announced() if is_entry else [],
         )
 
     def _send_heartbeat(self, stream):
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -1,10 +1,8 @@
 """Streams from nodes at one entry."""
 
 import threading
-from collections import deque
 
-# Ends of workers kept for each node: those of the time without a scheduling entry.
-MAX_ENDS_PER_NODE = 8
+from bergamotshore.entry.workerends import WorkerEnds
 
 
 class StreamDirectory:
@@ -13,6 +11,8 @@
     :param clock: ``Clock``.
     :param send_heartbeat: Called with a stream to send a heartbeat, which names the
         scheduling entry.
+
+    ``ends`` are the ends of workers that this entry was told of.
     """
 
     def __init__(self, clock, send_heartbeat):
@@ -21,7 +21,7 @@
         self._lock = threading.Lock()
         self._stream_by_node = {}
         self._last_heartbeat_at_by_node = {}
-        self._ended_incarnations_by_node = {}
+        self.ends = WorkerEnds(clock)
 
     def open(self, stream):
         """Register a stream; return the open stream that it replaces, or None."""
@@ -52,21 +52,7 @@
         :param report: ``RunReport``.
         :returns: Whether it newly does.
         """
-        with self._lock:
-            ended = self._ended_incarnations_by_node.setdefault(
-                stream.peer.name, deque(maxlen=MAX_ENDS_PER_NODE)
-            )
-            if report.is_gone and report.born not in ended:
-                ended.append(report.born)
-                return True
-            if not report.is_gone and report.born in ended:
-                ended.remove(report.born)
-            return False
-
-    def get_ended_incarnations(self, node):
-        """Return the start times of a node's workers that are gone, in ms."""
-        with self._lock:
-            return tuple(self._ended_incarnations_by_node.get(node, ()))
+        return self.ends.record_report(stream.peer.name, report.born, report.is_gone)
 
     def is_current(self, stream):
         """Return whether a stream is open and the newest of its node."""
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -89,6 +89,7 @@
         self.leader = ""
         self.leader_stream = None
         self._announced_end = 0
+        self._has_announced_end = False
         self.heartbeat_server = HttpServer(
             HeartbeatApp(self.run_manager, self.registry, self.log),
             split_address(self.site.heartbeats),
@@ -218,7 +219,8 @@
         """Record a connected entry once its hello message has arrived."""
         self.links.record_open(stream)
         self.log.write("entry-connected", stream.peer.name)
-        if self.run_manager.ended_incarnation:
+        if self._has_announced_end:
+            # The entry may have missed the end, or that it was taken back.
             stream.send(self.run_manager.build_report(self.grant.epoch))
 
     def on_close(self, stream):
@@ -289,7 +291,7 @@
         end = report.born if report.is_gone else 0
         if end != self._announced_end:
             # This node may have left when a later scheduling entry looks for its runs.
-            self._announced_end = end
+            self._announced_end, self._has_announced_end = end, True
             self.links.broadcast(report)
             if end:
                 entries = len(self.links.list_streams())
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -298,6 +298,7 @@
         self.leader = ""
         self.leader_stream = None
         self._announced_end = 0
+        self._has_announced_end = False
         self.peers = set()
         self.runner = runner
         self.is_receiving_heartbeats = lambda: (
@@ -581,6 +582,7 @@
                     sent_at=self.clock.now(),
                     echo=echo if is_echoing else 0.0,
                     cancelled=sender.cancellations.list_announced(),
+                    worker_ends=sender.directory.ends.list_announced(),
                 ),
             )
 
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -131,6 +131,32 @@
     assert site.ledger.problems == []
 
 
+# Guards against giving up the runs of a worker that refused connections for a while, at
+# an entry that was told of its end by another one.
+def test_runs_of_a_worker_that_answers_again_are_kept_by_an_entry_that_heard_of_its_end(
+    simulation,
+):
+    first = simulation.leader.name
+    second = next(name for name in simulation.entry_names if name != first)
+    ends = simulation.entry_by_name[second].directory.ends
+    for node in simulation.runner_by_node:
+        simulation.disconnect(second, node)
+    for is_gone in (True, False):
+        for runner in simulation.runner_by_node.values():
+            runner.is_gone = is_gone
+        simulation.advance(1.5)
+        for node in simulation.runner_by_node:
+            assert bool(ends.get_ended_incarnations(node)) == is_gone
+    simulation.heal()
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    simulation.kill_entry(first)
+    simulation.advance(RESTART_SECONDS)
+    assert simulation.leader is not None
+    assert len(simulation.ledger.starts) == len(BOTH_RUN)
+    assert list_running(simulation) == BOTH_RUN
+
+
 # Guards against counting the wait for a node that is lost from the start of a term that
 # began long after the process of the former term had ended.
 def test_wait_for_a_lost_node_is_counted_from_the_start_of_a_process_that_came_back(
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -7,6 +7,7 @@
 from bergamotshore.adapters.http import HttpAnswer
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.relay import PEER_BACKOFF_SECONDS, StoreRelay
+from bergamotshore.entry.workerends import WorkerEnds
 from bergamotshore.generated.messages import Heartbeat, StoreAnswer
 from bergamotshore.timeline.recorder import LamportClock
 from tests.fakes import FakeStream
@@ -30,7 +31,8 @@
         executor,
         clock,
         RecentCancellations(clock),
-        announced.append,
+        WorkerEnds(clock),
+        lambda peer, heartbeat: announced.extend(heartbeat.cancelled),
     )
     relay.links = links
     return relay
--- /dev/null
+++ b/tests/site/test_worker_ends.py
@@ -0,0 +1,88 @@
+"""Ends of workers that entries pass on to each other."""
+
+import pytest
+
+from bergamotshore.entry.workerends import (
+    ANNOUNCE_SECONDS,
+    MAX_ANNOUNCED,
+    MAX_ENDS_PER_NODE,
+    WorkerEnds,
+)
+
+BORN = 1_000
+
+
+@pytest.fixture
+def entries(clock):
+    """Return what three entries know."""
+    return [WorkerEnds(clock) for _ in range(3)]
+
+
+def pass_on(sender, receiver):
+    return [receiver.record_passed_on(end) for end in sender.list_announced()]
+
+
+def test_end_is_passed_on_from_entry_to_entry(entries):
+    first, second, third = entries
+    assert first.record_report("node", BORN, is_gone=True)
+    assert not first.record_report("node", BORN, is_gone=True)
+    assert pass_on(first, second) == [True]
+    assert pass_on(first, second) == [False]
+    assert pass_on(second, third) == [True]
+    assert third.get_ended_incarnations("node") == (BORN,)
+    assert third.get_ended_incarnations("other") == ()
+
+
+# Guards against entries that tell each other of an end for ever.
+def test_end_is_passed_on_for_a_limited_time(entries, clock):
+    first, second, _ = entries
+    first.record_report("node", BORN, is_gone=True)
+    clock.advance(0.6 * ANNOUNCE_SECONDS)
+    pass_on(first, second)
+    clock.advance(0.6 * ANNOUNCE_SECONDS)
+    assert second.list_announced() == []
+    assert second.get_ended_incarnations("node") == (BORN,)
+
+
+# Guards against releasing runs of a worker that answers again, by what an entry says
+# that has not heard of it.
+def test_end_that_was_taken_back_is_not_learnt_again(entries):
+    first, second, third = entries
+    first.record_report("node", BORN, is_gone=True)
+    pass_on(first, second)
+    second.record_report("node", BORN, is_gone=False)
+    assert pass_on(first, second) == [False]
+    assert second.get_ended_incarnations("node") == ()
+    pass_on(second, first)
+    pass_on(second, third)
+    assert first.get_ended_incarnations("node") == ()
+    assert pass_on(first, third) == [False]
+    assert third.get_ended_incarnations("node") == ()
+
+
+def test_end_that_a_node_tells_after_it_took_one_back_is_believed(entries, clock):
+    first, second, _ = entries
+    first.record_report("node", BORN, is_gone=True)
+    first.record_report("node", BORN, is_gone=False)
+    pass_on(first, second)
+    clock.advance(1.0)
+    assert second.record_report("node", BORN, is_gone=True)
+    pass_on(first, second)
+    assert second.get_ended_incarnations("node") == (BORN,)
+
+
+def test_ordinary_reports_are_not_passed_on(entries):
+    assert not entries[0].record_report("node", BORN, is_gone=False)
+    assert entries[0].list_announced() == []
+
+
+# Guards against heartbeats and memory that grow with the number of ends.
+def test_announced_and_known_ends_are_limited(entries, clock):
+    for number in range(MAX_ANNOUNCED):
+        for born in range(2 * MAX_ENDS_PER_NODE):
+            entries[0].record_report(f"node-{number}", born, is_gone=True)
+        clock.advance(0.1)
+    announced = entries[0].list_announced()
+    assert len(announced) == MAX_ANNOUNCED
+    assert announced[-1].node == f"node-{MAX_ANNOUNCED - 1}"
+    assert len(entries[0].get_ended_incarnations("node-0")) == MAX_ENDS_PER_NODE
