Count the wait for a silent node from the proof that earlier entries have ended

Callers saw long-running tasks down for over 6 s after a change of the scheduling entry, for a worker and node that were lost before it.

Cause: a successor waited for one worker lease from the start of its own term, or from the last possible echo of its predecessor, counted from the takeover. The process of the predecessor had often ended long before, and the successor could know.

Now the wait is counted from - the start of a process that comes back under the name of the holder, whose former process has ended before; - the first answer of a later process with the name of the holder, if that was sent after the row of the holder was read; - the reading of a row in which the holder had resigned. Only if some process of an earlier term has no such proof, the wait for its last echo is counted from the takeover as before. The start of the term itself bounds nothing: this entry's own echoes answer heartbeats, whose times are recorded over all terms of the process. A repeated claim of the same process keeps the bound that it had.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -513,7 +513,6 @@
             if worker.allocation_by_key:
                 self._release_ended(worker, now)
             heard_at, counted = max(
-                (self.term_started_at, "term"),
                 (self.election.last_echo_at, "echoes"),
                 (last_heard, "node"),
             )
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -1,5 +1,6 @@
 """Leader election of the scheduling entry by a lease in one row of the store."""
 
+import threading
 from dataclasses import dataclass
 
 import msgspec
@@ -86,6 +87,10 @@
         self._can_schedule = can_schedule
         self._free_since = None
         self._echoing_processes = None
+        self._started_at = clock.now()
+        self._lock = threading.Lock()
+        self._read_at_by_process = {}
+        self._ended_at_by_process = {}
         self._acquired_at = 0.0
         self._stands_back_until = 0.0
         self._abandoned_epoch = 0
@@ -117,6 +122,7 @@
         version = stored.version if stored is not None else 0
         now = self._clock.now()
         has_lapsed = self._observation.observe(version, now)
+        self._note_processes(now)
         if not (has_lapsed or self._is_free()):
             self._free_since = None
             return True
@@ -128,30 +134,60 @@
             # Each term begins with a write, so the number of a term in a row that can't
             # be read is at most the version of that row. Without a row, it is 0.
             epoch = 1 + (self.row.epoch if self.row is not None else version)
-            is_free = self._is_free()
-            is_alone = self.row is not None and self.row.is_alone
-            if version and not (is_free and is_alone):
-                self.last_echo_at = get_last_echo_time(now)
-            self._echoing_processes = self._find_echoing_processes(is_free)
+            if not self._is_own_row():
+                self._reckon_with_predecessors(version, now)
             self._acquired_at = now
-            return self._write(epoch, version, "free" if is_free else "lapsed")
+            return self._write(epoch, version, "free" if self._is_free() else "lapsed")
         return True
 
-    def _find_echoing_processes(self, is_free):
-        """Return name and incarnation of the processes of earlier terms that may echo.
+    def _is_own_row(self):
+        """Return whether the row is from a call of this process without an answer."""
+        return self.row is not None and (self.row.name, self.row.incarnation) == (
+            self.name,
+            self._incarnation,
+        )
 
-        :param is_free: Whether the holder of the lease has certainly stopped.
-        :returns: None if they are not all known.
+    def _reckon_with_predecessors(self, version, now):
+        """Find out which processes of earlier terms may still echo, and until when.
+
+        :param version: Version of the row; 0 if there is none.
         """
         row = self.row
         if row is None or not (row.is_alone or row.earlier):
-            return None
-        holder = set() if is_free else {(row.name, row.incarnation)}
-        return {
-            (name, incarnation)
-            for name, incarnation in holder.union(row.earlier)
-            if name != self.name
-        }
+            self._echoing_processes = None
+            self.last_echo_at = get_last_echo_time(now) if version else now
+            return
+        # The holder wrote that a term is over before the row was read.
+        ended_at = [] if row.name else [self._observation.first_seen]
+        self._echoing_processes = set()
+        with self._lock:
+            for process in self._read_at_by_process:
+                if process[0] == self.name:
+                    ended_at.append(self._started_at)
+                elif process in self._ended_at_by_process:
+                    ended_at.append(self._ended_at_by_process[process])
+                else:
+                    self._echoing_processes.add(process)
+        self.last_echo_at = (
+            get_last_echo_time(now) if self._echoing_processes else max(ended_at)
+        )
+
+    def _note_processes(self, now):
+        """Note when the processes that the row names were first read of."""
+        row = self.row
+        processes = set() if row is None else set(row.earlier)
+        if row is not None and row.name:
+            processes.add((row.name, row.incarnation))
+        with self._lock:
+            self._read_at_by_process = {
+                process: self._read_at_by_process.get(process, now)
+                for process in processes
+            }
+            self._ended_at_by_process = {
+                process: at
+                for process, at in self._ended_at_by_process.items()
+                if process in processes
+            }
 
     def record_entry(self, name, incarnation, echo):
         """Record a message from another entry.
@@ -162,8 +198,9 @@
         :param name: Name of the entry.
         :param incarnation: Incarnation of its process.
         :param echo: Reading of this entry's clock that it received last, in seconds; a
-            message that it sent before this term proves nothing.
+            message that it sent before the earlier process was read of proves nothing.
         """
+        self._note_ended(name, incarnation, echo)
         processes = self._echoing_processes
         if not processes or echo < self._acquired_at:
             return
@@ -179,6 +216,14 @@
         if not self._echoing_processes:
             self.last_echo_at = min(self.last_echo_at, self._clock.now())
 
+    def _note_ended(self, name, incarnation, echo):
+        """Note the processes of which another one with the same name is at work."""
+        now = self._clock.now()
+        with self._lock:
+            for process, read_at in self._read_at_by_process.items():
+                if process[0] == name and process[1] != incarnation and echo >= read_at:
+                    self._ended_at_by_process.setdefault(process, now)
+
     def _is_free(self):
         """Return whether no process can hold the lease, regardless of its age.
 
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -285,3 +285,81 @@
     assert second.lease.epoch == 2
     second.record_entry("a", "a-2", echo=clock.now())
     assert second.last_echo_at > clock.now()
+
+
+# Guards against counting the wait for echoes of a former process of the same name from
+# a term that begins long after it ended.
+def test_echoes_of_the_former_process_of_an_entry_end_before_its_start(build, clock):
+    build("a").step()
+    clock.advance(1.0)
+    restarted = build("a", incarnation=2)
+    started_at = clock.now()
+    clock.advance(5.0)
+    restarted.step()
+    assert restarted.lease.epoch == 2
+    assert restarted.last_echo_at == started_at
+
+
+# Guards against counting the wait from the takeover if the predecessor ended before it.
+def test_a_predecessor_that_ended_before_the_takeover_is_not_waited_for(build, clock):
+    build("a").step()
+    second = build("b")
+    second.step()
+    clock.advance(1.0)
+    ended_at = clock.now()
+    second.record_entry("a", "a-2", echo=ended_at)
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    assert second.lease.epoch == 2
+    assert second.last_echo_at == ended_at
+
+
+# Guards against giving up runs too early: the message proves nothing, or not enough.
+@pytest.mark.parametrize(
+    ("name", "incarnation", "delay"),
+    [("a", "a-1", 0.0), ("c", "c-1", 0.0), ("a", "a-0", 0.5)],
+)
+def test_echoes_are_waited_for_without_proof_before_the_takeover(
+    build, clock, name, incarnation, delay
+):
+    """The last one was sent before the holder was read of, maybe by its predecessor."""
+    build("a").step()
+    second = build("b")
+    second.step()
+    second.record_entry(name, incarnation, echo=clock.now() - delay)
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    assert second.lease.epoch == 2
+    assert second.last_echo_at > clock.now()
+
+
+def test_the_end_of_one_of_several_predecessors_is_not_enough(build, clock):
+    build("a").step()
+    second, third = build("b"), build("c")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    third.step()
+    third.record_entry("b", "b-2", echo=clock.now())
+    clock.advance(LEASE_SECONDS * 1.1)
+    third.step()
+    assert third.lease.epoch == 3
+    assert third.last_echo_at > clock.now()
+    third.record_entry("a", "a-2", echo=clock.now())
+    assert third.last_echo_at <= clock.now()
+
+
+# Guards against a wait that begins anew with each claim whose answer was lost.
+def test_a_repeated_claim_does_not_wait_for_echoes_anew(build, store, clock):
+    build("a").step()
+    second = build("b")
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    store.faults = ["late"]
+    second.step()
+    last_echo_at = second.last_echo_at
+    store.run_late()
+    clock.advance(1.0)
+    second.step()
+    assert second.lease.epoch == 3
+    assert second.last_echo_at == last_echo_at
--- a/tests/site/test_takeover.py
+++ b/tests/site/test_takeover.py
@@ -1,6 +1,11 @@
 """Runs of workers and nodes that were lost between two scheduling entries."""
 
-from bergamotshore.core.work.leases import get_grant_seconds, get_lease_expiry_seconds
+from bergamotshore.core.work.leases import (
+    ECHO_GRACE_SECONDS,
+    LEASE_SECONDS,
+    get_grant_seconds,
+    get_lease_expiry_seconds,
+)
 from tests.site.simulation import LONGEST_HOLD_SECONDS
 from tests.site.test_promises import LONG_RUNNING
 from tests.site.test_restarted_nodes import lose_worker_running
@@ -67,3 +72,24 @@
     assert simulation.leader is not None
     assert len(simulation.ledger.starts) == 2
     assert len(simulation.running) == 2
+
+
+# Guards against giving up runs whose leases the former scheduling entry still renews.
+def test_runs_of_a_node_that_only_the_former_entry_reaches_are_kept_while_it_echoes(
+    simulation,
+):
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    former = simulation.leader.name
+    simulation.without_store.add(former)
+    (successor,) = set(simulation.entry_names) - {former}
+    for node, runner in simulation.runner_by_node.items():
+        if runner.run_by_task:
+            simulation.disconnect(successor, node)
+    simulation.advance(LEASE_SECONDS + ECHO_GRACE_SECONDS)
+    assert simulation.entry_by_name[successor].dispatcher.epoch == 2
+    assert len(simulation.ledger.starts) == 2
+    simulation.advance(LEASE_EXPIRY_SECONDS + 2.0)
+    assert len(simulation.ledger.starts) == 4
+    assert [task for task, _ in simulation.running] == ["job.0.0.0", "job.0.0.1"]
+    assert simulation.ledger.problems == []
