Play the real shutdown of a node in the simulation, and test who tells ends

Mutations showed four lines without a test: the check at the shutdown of a node, what it tells an entry that connects, what an entry passes on on the streams that it opened, and the wait for echoes of the former entry.

--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -61,6 +61,7 @@
         self.registry = Registry("bergamotshore_node")
         self.log = EventLog(self.clock)
         self.stopping = threading.Event()
+        self.pause = threading.Event().wait
         self.watcher = SettingsWatcher(path, self.clock, self.log, self._apply)
         self.is_draining = False
         self.loop = Loop(self.clock)
@@ -131,7 +132,7 @@
     def _stop(self):
         """Shut down without stopping the runs: their lease outlasts a restart."""
         self.is_draining = True
-        self._tell_end_before_leaving(threading.Event().wait)
+        self._tell_end_before_leaving()
         self.log.write(
             "node-left",
             self.settings.name,
@@ -141,20 +142,17 @@
         )
         for executor in (self.starts, self.stops):
             executor.shutdown(wait=True, cancel_futures=True)
-        threading.Event().wait(SHUTDOWN_SECONDS / 10)
+        self.pause(SHUTDOWN_SECONDS / 10)
         self.loop.call(self.links.stop)
         self.heartbeat_server.stop()
         self.loop.stop()
 
-    def _tell_end_before_leaving(self, pause):
-        """Tell the entries if the worker is gone; nobody can tell them afterwards.
-
-        :param pause: Function that sleeps for a number of seconds.
-        """
+    def _tell_end_before_leaving(self):
+        """Tell the entries if the worker is gone; nobody can tell them afterwards."""
         for _ in range(REFUSALS_UNTIL_DOWN):
             if not self._check_connection():
                 return
-            pause(END_CHECK_SECONDS)
+            self.pause(END_CHECK_SECONDS)
 
     def _run_end_checks(self):
         """Check beside calls that wait whether a worker that took leave has ended."""
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -10,6 +10,7 @@
 import random
 import threading
 from concurrent.futures import Future
+from types import SimpleNamespace
 
 from returns.result import Failure, Success
 
@@ -149,6 +150,9 @@
     def map(self, function, values):
         return [function(value) for value in values]
 
+    def shutdown(self, wait, cancel_futures):
+        """Do nothing."""
+
 
 class InlineLoop:
     """Event loop that runs calls immediately in the calling thread."""
@@ -157,6 +161,9 @@
     def call(function, *arguments):
         function(*arguments)
 
+    def stop(self):
+        """Do nothing."""
+
 
 class NodeLinks:
     """Replacement for a node's links; the simulation opens the streams."""
@@ -182,6 +189,9 @@
     def set_addresses(self, addresses):
         """Do nothing."""
 
+    def stop(self):
+        """Do nothing; the streams close with the process."""
+
 
 class EntryProcess(SiteEntryRole):
     """Scheduling role of an entry, without its servers and threads."""
@@ -291,6 +301,9 @@
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
         self.loop = InlineLoop()
         self.links = NodeLinks(self)
+        self.settings = SimpleNamespace(name=name)
+        self.pause = lambda seconds: None
+        self.heartbeat_server = self.loop
         self.addresses = AddressReader(self.registry, self.log)
         self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
         self.starts = self.stops = InlineExecutor()
@@ -331,8 +344,7 @@
 
     def stop(self):
         """Begin to shut down."""
-        self.is_draining = True
-        self._tell_end_before_leaving(lambda seconds: None)
+        self._stop()
 
     def receive_farewell(self):
         """Receive the last heartbeat of the worker, which says that it ends."""
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -131,6 +131,23 @@
     assert site.ledger.problems == []
 
 
+# Guards against the same at an entry that could not be told when the worker ended.
+def test_entry_that_connects_to_a_node_later_is_told_that_its_worker_is_gone(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    node = find_node(site, BOTH_RUN[0])
+    site.kill_entry(first)
+    site.disconnect(second, node)
+    born = site.runner_by_node[node].born
+    site.take_worker_away(node)
+    site.advance(0.5)
+    ends = site.entry_by_name[second].directory.ends
+    assert ends.get_ended_incarnations(node) == ()
+    site.heal()
+    site.advance(0.5)
+    assert ends.get_ended_incarnations(node) == (born,)
+
+
 # Guards against giving up the runs of a worker that refused connections for a while, at
 # an entry that was told of its end by another one.
 def test_runs_of_a_worker_that_answers_again_are_kept_by_an_entry_that_heard_of_its_end(
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -112,3 +112,10 @@
     heartbeat = Heartbeat(sent_at=1.0, cancelled=["queue/job"])
     relay.on_message(FakeStream("entry-1"), heartbeat)
     assert announced == ["queue/job"]
+
+
+# Guards against an end of a worker that is not told to an entry of a large site.
+def test_ends_of_workers_are_passed_on_on_streams_that_an_entry_opened(relay):
+    relay._worker_ends.record_report("node", 1_000, is_gone=True)
+    heartbeat = relay.build_heartbeat(FakeStream("entry-1"))
+    assert [(end.node, end.born) for end in heartbeat.worker_ends] == [("node", 1_000)]
