Judge long-running tasks at each step of rounds in which workers, nodes and entries leave

Every accepted long-running task has to run again within 6 s of its last run, judged 3 s later, whenever no fault was there for 4 s and a worker has room.

--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -445,6 +445,7 @@
 
     def lose_worker(self, node):
         """Let the worker beside a node end for good, without a farewell."""
+        self._harmed_at_by_node[node] = self.clock.now()
         self.runner_by_node[node].begin_incarnation()
         self.runner_by_node[node].is_gone = True
 
@@ -526,6 +527,18 @@
         )
         return max(self._harmed_at, self._harmed_at_by_node[node])
 
+    def get_calm_since(self):
+        """Return when any fault was last there, in seconds."""
+        return max(self._harmed_at, *self._harmed_at_by_node.values())
+
+    def list_usable_runners(self):
+        """Return the workers that are there, with their nodes."""
+        return [
+            runner
+            for node, runner in self.runner_by_node.items()
+            if node in self.node_by_name and not runner.is_gone
+        ]
+
     def _record_faults(self):
         """Record the present faults, those of a node apart from those of the site."""
         now, store = self.clock.now(), self.store
@@ -548,10 +561,15 @@
                 or runner.is_cut
                 or runner.is_down
                 or runner.has_faults
+                or self._is_waiting_for_call(node)
                 or any(node == name for _, name in self.disconnected_pairs)
             ):
                 self._harmed_at_by_node[node] = now
 
+    def _is_waiting_for_call(self, name):
+        node = self.node_by_name.get(name)
+        return node is not None and self.clock.now() < node.calls_delayed_until
+
     def _check_errors(self):
         """Raise an error that a process contained, unless the test provokes it."""
         new_lines = self.lines[self._checked_lines :]
