--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -512,8 +512,14 @@
             worker.is_reachable = now - last_heard < HEARTBEAT_TIMEOUT_SECONDS
             if worker.allocation_by_key:
                 self._release_ended(worker, now)
-            heard_at = max(self.term_started_at, self.election.last_echo_at, last_heard)
+            heard_at, counted = max(
+                (self.election.last_echo_at, "echoes"),
+                (last_heard, "node"),
+            )
             if worker.allocation_by_key and now - heard_at > lapse_seconds:
+                self.log.write(
+                    "node-silent", worker.node, counted=counted, seconds=now - heard_at
+                )
                 self._release_worker(worker, "node-silent", now)
 
     def _release_ended(self, worker, now):
@@ -521,7 +527,7 @@
 
         The node may have told so before this term, and have left since.
         """
-        ended = self.directory.get_ended_incarnations(worker.node)
+        ended = self.directory.ends.get_ended_incarnations(worker.node)
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
             self.log.write(
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -20,7 +20,7 @@
 from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.links import EntryLinks
-from bergamotshore.node.runs import RunManager
+from bergamotshore.node.runs import REFUSALS_UNTIL_DOWN, RunManager
 from bergamotshore.platform.runner import PlatformRunner, parse_heartbeat
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock
@@ -41,6 +41,8 @@
 UNACKNOWLEDGED_POLL_SECONDS = 0.05
 # Pause after an unexpected error in the thread that renews the lease, in seconds.
 ERROR_PAUSE_SECONDS = 0.25
+# Interval of the checks whether a worker that takes leave has ended, in seconds.
+END_CHECK_SECONDS = 0.1
 # Time for calls in flight at shutdown; the streams close after a tenth of it.
 SHUTDOWN_SECONDS = 1.0
 
@@ -59,6 +61,7 @@
         self.registry = Registry("bergamotshore_node")
         self.log = EventLog(self.clock)
         self.stopping = threading.Event()
+        self.pause = threading.Event().wait
         self.watcher = SettingsWatcher(path, self.clock, self.log, self._apply)
         self.is_draining = False
         self.loop = Loop(self.clock)
@@ -87,6 +90,7 @@
         self.leader = ""
         self.leader_stream = None
         self._announced_end = 0
+        self._has_announced_end = False
         self.heartbeat_server = HttpServer(
             HeartbeatApp(self.run_manager, self.registry, self.log),
             split_address(self.site.heartbeats),
@@ -102,7 +106,12 @@
         :returns: True when no service failed.
         """
         self.loop.call(self._choose_entries)
-        services = [self.loop.run, self.heartbeat_server.run, self._run_lease_renewal]
+        services = [
+            self.loop.run,
+            self.heartbeat_server.run,
+            self._run_lease_renewal,
+            self._run_end_checks,
+        ]
         is_success = run_services(
             self.settings.name,
             services,
@@ -123,13 +132,46 @@
     def _stop(self):
         """Shut down without stopping the runs: their lease outlasts a restart."""
         self.is_draining = True
+        self._tell_end_before_leaving()
+        self.log.write(
+            "node-left",
+            self.settings.name,
+            born=self.run_manager.incarnation,
+            gone=bool(self.run_manager.ended_incarnation),
+            answers=self.run_manager.is_answering,
+        )
         for executor in (self.starts, self.stops):
             executor.shutdown(wait=True, cancel_futures=True)
-        threading.Event().wait(SHUTDOWN_SECONDS / 10)
+        self.pause(SHUTDOWN_SECONDS / 10)
         self.loop.call(self.links.stop)
         self.heartbeat_server.stop()
         self.loop.stop()
 
+    def _tell_end_before_leaving(self):
+        """Tell the entries if the worker is gone; nobody can tell them afterwards."""
+        for _ in range(REFUSALS_UNTIL_DOWN):
+            if not self._check_connection():
+                return
+            self.pause(END_CHECK_SECONDS)
+
+    def _run_end_checks(self):
+        """Check beside calls that wait whether a worker that took leave has ended."""
+        while not self.stopping.wait(END_CHECK_SECONDS):
+            self._check_expected_end()
+
+    def _check_expected_end(self):
+        if self.run_manager.is_end_expected():
+            self._check_connection()
+
+    def _check_connection(self):
+        """Return whether the worker refuses a new connection."""
+        try:
+            return self.run_manager.check_connection()
+        except Exception as error:
+            self.registry.count("service_errors_total", service="end-check")
+            self.log.write("service-error", "end-check", why=describe_error(error))
+            return False
+
     def _run_lease_renewal(self):
         while not self.stopping.is_set():
             try:
@@ -175,7 +217,8 @@
         """Record a connected entry once its hello message has arrived."""
         self.links.record_open(stream)
         self.log.write("entry-connected", stream.peer.name)
-        if self.run_manager.ended_incarnation:
+        if self._has_announced_end:
+            # The entry may have missed the end, or that it was taken back.
             stream.send(self.run_manager.build_report(self.grant.epoch))
 
     def on_close(self, stream):
@@ -246,8 +289,11 @@
         end = report.born if report.is_gone else 0
         if end != self._announced_end:
             # This node may have left when a later scheduling entry looks for its runs.
-            self._announced_end = end
+            self._announced_end, self._has_announced_end = end, True
             self.links.broadcast(report)
+            if end:
+                entries = len(self.links.list_streams())
+                self.log.write("worker-gone", report.worker, born=end, entries=entries)
             return
         stream = self.leader_stream
         if stream is not None and stream.is_open:
@@ -285,7 +331,7 @@
         body = environ["wsgi.input"].read()
         match parse_heartbeat(method, path, body):
             case Success(str() as worker):
-                self.log.write("worker-left", worker)
+                self.run_manager.record_farewell(worker)
             case Success(report):
                 self.run_manager.record_heartbeat(report)
             case Failure(failure):
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -4,11 +4,13 @@
 processes are fakes. Time only passes in ``advance``.
 """
 
+import io
 import itertools
 import queue
 import random
 import threading
 from concurrent.futures import Future
+from types import SimpleNamespace
 
 from returns.result import Failure, Success
 
@@ -34,7 +36,7 @@
 from bergamotshore.generated.messages import Heartbeat, Hello
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
-from bergamotshore.node.site import SiteNodeRole
+from bergamotshore.node.site import HeartbeatApp, SiteNodeRole
 from bergamotshore.ports.rows import (
     Expect,
 )
@@ -148,6 +150,9 @@
     def map(self, function, values):
         return [function(value) for value in values]
 
+    def shutdown(self, wait, cancel_futures):
+        """Do nothing."""
+
 
 class InlineLoop:
     """Event loop that runs calls immediately in the calling thread."""
@@ -156,6 +161,9 @@
     def call(function, *arguments):
         function(*arguments)
 
+    def stop(self):
+        """Do nothing."""
+
 
 class NodeLinks:
     """Replacement for a node's links; the simulation opens the streams."""
@@ -165,9 +173,12 @@
 
     def broadcast(self, message):
         """Send a message to every connected entry."""
-        for stream in self._node.streams:
-            if stream.is_open:
-                stream.send(message)
+        for stream in self.list_streams():
+            stream.send(message)
+
+    def list_streams(self):
+        """Return the open streams."""
+        return [stream for stream in self._node.streams if stream.is_open]
 
     def record_open(self, stream):
         """Do nothing."""
@@ -178,6 +189,9 @@
     def set_addresses(self, addresses):
         """Do nothing."""
 
+    def stop(self):
+        """Do nothing; the streams close with the process."""
+
 
 class EntryProcess(SiteEntryRole):
     """Scheduling role of an entry, without its servers and threads."""
@@ -287,6 +301,9 @@
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
         self.loop = InlineLoop()
         self.links = NodeLinks(self)
+        self.settings = SimpleNamespace(name=name)
+        self.pause = lambda seconds: None
+        self.heartbeat_server = self.loop
         self.addresses = AddressReader(self.registry, self.log)
         self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
         self.starts = self.stops = InlineExecutor()
@@ -294,6 +311,7 @@
         self.leader = ""
         self.leader_stream = None
         self._announced_end = 0
+        self._has_announced_end = False
         self.peers = set()
         self.runner = runner
         self.is_receiving_heartbeats = lambda: (
@@ -308,7 +326,9 @@
             self.registry,
             self.log,
         )
+        self.heartbeat_app = HeartbeatApp(self.run_manager, self.registry, self.log)
         self.streams = []
+        self.calls_delayed_until = 0.0
 
     def _choose_entries(self):
         """Do nothing; the simulation opens the streams."""
@@ -318,7 +338,22 @@
             report = self.runner.build_report(self.zone)
             self.run_manager.record_heartbeat(report)
             self.runner.ledger.record_heartbeat(report, self.clock.now())
-        self._renew_lease()
+        if self.clock.now() >= self.calls_delayed_until:
+            self._renew_lease()
+        self._check_expected_end()
+
+    def stop(self):
+        """Begin to shut down."""
+        self._stop()
+
+    def receive_farewell(self):
+        """Receive the last heartbeat of the worker, which says that it ends."""
+        environ = {
+            "REQUEST_METHOD": "DELETE",
+            "PATH_INFO": f"/instances/{self.runner.name}",
+            "wsgi.input": io.BytesIO(),
+        }
+        self.heartbeat_app(environ, lambda status, headers: None)
 
 
 class Simulation:
@@ -390,7 +425,7 @@
         """Shut a node down gracefully; its process ends."""
         node = self.node_by_name.get(name)
         if node is not None:
-            node.is_draining = True
+            node.stop()
             self.advance(STEP_SECONDS)
             self.kill_node(name)
 
@@ -408,6 +443,22 @@
             stream.close_reason = "killed"
             stream.other.close("connection-lost")
 
+    def lose_worker(self, node):
+        """Let the worker beside a node end for good, without a farewell."""
+        self._harmed_at_by_node[node] = self.clock.now()
+        self.runner_by_node[node].begin_incarnation()
+        self.runner_by_node[node].is_gone = True
+
+    def take_worker_away(self, node):
+        """Let the worker beside a node end for good after a farewell."""
+        self.node_by_name[node].receive_farewell()
+        self.lose_worker(node)
+
+    def delay_calls(self, node, seconds):
+        """Let the call that renews a worker's lease wait for its answer for a time."""
+        until = self.clock.now() + seconds
+        self.node_by_name[node].calls_delayed_until = until
+
     def disconnect(self, entry, node):
         """Block all messages between an entry and a node."""
         self.disconnected_pairs.add((entry, node))
@@ -476,6 +527,18 @@
         )
         return max(self._harmed_at, self._harmed_at_by_node[node])
 
+    def get_calm_since(self):
+        """Return when any fault was last there, in seconds."""
+        return max(self._harmed_at, *self._harmed_at_by_node.values())
+
+    def list_usable_runners(self):
+        """Return the workers that are there, with their nodes."""
+        return [
+            runner
+            for node, runner in self.runner_by_node.items()
+            if node in self.node_by_name and not runner.is_gone
+        ]
+
     def _record_faults(self):
         """Record the present faults, those of a node apart from those of the site."""
         now, store = self.clock.now(), self.store
@@ -498,10 +561,15 @@
                 or runner.is_cut
                 or runner.is_down
                 or runner.has_faults
+                or self._is_waiting_for_call(node)
                 or any(node == name for _, name in self.disconnected_pairs)
             ):
                 self._harmed_at_by_node[node] = now
 
+    def _is_waiting_for_call(self, name):
+        node = self.node_by_name.get(name)
+        return node is not None and self.clock.now() < node.calls_delayed_until
+
     def _check_errors(self):
         """Raise an error that a process contained, unless the test provokes it."""
         new_lines = self.lines[self._checked_lines :]
@@ -544,6 +612,7 @@
                     sent_at=self.clock.now(),
                     echo=echo if is_echoing else 0.0,
                     cancelled=sender.cancellations.list_announced(),
+                    worker_ends=sender.directory.ends.list_announced(),
                 ),
             )
 
--- /dev/null
+++ b/tests/site/test_leaving_nodes.py
@@ -0,0 +1,208 @@
+"""Long-running tasks whose worker leaves and whose node ends right after it."""
+
+import pytest
+
+from bergamotshore.exceptions import WorkerFailure
+from soak.judges import MISSING_SECONDS, RESTART_SECONDS
+from tests.site.test_promises import LONG_RUNNING
+
+# Pause between the end of a worker and that of its node, in seconds.
+NODE_LEAVES_SECONDS = 1.0
+# A call to a worker that waits for an end may go without an answer for this time, in
+# seconds.
+HANGING_CALL_SECONDS = 1.9
+# A task that has not run for this time is lost, in seconds.
+LOST_SECONDS = RESTART_SECONDS + MISSING_SECONDS
+BOTH_RUN = ["job.0.0.0", "job.0.0.1"]
+
+
+@pytest.fixture
+def site(simulation):
+    """Return a simulation in which both tasks of a long-running job run."""
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    assert list_running(simulation) == BOTH_RUN
+    return simulation
+
+
+def list_running(simulation):
+    return [task for task, _ in simulation.running]
+
+
+def find_node(simulation, task):
+    return next(
+        node
+        for node, runner in simulation.runner_by_node.items()
+        if task in runner.run_by_task
+    )
+
+
+def lose_worker_and_node(simulation):
+    """Take away a worker that runs a task together with its node."""
+    node = find_node(simulation, BOTH_RUN[0])
+    simulation.lose_worker(node)
+    simulation.kill_node(node)
+
+
+# Guards against waiting for the lease of a worker whose node was told to end while a
+# call to the worker that had left was still without an answer.
+@pytest.mark.parametrize("is_farewell_lost", [False, True])
+def test_node_that_ends_behind_a_hanging_call_tells_that_its_worker_is_gone(
+    site, is_farewell_lost
+):
+    node = find_node(site, BOTH_RUN[0])
+    site.delay_calls(node, HANGING_CALL_SECONDS)
+    if is_farewell_lost:
+        site.lose_worker(node)
+    else:
+        site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    site.stop_node(node)
+    site.advance(RESTART_SECONDS - NODE_LEAVES_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against giving up the runs of a worker on its word alone: a farewell may be
+# late or come from another sender.
+def test_runs_of_a_worker_that_takes_leave_and_goes_on_are_kept(site):
+    node = find_node(site, BOTH_RUN[0])
+    for _ in range(3):
+        site.node_by_name[node].receive_farewell()
+        site.delay_calls(node, HANGING_CALL_SECONDS)
+        site.advance(HANGING_CALL_SECONDS)
+    assert len(site.ledger.starts) == len(BOTH_RUN)
+    assert list_running(site) == BOTH_RUN
+
+
+# Guards against taking back the end of a worker because a call that was sent before it
+# ends without an answer.
+def test_call_that_fails_late_does_not_take_back_the_end_of_a_worker(site):
+    node = find_node(site, BOTH_RUN[0])
+    manager = site.node_by_name[node].run_manager
+    site.delay_calls(node, HANGING_CALL_SECONDS)
+    sent_at = site.clock.now()
+    site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    assert manager.ended_incarnation
+    manager._record_failure(WorkerFailure("timed out", is_certain=False), sent_at)
+    assert manager.ended_incarnation
+
+
+# Guards against an end of a worker that only former entries were told: those that
+# schedule afterwards waited for the lease of a node that they never heard of.
+def test_entries_that_restart_one_after_another_learn_the_ends_of_workers(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    site.store.is_down = True
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    site.stop_node(node)
+    site.start_entry(first)
+    site.advance(1.5)
+    site.kill_entry(second)
+    site.advance(1.0)
+    site.start_entry(second)
+    site.advance(1.0)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against the same at a standby that takes over from the entry that was told.
+def test_standby_that_started_after_a_node_left_knows_that_its_worker_is_gone(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    site.store.is_down = True
+    node = find_node(site, BOTH_RUN[0])
+    site.take_worker_away(node)
+    site.advance(NODE_LEAVES_SECONDS)
+    site.stop_node(node)
+    site.start_entry(second)
+    site.advance(1.5)
+    site.kill_entry(first)
+    site.advance(1.0)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against the same at an entry that could not be told when the worker ended.
+def test_entry_that_connects_to_a_node_later_is_told_that_its_worker_is_gone(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    node = find_node(site, BOTH_RUN[0])
+    site.kill_entry(first)
+    site.disconnect(second, node)
+    born = site.runner_by_node[node].born
+    site.take_worker_away(node)
+    site.advance(0.5)
+    ends = site.entry_by_name[second].directory.ends
+    assert ends.get_ended_incarnations(node) == ()
+    site.heal()
+    site.advance(0.5)
+    assert ends.get_ended_incarnations(node) == (born,)
+
+
+# Guards against giving up the runs of a worker that refused connections for a while, at
+# an entry that was told of its end by another one.
+def test_runs_of_a_worker_that_answers_again_are_kept_by_an_entry_that_heard_of_its_end(
+    simulation,
+):
+    first = simulation.leader.name
+    second = next(name for name in simulation.entry_names if name != first)
+    ends = simulation.entry_by_name[second].directory.ends
+    for node in simulation.runner_by_node:
+        simulation.disconnect(second, node)
+    for is_gone in (True, False):
+        for runner in simulation.runner_by_node.values():
+            runner.is_gone = is_gone
+        simulation.advance(1.5)
+        for node in simulation.runner_by_node:
+            assert bool(ends.get_ended_incarnations(node)) == is_gone
+    simulation.heal()
+    simulation.submit("job", LONG_RUNNING)
+    simulation.advance(1.0)
+    simulation.kill_entry(first)
+    simulation.advance(RESTART_SECONDS)
+    assert simulation.leader is not None
+    assert len(simulation.ledger.starts) == len(BOTH_RUN)
+    assert list_running(simulation) == BOTH_RUN
+
+
+# Guards against counting the wait for a node that is lost from the start of a term that
+# began long after the process of the former term had ended.
+def test_wait_for_a_lost_node_is_counted_from_the_start_of_a_process_that_came_back(
+    site,
+):
+    site.store.is_down = True
+    lose_worker_and_node(site)
+    for entry in site.entry_names:
+        site.kill_entry(entry)
+    site.advance(0.5)
+    for entry in site.entry_names:
+        site.start_entry(entry)
+        site.advance(0.5)
+    site.advance(2.5)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against counting it from the takeover of another entry, which had heard before
+# that the process of the former term had ended.
+def test_wait_for_a_lost_node_is_counted_from_the_answer_of_the_next_process(site):
+    former = site.leader.name
+    site.kill_entry(former)
+    lose_worker_and_node(site)
+    site.without_store.add(former)
+    site.advance(0.2)
+    site.start_entry(former)
+    site.advance(LOST_SECONDS - 0.2)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
