Probe the store at once after a failure on a connection that was open before

Cause: the first timeout made the entry avoid the store for a second and relay its reads to a peer.

A failure on a connection that was open before says nothing about the store on a new one. The next short read now goes to the store at once, for at most half of its time, so that a store that does reject this entry leaves time for a peer. Only a failure on a new connection starts the delay before further probes.

test_read_after_a_silent_connection_reaches_the_store_directly failed before.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -41,11 +41,14 @@
     :param was_sent: False when the server cannot have received the request.
     :param is_refused: Whether the connection was refused: no process listens at the
         address.
+    :param was_reused: Whether the request was sent on a connection that had been used
+        before, so that the server may still answer on a new one.
     """
 
     detail: str
     was_sent: bool
     is_refused: bool = False
+    was_reused: bool = False
     code: str = "http"
 
 
@@ -118,13 +121,16 @@
             response = connection.getresponse()
             content = _read_body(response)
         except (OSError, http.client.HTTPException) as error:
-            if isinstance(error, TimeoutError) and connection is former_connection:
+            was_reused = connection is former_connection
+            if isinstance(error, TimeoutError) and was_reused:
                 # An earlier call may time out later.
                 self._timed_out_call_sent_at = max(
                     self._timed_out_call_sent_at, started_at
                 )
             self._discard_connection()
-            return Failure(HttpFailure(repr(error), was_sent=True))
+            return Failure(
+                HttpFailure(repr(error), was_sent=True, was_reused=was_reused)
+            )
         self._local.answered_at = time.monotonic()
         if response.will_close:
             self._discard_connection()
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -2,8 +2,10 @@
 
 The store may reject single machines while it serves others. An entry whose own calls
 fail relays them through a peer, which returns each answer unchanged. After a delay,
-short reads probe whether the store serves this entry again. Writes never probe, since
-the outcome of an unanswered write is unknown, nor do reads that wait for changes.
+short reads probe whether the store serves this entry again; without one if the call
+failed on a connection that was open before, since those to peers may have gone silent
+as well. Writes never probe, since the outcome of an unanswered write is unknown, nor do
+reads that wait for changes.
 """
 
 import itertools
@@ -25,6 +27,9 @@
 # Timeout of the reads that then probe whether the store is reachable directly: a slow
 # store answers one in under 0.4 s. In seconds.
 PROBE_SECONDS = 0.8
+# Largest share of a call's time that a probe without a delay may use; the rest is left
+# for a peer.
+PROBE_SHARE = 0.5
 # Time for which no call is relayed after the store failed for a peer too, in seconds.
 RELAY_BACKOFF_SECONDS = 0.4
 # Time for which a peer that could not serve a call is tried last, in seconds: as
@@ -59,6 +64,8 @@
         self._direct_backoff_until = 0.0
         self._relay_backoff_until = 0.0
         self._is_direct_available = True
+        # Whether the last direct call failed on a connection that was open before.
+        self._is_connection_suspect = False
         self._direct_answered_at = -math.inf
         self._consecutive_failures = 0
 
@@ -95,7 +102,7 @@
         if should_relay and not is_probe:
             return self._call_peer(method, path, body, timeout)
         started_at = self._clock.now()
-        direct_timeout = min(timeout, PROBE_SECONDS) if should_relay else timeout
+        direct_timeout = self._get_probe_timeout(timeout) if should_relay else timeout
         outcome = self._direct.call(method, path, body, headers, direct_timeout)
         if not is_unserved(outcome):
             self._record_direct_answer()
@@ -108,6 +115,10 @@
             return outcome
         return self._call_peer(method, path, body, remaining)
 
+    def _get_probe_timeout(self, timeout):
+        share = PROBE_SHARE if self._is_connection_suspect else 1.0
+        return min(share * timeout, PROBE_SECONDS)
+
     def _call_peer(self, method, path, body, timeout):
         outcome = self._relay.call(method, path, body, timeout)
         self._registry.count("store_calls_relayed_total")
@@ -123,7 +134,9 @@
             self._log.write("store-regained", "store")
 
     def _record_direct_failure(self, outcome):
-        self._direct_backoff_until = self._clock.now() + DIRECT_BACKOFF_SECONDS
+        self._is_connection_suspect = _is_on_reused_connection(outcome)
+        if not self._is_connection_suspect:
+            self._direct_backoff_until = self._clock.now() + DIRECT_BACKOFF_SECONDS
         if self._is_direct_available:
             self._is_direct_available = False
             self._log.write("store-lost", "store", why=str(outcome))
@@ -137,6 +150,14 @@
     return True
 
 
+def _is_on_reused_connection(outcome):
+    """Return whether a new connection may be answered, so that a probe is due."""
+    match outcome:
+        case Failure(HttpFailure(was_reused=was_reused)):
+            return was_reused
+    return False
+
+
 def _may_have_been_applied(outcome):
     return isinstance(outcome, Failure) and outcome.failure().was_sent
 
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -335,6 +335,54 @@
         assert clock.now() - started_at == pytest.approx(max_delay)
 
 
+SILENT_CONNECTION = Failure(HttpFailure("timed out", was_sent=True, was_reused=True))
+NEW_CONNECTION_TIMED_OUT = Failure(HttpFailure("timed out", was_sent=False))
+
+
+def build_timed_client(clock, *outcomes):
+    """Return a client of which each call without an answer takes its whole timeout."""
+    client = FakeStoreClient(*outcomes)
+    answer = client.call
+
+    def call(method, path, body=b"", headers=None, timeout=None):
+        outcome = answer(method, path)
+        if isinstance(outcome, Failure):
+            clock.advance(timeout)
+        return outcome
+
+    client.call = call
+    return client
+
+
+# Guards against refused callers while the store answers: a connection to it has gone
+# silent, and the next call goes to a peer, the connection to which is silent as well.
+def test_read_after_a_silent_connection_reaches_the_store_directly(
+    clock, registry, log
+):
+    direct = build_timed_client(clock, SILENT_CONNECTION, OK)
+    peer = build_timed_client(clock, NEW_CONNECTION_TIMED_OUT)
+    client = build_client(direct, peer, clock, registry, log)
+    assert client.call("GET", "/x", timeout=1.0, may_probe=False) == SILENT_CONNECTION
+    started_at = clock.now()
+    assert client.call("GET", "/x", timeout=0.8) == OK
+    assert clock.now() == started_at
+
+
+# Guards against an entry that the store rejects, which tries it in vain for longer
+# because its connections had been open before.
+def test_read_is_answered_by_a_peer_after_a_silent_connection_to_a_silent_store(
+    clock, registry, log
+):
+    direct = build_timed_client(clock, SILENT_CONNECTION, NEW_CONNECTION_TIMED_OUT)
+    peer = build_timed_client(clock, OK)
+    client = build_client(direct, peer, clock, registry, log)
+    client.call("GET", "/x", timeout=1.0, may_probe=False)
+    started_at = clock.now()
+    for _ in range(3):
+        assert client.call("GET", "/x", timeout=0.8) == OK
+    assert clock.now() - started_at < 0.8
+
+
 def test_a_late_failure_of_an_old_call_does_not_mark_a_recovered_store_as_lost(
     clock, registry, log
 ):
