Renew the scheduling lease in time when one renewal gets no answer

Cause: a renewal had the 2 s of the client as its timeout and was repeated 0.8 s later, 3.6 s after the last successful one; the lease lasts 3 s.

A renewal now has 1.2 s, since a slow store takes 1.1 s for one, and is repeated after 0.1 s: a second renewal is answered 2.1 s after the last successful one.

The three cases of test_lease_outlasts_one_renewal_without_an_answer failed before: the lease had ended.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -17,6 +17,11 @@
 # renewal may take 1.1 s while the store is slow.
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 0.8
+# Timeout of one renewal, and pause before it is repeated, in seconds. One renewal
+# without an answer, on a connection that has gone silent, leaves time for another one
+# before the lease ends.
+RENEW_TIMEOUT_SECONDS = 1.2
+RENEW_RETRY_SECONDS = 0.1
 # Time for which an entry continues to echo after its lease has expired, in seconds.
 # Lease, grace period and grant together cover a store outage of 9 s and the second
 # until the next renewal.
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -7,6 +7,9 @@
 
 from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.leases import (
+    RENEW_RETRY_SECONDS,
+    RENEW_SECONDS,
+    RENEW_TIMEOUT_SECONDS,
     LeaderLease,
     LeaseObservation,
     get_last_echo_time,
@@ -101,11 +104,12 @@
     def step(self):
         """Renew the lease if held; otherwise acquire it if it is free.
 
-        :returns: True if the store answered.
+        :returns: Time until the next step, in seconds.
         """
-        if self.lease.epoch:
-            return self._renew()
-        return self._observe()
+        if not self.lease.epoch:
+            self._observe()
+            return RENEW_SECONDS
+        return RENEW_SECONDS if self._renew() else RENEW_RETRY_SECONDS
 
     def _observe(self):
         match self._read():
@@ -227,6 +231,7 @@
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(row))],
             [],
+            timeout=RENEW_TIMEOUT_SECONDS,
         )
         match outcome:
             case Success(new_version):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -412,10 +412,13 @@
 
     def _run_election(self):
         while not self.finished.is_set():
-            for step in (self.watcher.step, self.election.step, self._send_peers):
+            pause = RENEW_SECONDS
+            with self._surviving("election"):
+                pause = self.election.step()
+            for step in (self.watcher.step, self._send_peers):
                 with self._surviving("election"):
                     step()
-            self.stopping.wait(RENEW_SECONDS)
+            self.stopping.wait(pause)
             if self.stopping.is_set():
                 return
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -14,7 +14,6 @@
 
 from bergamotshore.core.work.confirmation import StateFreshness, get_max_age
 from bergamotshore.core.work.leases import (
-    RENEW_SECONDS,
     RenewalGrant,
     get_grant_seconds,
 )
@@ -251,8 +250,7 @@
         elif self.is_following():
             self.follower.state.confirmed_at = self.clock.now()
         if self.clock.now() >= self.next_election_at:
-            self.election.step()
-            self.next_election_at = self.clock.now() + RENEW_SECONDS
+            self.next_election_at = self.clock.now() + self.election.step()
         epoch = self.dispatcher.epoch
         if epoch:
             version = self.feed[1] if self.feed[0] == epoch else None
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+from returns.result import Failure
 
 from bergamotshore.core.work.leases import (
     CANDIDACY_DELAY_SECONDS,
@@ -15,10 +16,14 @@
     get_lease_expiry_seconds,
 )
 from bergamotshore.entry.election import LEADER_ROW, Election
+from bergamotshore.exceptions import PlatformUnavailable, PlatformUncertain
 from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
 
+# Timeout of a call that sets none, in seconds.
+DEFAULT_TIMEOUT_SECONDS = 2.0
+
 
 @pytest.fixture
 def store():
@@ -91,6 +96,30 @@
     assert election.lease.is_valid(clock.now())
 
 
+# Guards against a term that ends, and a scheduling entry that decides nothing, because
+# its connection to the store has gone silent while the store answers on new ones.
+@pytest.mark.parametrize("fault", ["down", "lost", "late"])
+def test_lease_outlasts_one_renewal_without_an_answer(build, store, clock, fault):
+    election = build("a")
+    pause = election.step()
+    transact = store.transact
+
+    def transact_slowly(expects, puts, deletes, timeout=DEFAULT_TIMEOUT_SECONDS):
+        outcome = transact(expects, puts, deletes, timeout)
+        match outcome:
+            case Failure(PlatformUnavailable() | PlatformUncertain()):
+                clock.advance(timeout)
+        return outcome
+
+    store.transact = transact_slowly
+    store.faults = [fault]
+    for _ in range(4):
+        clock.advance(pause)
+        assert election.lease.is_valid(clock.now())
+        pause = election.step()
+        assert election.lease.is_valid(clock.now())
+
+
 # Guards against a site without a scheduling entry for the whole lease that a claim
 # without an answer has begun.
 def test_a_claim_that_was_carried_out_late_is_followed_by_another_one(
