Send writes directly after a failure on a connection that was open before

Cause: a timeout on a silent connection counted as a failure of the store, so writes went to a peer until a read had probed the store; the stream to the peer was silent too.

A failure on a connection that was open before now avoids the store for no call.

test_write_after_a_silent_connection_reaches_the_store_directly failed before.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -2,10 +2,11 @@
 
 The store may reject single machines while it serves others. An entry whose own calls
 fail relays them through a peer, which returns each answer unchanged. After a delay,
-short reads probe whether the store serves this entry again; without one if the call
-failed on a connection that was open before, since those to peers may have gone silent
-as well. Writes never probe, since the outcome of an unanswered write is unknown, nor do
-reads that wait for changes.
+short reads probe whether the store serves this entry again. Writes never probe, since
+the outcome of an unanswered write is unknown, nor do reads that wait for changes.
+
+A failure on a connection that was open before doesn't count: the store may answer on a
+new one, and connections to peers may have gone silent as well.
 """
 
 import itertools
@@ -99,10 +100,13 @@
         should_relay = may_relay and not self._is_direct_available
         is_short_read = may_probe and method == "GET" and timeout <= self._timeout
         is_probe = is_short_read and self._clock.now() >= self._direct_backoff_until
-        if should_relay and not is_probe:
+        if should_relay and not is_probe and not self._is_connection_suspect:
             return self._call_peer(method, path, body, timeout)
         started_at = self._clock.now()
-        direct_timeout = self._get_probe_timeout(timeout) if should_relay else timeout
+        has_alternative = should_relay and is_probe
+        direct_timeout = (
+            self._get_probe_timeout(timeout) if has_alternative else timeout
+        )
         outcome = self._direct.call(method, path, body, headers, direct_timeout)
         if not is_unserved(outcome):
             self._record_direct_answer()
@@ -129,6 +133,7 @@
     def _record_direct_answer(self):
         self._direct_answered_at = self._clock.now()
         self._direct_backoff_until = 0.0
+        self._is_connection_suspect = False
         if not self._is_direct_available:
             self._is_direct_available = True
             self._log.write("store-regained", "store")
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -344,10 +344,10 @@
     client = FakeStoreClient(*outcomes)
     answer = client.call
 
-    def call(method, path, body=b"", headers=None, timeout=None):
+    def call(method, path, *arguments):
         outcome = answer(method, path)
         if isinstance(outcome, Failure):
-            clock.advance(timeout)
+            clock.advance(arguments[-1])
         return outcome
 
     client.call = call
@@ -368,6 +368,18 @@
     assert clock.now() == started_at
 
 
+# Guards against a job that is not accepted because its write goes to a peer to which
+# the connection is silent, though the store answers on new ones.
+def test_write_after_a_silent_connection_reaches_the_store_directly(
+    clock, registry, log
+):
+    direct = build_timed_client(clock, SILENT_CONNECTION, OK)
+    peer = build_timed_client(clock, NEW_CONNECTION_TIMED_OUT)
+    client = build_client(direct, peer, clock, registry, log)
+    client.call("POST", "/x", timeout=1.0)
+    assert client.call("POST", "/x", timeout=1.0) == OK
+
+
 # Guards against an entry that the store rejects, which tries it in vain for longer
 # because its connections had been open before.
 def test_read_is_answered_by_a_peer_after_a_silent_connection_to_a_silent_store(
