Repeat reads of the table service on a new connection

A caller of the product's own interface got 503 for its idempotency key, and jobs were not read, when the connection of one thread to the table service had gone silent: reads are sent by POST, which the HTTP client doesn't repeat.

A read whose connection had been open before now has half of the timeout and is repeated on a new connection in the other half; both together take no longer than one call did. Reads change nothing, so they can be repeated.

tests/adapters/test_silent_clients.py calls every client that keeps connections over connections that go silent without a reset, once and again, in three threads. Both cases of test_read_of_the_table_survives_a_silent_connection failed before; the store, worker, advice and machine clients passed.

--- a/src/bergamotshore/adapters/table.py
+++ b/src/bergamotshore/adapters/table.py
@@ -16,6 +16,9 @@
 from bergamotshore.ports.table import TableRow
 
 JSON_HEADERS = {"Content-Type": "application/json"}
+# Share of the timeout after which a read is repeated on a new connection, if the one
+# that it was sent on had been open before and may have gone silent.
+FIRST_READ_SHARE = 0.5
 
 
 class RowAnswer(msgspec.Struct, frozen=True):
@@ -54,6 +57,7 @@
 
     def __init__(self, address, timeout):
         self._client = HttpClient(address, timeout)
+        self._timeout = timeout
 
     def get(self, keys):
         """Read rows by key; see the port."""
@@ -89,7 +93,11 @@
                 return Failure(PlatformUnavailable(failure.detail))
 
     def _read(self, path, request):
-        answer = self._post(path, request)
+        first_timeout = FIRST_READ_SHARE * self._timeout
+        answer = self._post(path, request, first_timeout)
+        match answer:
+            case Failure(HttpFailure(was_reused=True)):
+                answer = self._post(path, request, self._timeout - first_timeout)
         match answer:
             case Success(HttpAnswer(status=200, body=body)):
                 return _decode(body, RowsAnswer).bind(_decode_rows)
@@ -98,9 +106,9 @@
             case Failure(failure):
                 return Failure(PlatformUnavailable(failure.detail))
 
-    def _post(self, path, request):
+    def _post(self, path, request, timeout=None):
         body = msgspec.json.encode(request)
-        return self._client.call("POST", path, body, JSON_HEADERS)
+        return self._client.call("POST", path, body, JSON_HEADERS, timeout)
 
 
 def _encode_write(write):
