--- a/tests/site/timeliness.py
+++ b/tests/site/timeliness.py
@@ -94,7 +94,7 @@
                 waiting_by_queue[queue] = waiting_by_queue.get(queue, 0) + 1
         if not waiting_by_queue:
             return
-        counts = self._simulation.rows.get_waiting_counts().unwrap()
+        counts = self._simulation.rows.get_waiting_counts(0.0).unwrap()
         for queue, waiting in waiting_by_queue.items():
             if counts.get(queue, 0) < COUNTED_SHARE * waiting:
                 self.problems.append(f"{queue}: {counts} instead of {waiting} waiting")
