--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -4,6 +4,9 @@
 fail relays them through a peer, which returns each answer unchanged. After a delay,
 short reads probe whether the store serves this entry again. Writes never probe, since
 the outcome of an unanswered write is unknown, nor do reads that wait for changes.
+
+A failure on a connection that was open before doesn't count: the store may answer on a
+new one, and connections to peers may have gone silent as well.
 """
 
 import itertools
@@ -25,6 +28,9 @@
 # Timeout of the reads that then probe whether the store is reachable directly: a slow
 # store answers one in under 0.4 s. In seconds.
 PROBE_SECONDS = 0.8
+# Largest share of a call's time that a probe without a delay may use; the rest is left
+# for a peer.
+PROBE_SHARE = 0.5
 # Time for which no call is relayed after the store failed for a peer too, in seconds.
 RELAY_BACKOFF_SECONDS = 0.4
 # Time for which a peer that could not serve a call is tried last, in seconds: as
@@ -59,6 +65,8 @@
         self._direct_backoff_until = 0.0
         self._relay_backoff_until = 0.0
         self._is_direct_available = True
+        # Whether the last direct call failed on a connection that was open before.
+        self._is_connection_suspect = False
         self._direct_answered_at = -math.inf
         self._consecutive_failures = 0
 
@@ -92,10 +100,13 @@
         should_relay = may_relay and not self._is_direct_available
         is_short_read = may_probe and method == "GET" and timeout <= self._timeout
         is_probe = is_short_read and self._clock.now() >= self._direct_backoff_until
-        if should_relay and not is_probe:
+        if should_relay and not is_probe and not self._is_connection_suspect:
             return self._call_peer(method, path, body, timeout)
         started_at = self._clock.now()
-        direct_timeout = min(timeout, PROBE_SECONDS) if should_relay else timeout
+        has_alternative = should_relay and is_probe
+        direct_timeout = (
+            self._get_probe_timeout(timeout) if has_alternative else timeout
+        )
         outcome = self._direct.call(method, path, body, headers, direct_timeout)
         if not is_unserved(outcome):
             self._record_direct_answer()
@@ -108,6 +119,10 @@
             return outcome
         return self._call_peer(method, path, body, remaining)
 
+    def _get_probe_timeout(self, timeout):
+        share = PROBE_SHARE if self._is_connection_suspect else 1.0
+        return min(share * timeout, PROBE_SECONDS)
+
     def _call_peer(self, method, path, body, timeout):
         outcome = self._relay.call(method, path, body, timeout)
         self._registry.count("store_calls_relayed_total")
@@ -118,12 +133,15 @@
     def _record_direct_answer(self):
         self._direct_answered_at = self._clock.now()
         self._direct_backoff_until = 0.0
+        self._is_connection_suspect = False
         if not self._is_direct_available:
             self._is_direct_available = True
             self._log.write("store-regained", "store")
 
     def _record_direct_failure(self, outcome):
-        self._direct_backoff_until = self._clock.now() + DIRECT_BACKOFF_SECONDS
+        self._is_connection_suspect = _is_on_reused_connection(outcome)
+        if not self._is_connection_suspect:
+            self._direct_backoff_until = self._clock.now() + DIRECT_BACKOFF_SECONDS
         if self._is_direct_available:
             self._is_direct_available = False
             self._log.write("store-lost", "store", why=str(outcome))
@@ -137,6 +155,14 @@
     return True
 
 
+def _is_on_reused_connection(outcome):
+    """Return whether a new connection may be answered, so that a probe is due."""
+    match outcome:
+        case Failure(HttpFailure(was_reused=was_reused)):
+            return was_reused
+    return False
+
+
 def _may_have_been_applied(outcome):
     return isinstance(outcome, Failure) and outcome.failure().was_sent
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -16,7 +16,6 @@
 
 from bergamotshore.core.work.confirmation import StateFreshness, get_max_age
 from bergamotshore.core.work.leases import (
-    RENEW_SECONDS,
     RenewalGrant,
     get_grant_seconds,
 )
@@ -265,8 +264,7 @@
         elif self.is_following():
             self.follower.state.confirmed_at = self.clock.now()
         if self.clock.now() >= self.next_election_at:
-            self.election.step()
-            self.next_election_at = self.clock.now() + RENEW_SECONDS
+            self.next_election_at = self.clock.now() + self.election.step()
         epoch = self.dispatcher.epoch
         if epoch:
             version = self.feed[1] if self.feed[0] == epoch else None
@@ -675,7 +673,7 @@
 
     def get_state(self, job_id, queue="queue"):
         """Return the job state that is shown to callers."""
-        state = self.rows.get_state(queue, job_id).unwrap()
+        state = self.rows.get_state(queue, job_id, self.clock.now()).unwrap()
         self.ledger.check_state(job_id, state)
         return state
 
