Answer calls in flight before a stopping entry ends its connections

Cause: a drain ended 2.9 s after the listener was closed, whatever was in flight. Calls didn't know of it: a POST or DELETE went on for 0.8 of its caller's deadline, and a GET made two reads of up to 1.6 s each. Besides, the times of the drain counted from the end of the resignation, whose write may wait for 1.5 s (more if it is relayed), so that a stop could outlast the 6 s after which the platform kills the process.

Fix: a stopping entry passes the end of its drain to its job rows, which bound each call of the store by it, so every call is answered, with 503 or 504, before connections end. All times of a stop count from the signal.

--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -1,5 +1,6 @@
 """Rows of submitted jobs in the store: their ids, encoding, writes and reads."""
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from statistics import median
@@ -119,6 +120,14 @@
         self._clock = clock
         self._pause = pause
         self._latency = WriteLatency()
+        self._end = math.inf
+
+    def finish_by(self, end):
+        """Let all calls end by a time, also those that are in flight.
+
+        :param end: Time on this entry's clock.
+        """
+        self._end = end
 
     def accept(self, spec, deadline):
         """Store a job unless it exists.
@@ -169,15 +178,16 @@
         If the deadline is sooner than the expected write latency, nothing is sent, so
         that the caller gets a definite failure instead of an unknown outcome.
         """
-        expected = self._latency.get_expected_seconds(self._clock.now())
-        if self._clock.now() + expected > deadline:
+        now = self._clock.now()
+        expected = self._latency.get_expected_seconds(now)
+        if now + expected > min(deadline, self._end) or now >= self._end:
             return Failure(PlatformUnavailable(f"a write needs {expected:.1f} s"))
         is_uncertain = False
         pause = INITIAL_PAUSE_SECONDS
         while True:
-            remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
-            timeout = min(WRITE_TIMEOUT_SECONDS, remaining)
             sent_at = self._clock.now()
+            remaining = min(deadline, self._end) - sent_at
+            timeout = min(WRITE_TIMEOUT_SECONDS, max(MIN_TIMEOUT_SECONDS, remaining))
             outcome = self._store.transact(expects, puts, [], timeout)
             self._latency.record(self._clock.now() - sent_at, self._clock.now())
             match outcome:
@@ -185,7 +195,7 @@
                     return outcome
                 case Failure(PlatformUncertain()):
                     is_uncertain = True
-            if self._clock.now() + pause >= deadline:
+            if self._clock.now() + pause >= min(deadline, self._end):
                 detail = outcome.failure().detail
                 return Failure(PlatformUncertain(detail)) if is_uncertain else outcome
             self._pause(pause)
@@ -200,25 +210,34 @@
         while True:
             remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
             outcome = self._get(row_id, min(READ_TIMEOUT_SECONDS, remaining))
-            is_late = self._clock.now() + pause >= deadline
+            is_late = self._clock.now() + pause >= min(deadline, self._end)
             if isinstance(outcome, Success) or is_late:
                 return outcome
             self._pause(pause)
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
     def _get(self, row_id, timeout=None):
-        page = self._store.read(
+        page = self._read(
             row_id.table, row_id.part, row_id.key, limit=1, timeout=timeout
         )
         return page.map(
             lambda page: next((row for row in page.rows if row.id == row_id), None)
         )
 
+    def _read(self, *arguments, timeout=None, **options):
+        """Read rows, at the latest until all calls have to end."""
+        if math.isfinite(self._end):
+            remaining = self._end - self._clock.now()
+            if remaining <= 0:
+                return Failure(PlatformUnavailable("the entry is shutting down"))
+            timeout = min(timeout or READ_TIMEOUT_SECONDS, remaining)
+        return self._store.read(*arguments, timeout=timeout, **options)
+
     def get_state(self, queue, job_id):
         """Return a ``Result`` of the state of a job, None if there is no such job."""
         key = get_job_key(queue, job_id)
         job = get_row_id(JOBS, key)
-        rows = self._store.read(JOBS, job.part, key, key + "0", limit=2)
+        rows = self._read(JOBS, job.part, key, key + "0", limit=2)
         match rows:
             case Success(page):
                 keys = {row.id.key for row in page.rows}
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import threading
+import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
@@ -78,6 +79,8 @@
 # Time allowed for calls in flight at shutdown; the platform kills the process after
 # 6 s.
 DRAIN_TIMEOUT_SECONDS = 2.9
+# Part of it for sending the answers to calls that the store hasn't served, in seconds.
+ANSWER_SECONDS = 0.3
 POLL_SECONDS = 0.05
 # An entry reports itself as not ready after this time without an answer from the store,
 # in seconds.
@@ -295,23 +298,28 @@
     def _stop(self):
         """Resign, wait for the load balancer, finish calls in flight, then stop."""
         self.is_draining = True
+        removed_at = self.clock.now() + BALANCER_REMOVAL_SECONDS
+        deadline = removed_at + DRAIN_TIMEOUT_SECONDS
         self.log.write("process-draining", self.settings.name)
         self.dispatcher.is_shutting_down = True
+        self.app.finish_by(deadline - ANSWER_SECONDS)
         self.caller_server.drain()
-        pause = threading.Event()
-        pause.wait(POLL_SECONDS)
+        self._pause(POLL_SECONDS)
         self.election.resign()
-        pause.wait(BALANCER_REMOVAL_SECONDS)
+        self._pause(max(0.0, removed_at - self.clock.now()))
         self.caller_server.refuse_connections()
-        deadline = self.clock.now() + DRAIN_TIMEOUT_SECONDS
         while self._is_busy() and self.clock.now() < deadline:
-            pause.wait(POLL_SECONDS)
+            self._pause(POLL_SECONDS)
         self.caller_server.finish(deadline - self.clock.now())
         self.finished.set()
         for server in (self.ready_server, self.metrics_server):
             server.stop()
         self.loop.stop()
 
+    def _pause(self, seconds):
+        """Wait in the main thread."""
+        time.sleep(seconds)
+
     def _is_busy(self):
         return self.app.in_flight > 0 or self.caller_server.count_busy_connections() > 0
 
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -99,6 +99,13 @@
         """Return the number of calls in flight."""
         return self._in_flight
 
+    def finish_by(self, end):
+        """Answer all calls by a time, also those that are in flight.
+
+        :param end: Time on this entry's clock.
+        """
+        self._rows.finish_by(end)
+
     def __call__(self, environ, start_response):
         """Answer one call."""
         started_at = self._clock.now()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -12,6 +12,7 @@
 
 CALLERS = 6
 CALL_SECONDS = 6.0
+PATIENT_SECONDS = 30
 START_SECONDS = 30.0
 LOAD_SECONDS = 1.5
 # Longest delay of each part of an answer of the store: most requests are in flight for
@@ -19,6 +20,8 @@
 STORE_DELAY_SECONDS = 0.8
 # A stop takes less than this.
 STOP_SECONDS = 5.0
+# The platform kills a process this long after SIGTERM.
+GRACE_SECONDS = 6.0
 # A request may be lost if it was sent less than this time before its connection ended:
 # it may not have been read.
 LOSS_SLACK_SECONDS = 0.2
@@ -130,3 +133,26 @@
         caller.join(2 * CALL_SECONDS)
     assert [caller.lost for caller in callers] == [[]] * CALLERS
     assert all(caller.answered for caller in callers)
+
+
+def silence_store(site):
+    for proxy in site.proxies:
+        if proxy.target[1] == site.store.port:
+            proxy.set_mode("silent")
+
+
+# Guards against a request that an entry has read and never answers, since it waits for
+# the store beyond the end of the drain, and against a stop that outlasts the kill.
+def test_request_without_an_answer_of_the_store_is_answered_at_a_planned_stop(site):
+    address = site.callers_by_entry["entry-0"]
+    wait_until_ready(address)
+    connection = http.client.HTTPConnection(*address, timeout=PATIENT_SECONDS)
+    silence_store(site)
+    headers = {**HEADERS, "X-Deadline-Ms": str(PATIENT_SECONDS * 1000)}
+    body = json.dumps({"spec": "text", "steps": [STEP]})
+    connection.request("POST", PREFIX + "job", body, headers)
+    time.sleep(LOSS_SLACK_SECONDS)
+    stopped_at = time.monotonic()
+    assert site.entry_by_name["entry-0"].stop() == 0
+    assert time.monotonic() - stopped_at < GRACE_SECONDS
+    assert connection.getresponse().status == http.HTTPStatus.GATEWAY_TIMEOUT
