--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -1,5 +1,6 @@
 """Rows of submitted jobs in the store: their ids, encoding, writes and reads."""
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from statistics import median
@@ -121,6 +122,14 @@
         self._clock = clock
         self._pause = pause
         self._latency = WriteLatency()
+        self._end = math.inf
+
+    def finish_by(self, end):
+        """Let all calls end by a time, also those that are in flight.
+
+        :param end: Time on this entry's clock.
+        """
+        self._end = end
 
     def accept(self, spec, deadline):
         """Store a job unless it exists.
@@ -171,15 +180,16 @@
         If the deadline is sooner than the expected write latency, nothing is sent, so
         that the caller gets a definite failure instead of an unknown outcome.
         """
-        expected = self._latency.get_expected_seconds(self._clock.now())
-        if self._clock.now() + expected > deadline:
+        now = self._clock.now()
+        expected = self._latency.get_expected_seconds(now)
+        if now + expected > min(deadline, self._end) or now >= self._end:
             return Failure(PlatformUnavailable(f"a write needs {expected:.1f} s"))
         is_uncertain = False
         pause = INITIAL_PAUSE_SECONDS
         while True:
-            remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
-            timeout = min(WRITE_TIMEOUT_SECONDS, remaining)
             sent_at = self._clock.now()
+            remaining = min(deadline, self._end) - sent_at
+            timeout = min(WRITE_TIMEOUT_SECONDS, max(MIN_TIMEOUT_SECONDS, remaining))
             outcome = self._store.transact(expects, puts, [], timeout)
             self._latency.record(self._clock.now() - sent_at, self._clock.now())
             match outcome:
@@ -187,7 +197,7 @@
                     return outcome
                 case Failure(PlatformUncertain()):
                     is_uncertain = True
-            if self._clock.now() + pause >= deadline:
+            if self._clock.now() + pause >= min(deadline, self._end):
                 detail = outcome.failure().detail
                 return Failure(PlatformUncertain(detail)) if is_uncertain else outcome
             self._pause(pause)
@@ -200,10 +210,13 @@
         """
         pause = INITIAL_PAUSE_SECONDS
         while True:
-            remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
-            timeout = min(READ_TIMEOUT_SECONDS, remaining)
+            now = self._clock.now()
+            if now >= self._end:
+                return Failure(PlatformUnavailable("the entry is shutting down"))
+            remaining = max(MIN_TIMEOUT_SECONDS, deadline - now)
+            timeout = min(READ_TIMEOUT_SECONDS, remaining, self._end - now)
             outcome = self._store.read(*arguments, **options, timeout=timeout)
-            is_late = self._clock.now() + pause >= deadline
+            is_late = self._clock.now() + pause >= min(deadline, self._end)
             if isinstance(outcome, Success) or is_late:
                 return outcome
             self._pause(pause)
