Log the ends of workers for which no crash is counted, and why

Runs that were lost with their worker showed as runs-lost whether a crash was counted for them or not, so that a task that is started again and again could not be told from one whose workers ended for known reasons. crash-uncounted names the node and the reason.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -447,10 +447,16 @@
         worker = self.cluster.get_worker(stream.peer.name, stream.peer.zone)
         if not report.born:
             # A node that restarted tells only that its worker's leases have expired.
+            if worker.allocation_by_key:
+                self._log_uncounted(worker, "node-restarted", worker.allocation_by_key)
             self._release_worker(worker, "worker-lapsed", now)
             return
-        if self._has_crashed(worker, stream, report, now):
-            self._record_crash(worker, report)
+        if worker.allocation_by_key and _shows_end(worker, report):
+            excuse = self._find_excuse(worker, stream, now)
+            if excuse:
+                self._log_uncounted(worker, excuse, worker.allocation_by_key)
+            else:
+                self._record_crash(worker, report)
         if worker.stream is not stream:
             worker.stream = stream
             worker.forget_limits()
@@ -460,20 +466,23 @@
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
 
-    def _has_crashed(self, worker, stream, report, now):
-        """Return whether a report shows that a worker has crashed.
+    def _find_excuse(self, worker, stream, now):
+        """Return why the end of a worker is no crash; empty if it is one.
 
         A node that was away as well has lost its machine, and a worker that drains or
         is down for maintenance ends by a decision of the operator.
         """
-        if worker.stream is not stream or worker.incarnation is None:
-            return False
-        is_over = (
-            report.is_gone or report.born != worker.incarnation.started_ms
-        ) and not worker.is_draining
-        return is_over and worker.node not in self.maintenance.get_evacuating_nodes(
-            self.cluster, now
-        )
+        if worker.incarnation is None:
+            return "worker-unknown"
+        if worker.stream is not stream:
+            return "node-connected"
+        if worker.is_draining:
+            return "draining"
+        nodes = self.maintenance.get_evacuating_nodes(self.cluster, now)
+        return "maintenance" if worker.node in nodes else ""
+
+    def _log_uncounted(self, worker, reason, runs):
+        self.log.write("crash-uncounted", worker.node, why=reason, runs=len(runs))
 
     def _record_crash(self, worker, report):
         doubtful = (
@@ -527,6 +536,7 @@
             self.log.write(
                 "runs-lost", worker.node, reason="worker-gone", runs=len(runs)
             )
+            self._log_uncounted(worker, "worker-gone", runs)
         for run in runs:
             self.cluster.release(worker, run, "worker-gone", now)
 
@@ -760,3 +770,10 @@
         self._interference_stored_at = now
         interference_state = self.cluster.interference.export()
         self._interference_row.put(msgspec.msgpack.encode(interference_state))
+
+
+def _shows_end(worker, report):
+    """Return whether a report shows that runs of a worker ended with it."""
+    return report.is_gone or any(
+        run.born != report.born for run in worker.allocation_by_key.values()
+    )
