Tests of a task that is started again and again beside other faults

A task that crashes its workers is started up to 78 times in 40 s where the scheduling entry changes, the node connects anew or restarts, or the worker is back at once, and a long-running one that crashes its worker after 2 s of work is never given up.

--- /dev/null
+++ b/tests/site/test_crash_budget.py
@@ -0,0 +1,230 @@
+"""Tests of the limit of starts of tasks that crash workers, beside other faults."""
+
+import random
+
+import pytest
+
+from bergamotshore.core.work.model import Step
+from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES
+from standins.site import CRASH_SECONDS
+from tests.fakes import FakeClock
+from tests.site.simulation import Simulation
+
+CULPRIT = "deadly.0.0.0"
+WORK_SECONDS = 1.3
+SHORT = Step(tasks=2, cpu=240, memory=100, estimate=WORK_SECONDS)
+LASTING = Step(tasks=2, cpu=400, memory=100, is_lasting=True)
+COPIED = Step(tasks=2, cpu=240, memory=100, is_speculative=True)
+# Time of work after which the task crashes its worker, in seconds.
+CRASH_DELAYS = (0.0, 0.1, 0.8, 1.6)
+# Time for which a crashed worker refuses connections, in seconds. After the shortest,
+# its node notices the new incarnation only.
+CRASH_TIMES = (0.1, 1.0, CRASH_SECONDS)
+MAX_STARTS = MAX_CRASHES + MAX_STARTS_AFTER_CRASHES - 1
+# Long enough for twice as many starts as are allowed.
+LIMIT_SECONDS = 60.0
+
+
+class Site:
+    """A site with a task that crashes workers and harmless tasks beside it.
+
+    :param step: ``Step`` of the job of which one task crashes workers.
+    :param delay: Time of work after which it does so, in seconds.
+    """
+
+    def __init__(self, step, delay, crash_seconds=CRASH_SECONDS, seed=0):
+        self.simulation = Simulation(FakeClock(), entries=3, nodes=6, seed=seed)
+        self.random = self.simulation.random
+        for runner in self.simulation.runner_by_node.values():
+            runner.crash_seconds = crash_seconds
+        self.simulation.advance(1.0)
+        self.ledger = self.simulation.ledger
+        self.ledger.record_crashing(CULPRIT, delay)
+        self.harmless_jobs = []
+        self.submit_harmless()
+        self.simulation.submit("deadly", (step,))
+
+    def submit_harmless(self):
+        """Submit another harmless job, whose tasks start beside the culprit."""
+        job_id = f"harmless{len(self.harmless_jobs)}"
+        self.harmless_jobs.append(job_id)
+        self.simulation.submit(job_id, (SHORT,))
+
+    def list_crashed_nodes(self):
+        """Return the nodes whose workers have crashed under the culprit, in order."""
+        crashes = sorted(self.ledger.crashes_by_task.get(CULPRIT, ()))
+        return [f"node-{name.removeprefix('worker-')}" for name, _ in crashes]
+
+    def count_starts(self):
+        return sum(task == CULPRIT for task, _, _ in self.ledger.starts)
+
+    def is_over(self):
+        return self.simulation.get_state("deadly") in ("done", "failed")
+
+    def advance(self):
+        """Run one step; harmless short tasks end after their work."""
+        self.simulation.advance(0.1)
+        now = self.simulation.clock.now()
+        for runner in self.simulation.runner_by_node.values():
+            for task, number in list(runner.run_by_task.items()):
+                age = now - runner.started_at_by_run[(task, number)]
+                is_harmless = self.ledger.get_crash_delay(task) is None
+                is_lasting = self.ledger.get_step(task).is_lasting
+                if age >= WORK_SECONDS and is_harmless and not is_lasting:
+                    runner.finish(task, "done")
+
+    def run(self, disturb, wait):
+        """Run until the culprit is given up; disturb the site after each crash.
+
+        :param disturb: Called with this object and the node of the crashed worker.
+        :param wait: Time from a crash to the disturbance, in seconds.
+        """
+        until = self.simulation.clock.now() + LIMIT_SECONDS
+        known = set()
+        due = []
+        while self.simulation.clock.now() < until and not self.is_over():
+            self.advance()
+            crashes = self.ledger.crashes_by_task.get(CULPRIT, set())
+            for worker, _ in sorted(crashes - known):
+                node = f"node-{worker.removeprefix('worker-')}"
+                due.append((self.simulation.clock.now() + wait, node))
+            known = set(crashes)
+            while due and due[0][0] <= self.simulation.clock.now():
+                disturb(self, due.pop(0)[1])
+
+    def check(self):
+        """Check that the culprit, and nothing else, was given up in time."""
+        assert self.ledger.problems == []
+        assert self.simulation.get_state("deadly") == "failed"
+        assert self.count_starts() <= MAX_STARTS
+        for job_id in self.harmless_jobs:
+            assert self.simulation.get_state(job_id) != "failed"
+
+
+def restart_leader(site, node):
+    leader = site.simulation.leader
+    if leader is not None:
+        site.simulation.start_entry(leader.name)
+
+
+def replace_leader(site, node):
+    """Kill the scheduling entry; start again the one that was killed before."""
+    simulation = site.simulation
+    missing = set(simulation.entry_names) - set(simulation.entry_by_name)
+    leader = simulation.leader
+    if leader is not None:
+        simulation.kill_entry(leader.name)
+    for name in sorted(missing):
+        simulation.start_entry(name)
+
+
+def restart_all_entries(site, node):
+    for name in site.simulation.entry_names:
+        site.simulation.start_entry(name)
+
+
+def restart_leader_during_outage(site, node):
+    site.simulation.store.is_down = True
+    site.simulation.advance(1.0)
+    restart_leader(site, node)
+    site.simulation.store.is_down = False
+
+
+def reset_streams(site, node):
+    for stream in list(site.simulation.node_by_name[node].streams):
+        stream.close("connection-lost")
+        stream.other.close("connection-lost")
+
+
+def restart_node(site, node):
+    site.simulation.start_node(node)
+
+
+def do_nothing(site, node):
+    """Leave the site as it is."""
+
+
+# Guards against counting only the crashes of workers that the scheduling entry has seen
+# before: a task was started without a limit while that entry changed at each crash.
+@pytest.mark.parametrize(
+    "disturb",
+    [
+        restart_leader,
+        replace_leader,
+        restart_all_entries,
+        restart_leader_during_outage,
+    ],
+)
+def test_crashes_are_counted_while_the_scheduling_entry_changes(disturb):
+    for delay in CRASH_DELAYS:
+        for wait in (0.0, 0.2, 0.4):
+            site = Site(SHORT, delay)
+            site.run(disturb, wait)
+            site.check()
+
+
+# Guards against a crash that isn't counted because the node has connected anew since.
+@pytest.mark.parametrize("crash_seconds", CRASH_TIMES)
+def test_crashes_are_counted_although_the_node_connects_anew(crash_seconds):
+    for delay in CRASH_DELAYS:
+        for wait in (0.0, 0.2, 0.4):
+            site = Site(SHORT, delay, crash_seconds)
+            site.run(reset_streams, wait)
+            site.check()
+
+
+# Guards against a crash of which the node sees the new incarnation only: the run whose
+# order got no answer was taken for one that had not started.
+@pytest.mark.parametrize(
+    "step", [SHORT, LASTING, COPIED], ids=["short", "long-running", "copied"]
+)
+def test_crashes_of_workers_that_return_at_once_are_counted(step):
+    for delay in CRASH_DELAYS:
+        site = Site(step, delay, CRASH_TIMES[0])
+        site.run(do_nothing, 0.0)
+        site.check()
+
+
+# Guards against clearing a long-running task that crashes each worker after some
+# seconds of work: it was never given up.
+@pytest.mark.parametrize("delay", [2.2, 4.0, 8.0])
+def test_long_running_task_that_crashes_workers_late_is_given_up(delay):
+    site = Site(LASTING, delay)
+    site.run(do_nothing, 0.0)
+    site.check()
+
+
+# Guards against a crash that isn't counted because the process of the node restarted
+# beside it.
+def test_crashes_are_counted_although_the_node_restarts():
+    for delay in CRASH_DELAYS:
+        site = Site(SHORT, delay)
+        site.run(restart_node, 0.0)
+        site.check()
+
+
+# Guards against combinations of these faults that add up to more starts than allowed.
+@pytest.mark.parametrize("seed", range(4))
+def test_starts_are_limited_under_random_faults(seed):
+    generator = random.Random(seed)
+    for _ in range(6):
+        site = Site(
+            generator.choice((SHORT, COPIED)),
+            generator.choice(CRASH_DELAYS),
+            generator.choice(CRASH_TIMES),
+            seed=generator.randrange(1000),
+        )
+        faults = (
+            do_nothing,
+            restart_leader,
+            replace_leader,
+            restart_all_entries,
+            reset_streams,
+        )
+
+        def disturb(site, node, faults=faults):
+            site.submit_harmless()
+            site.random.choice(faults)(site, node)
+
+        site.run(disturb, generator.choice((0.0, 0.1, 0.3, 0.5, 1.0)))
+        site.check()
