Count crashes by what the node has seen on its worker

Callers saw a task that crashes its workers started without a limit (BUDGET) where the scheduling entry changed at each crash, the node connected anew, or the worker was back before the node noticed.

Cause: the scheduling entry took a crash from what it remembered of the worker and the stream of its node. One that took over, or had learned of the end by another message, released the runs and counted nothing.

A claim is released in the transaction that counts its crash, so it counts once; a crash that the predecessor had counted but not written is counted by the successor. Losses while the node was silent to the entry are no crash, as before.

--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -26,6 +26,19 @@
 MAX_TRIAL_WAIT_SECONDS = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that was lost with its worker, as told by the node.
+
+    :param worked_seconds: How long it had worked, in seconds; 0 if its order got no
+        answer.
+    :param was_away: Whether the node was away as well.
+    """
+
+    worked_seconds: float
+    was_away: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashedRun:
     """A run that is suspected of having crashed its worker.
@@ -42,24 +55,29 @@
     is_given_up: bool
 
 
-def record_crash(cluster, worker, doubtful):
+def record_crash(cluster, worker, lost_by_key):
     """Count a crash of a worker for the runs that may have caused it.
 
-    Has to be called before the runs of the worker are released.
+    Has to be called before the runs of the worker are released. A crash is counted once
+    for each run, whichever scheduling entry has ordered it.
 
     :param cluster: ``ClusterState``.
     :param worker: ``WorkerState`` that has crashed.
-    :param doubtful: Keys of runs whose order got no answer.
+    :param lost_by_key: ``LostRun`` by name and number of what was there.
     :returns: List of ``CrashedRun``.
     """
     present = [
         allocation
         for allocation in worker.allocation_by_key.values()
-        if allocation.is_started or allocation.key in doubtful
+        if allocation.key in lost_by_key and not allocation.is_crash_recorded
     ]
     crashed = []
-    suspected = [run for run in present if _is_young(worker, run)] or present
+    suspected = [
+        run for run in present if lost_by_key[run.key].worked_seconds < TRIAL_SECONDS
+    ] or present
     counts = [cluster.count_crashes(run.ref) for run in suspected]
+    for allocation in present:
+        allocation.is_crash_recorded = True
     for allocation, count in zip(suspected, counts, strict=True):
         is_first = count == max(counts) and counts.count(count) == 1
         limit = MAX_CRASHES if is_first else MAX_SHARED_CRASHES
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -38,6 +38,7 @@
     :param stop_sent_at: When a stop order was last sent, in seconds; 0 for never.
     :param checkpoint: Newest reported checkpoint.
     :param ticket: Ticket of the advice service; empty when none is needed.
+    :param is_crash_recorded: Whether the crash of its worker has been recorded.
     """
 
     ref: TaskRef
@@ -60,6 +61,7 @@
     stop_sent_at: float = 0.0
     checkpoint: str = ""
     ticket: str = ""
+    is_crash_recorded: bool = False
 
     @property
     def key(self):
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -447,16 +447,9 @@
         worker = self.cluster.get_worker(stream.peer.name, stream.peer.zone)
         if not report.born:
             # A node that restarted tells only that its worker's leases have expired.
-            if worker.allocation_by_key:
-                self._log_uncounted(worker, "node-restarted", worker.allocation_by_key)
             self._release_worker(worker, "worker-lapsed", now)
             return
-        if worker.allocation_by_key and _shows_end(worker, report):
-            excuse = self._find_excuse(worker, stream, now)
-            if excuse:
-                self._log_uncounted(worker, excuse, worker.allocation_by_key)
-            else:
-                self._record_crash(worker, report)
+        self._record_crash(worker, now)
         if worker.stream is not stream:
             worker.stream = stream
             worker.forget_limits()
@@ -466,31 +459,27 @@
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
 
-    def _find_excuse(self, worker, stream, now):
-        """Return why the end of a worker is no crash; empty if it is one.
+    def _record_crash(self, worker, now):
+        """Count a crash for the runs that a node has seen on a worker that is lost.
 
         A node that was away as well has lost its machine, and a worker that drains or
         is down for maintenance ends by a decision of the operator.
         """
-        if worker.incarnation is None:
-            return "worker-unknown"
-        if worker.stream is not stream:
-            return "node-connected"
-        if worker.is_draining:
-            return "draining"
-        nodes = self.maintenance.get_evacuating_nodes(self.cluster, now)
-        return "maintenance" if worker.node in nodes else ""
-
-    def _log_uncounted(self, worker, reason, runs):
-        self.log.write("crash-uncounted", worker.node, why=reason, runs=len(runs))
-
-    def _record_crash(self, worker, report):
-        doubtful = (
-            set()
-            if report.born != worker.incarnation.started_ms
-            else {tuple(key) for key in report.doubtful}
-        )
-        for run in record_crash(self.cluster, worker, doubtful):
+        lost_by_key = self.directory.get_lost_runs(worker.node)
+        runs = [
+            run
+            for run in worker.allocation_by_key.values()
+            if run.key in lost_by_key and not run.is_crash_recorded
+        ]
+        if not runs:
+            return
+        if any(lost_by_key[run.key].was_away for run in runs):
+            self._log_uncounted(worker, "node-away", runs)
+            return
+        if worker.node in self.maintenance.get_evacuating_nodes(self.cluster, now):
+            self._log_uncounted(worker, "maintenance", runs)
+            return
+        for run in record_crash(self.cluster, worker, lost_by_key):
             self.registry.count("run_crashes_total")
             self.log.write(
                 "crash-counted",
@@ -503,7 +492,18 @@
                 self.registry.count("tasks_given_up_total")
                 self.log.write("task-given-up", run.name, crashes=run.crashes)
 
+    def _log_uncounted(self, worker, reason, runs):
+        self.log.write("crash-uncounted", worker.node, why=reason, runs=len(runs))
+
     def _release_worker(self, worker, reason, now):
+        self._record_crash(worker, now)
+        uncounted = [
+            run
+            for run in worker.allocation_by_key.values()
+            if not run.is_crash_recorded
+        ]
+        if uncounted:
+            self._log_uncounted(worker, reason, uncounted)
         if worker.allocation_by_key:
             self.log.write(
                 "runs-lost",
@@ -533,10 +533,10 @@
         ended = self.directory.get_ended_incarnations(worker.node)
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
+            self._record_crash(worker, now)
             self.log.write(
                 "runs-lost", worker.node, reason="worker-gone", runs=len(runs)
             )
-            self._log_uncounted(worker, "worker-gone", runs)
         for run in runs:
             self.cluster.release(worker, run, "worker-gone", now)
 
@@ -770,10 +770,3 @@
         self._interference_stored_at = now
         interference_state = self.cluster.interference.export()
         self._interference_row.put(msgspec.msgpack.encode(interference_state))
-
-
-def _shows_end(worker, report):
-    """Return whether a report shows that runs of a worker ended with it."""
-    return report.is_gone or any(
-        run.born != report.born for run in worker.allocation_by_key.values()
-    )
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -2,9 +2,41 @@
 
 import threading
 from collections import deque
+from dataclasses import dataclass, field
+
+from bergamotshore.core.work.crashes import LostRun
 
 # Ends of workers kept for each node: those of the time without a scheduling entry.
 MAX_ENDS_PER_NODE = 8
+# Nodes send a heartbeat every 0.5 s. One that was silent for longer was away, in
+# seconds.
+MAX_SILENCE_SECONDS = 1.3
+
+
+@dataclass(slots=True)
+class NodeContact:
+    """What this entry has heard of a node.
+
+    :param heard_at: Time of the last message, in seconds; 0 before the first.
+    :param silent_since: Begin of its last silence, in seconds.
+    :param silent_until: End of its last silence, in seconds; 0 before the first.
+    :param lost_by_key: ``LostRun`` by task and run, as told by its last report.
+    """
+
+    heard_at: float = 0.0
+    silent_since: float = 0.0
+    silent_until: float = 0.0
+    lost_by_key: dict = field(default_factory=dict)
+
+    def record_message(self, now):
+        """Record that a message has arrived."""
+        if self.heard_at and now - self.heard_at > MAX_SILENCE_SECONDS:
+            self.silent_since, self.silent_until = self.heard_at, now
+        self.heard_at = now
+
+    def was_away(self, at):
+        """Return whether the node was silent at a time."""
+        return self.silent_since <= at <= self.silent_until
 
 
 class StreamDirectory:
@@ -22,6 +54,7 @@
         self._stream_by_node = {}
         self._last_heartbeat_at_by_node = {}
         self._ended_incarnations_by_node = {}
+        self._contact_by_node = {}
 
     def open(self, stream):
         """Register a stream; return the open stream that it replaces, or None."""
@@ -38,8 +71,13 @@
 
     def record_heartbeat(self, stream):
         """Record that a node sent a clock reading, which may be echoed from now on."""
+        now = self._clock.now()
         with self._lock:
-            self._last_heartbeat_at_by_node[stream.peer.name] = self._clock.now()
+            self._last_heartbeat_at_by_node[stream.peer.name] = now
+            self._get_contact(stream.peer.name).record_message(now)
+
+    def _get_contact(self, node):
+        return self._contact_by_node.setdefault(node, NodeContact())
 
     def get_last_heartbeat_at(self, node):
         """Return the time of the last heartbeat of a node, 0 if there was none."""
@@ -47,11 +85,18 @@
             return self._last_heartbeat_at_by_node.get(node, 0.0)
 
     def record_report(self, stream, report):
-        """Record whether a node reports its worker as gone.
+        """Record whether a node reports its worker as gone, and what it has lost.
 
         :param report: ``RunReport``.
         """
+        now = self._clock.now()
         with self._lock:
+            contact = self._get_contact(stream.peer.name)
+            contact.record_message(now)
+            contact.lost_by_key = {
+                (task, number): LostRun(seconds, contact.was_away(now - ago))
+                for task, number, seconds, ago in report.lost
+            }
             ended = self._ended_incarnations_by_node.setdefault(
                 stream.peer.name, deque(maxlen=MAX_ENDS_PER_NODE)
             )
@@ -65,6 +110,12 @@
         with self._lock:
             return tuple(self._ended_incarnations_by_node.get(node, ()))
 
+    def get_lost_runs(self, node):
+        """Return the ``LostRun`` by task and run that a node has told of."""
+        with self._lock:
+            contact = self._contact_by_node.get(node)
+            return contact.lost_by_key if contact is not None else {}
+
     def is_current(self, stream):
         """Return whether a stream is open and the newest of its node."""
         with self._lock:
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -10,6 +10,7 @@
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
+from bergamotshore.node.lostruns import LostRuns
 from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
 from bergamotshore.node.workerlease import WorkerLease
@@ -42,10 +43,12 @@
 
     :param fence: Fencing token of the call.
     :param is_in_flight: Whether the call to the worker has not returned.
+    :param is_sent: Whether the call has been made.
     """
 
     fence: int
     is_in_flight: bool = True
+    is_sent: bool = False
 
 
 class RunManager:
@@ -86,6 +89,7 @@
         self._stopped_run_by_task = OrderedDict()
         self._cancelled_jobs = CancelledJobs()
         self._started_at_by_key = {}
+        self._lost_runs = LostRuns()
         self._lease = WorkerLease(grant, clock.now())
         self._refused_connections = 0
         self._is_worker_down = False
@@ -273,7 +277,7 @@
             return
         with self._lock:
             fence = self._fence
-            self._unresolved_by_key[key] = UnresolvedOrder(fence)
+            self._unresolved_by_key[key] = UnresolvedOrder(fence, is_sent=True)
             extension = self._lease.extend(now)
             worker = (
                 self.worker_report.incarnation.worker
@@ -302,9 +306,8 @@
         """Let the next list of runs show whether an order was carried out."""
         with self._lock:
             if key in self._unresolved_by_key:
-                self._unresolved_by_key[key] = UnresolvedOrder(
-                    fence, is_in_flight=False
-                )
+                order = self._unresolved_by_key[key]
+                order.fence, order.is_in_flight = fence, False
         self._void_fence(fence)
 
     def _void_fence(self, fence):
@@ -317,7 +320,8 @@
             if self._unresolved_by_key.pop(key, None) is None:
                 return
             if outcome == "started":
-                self._started_at_by_key[key] = self.clock.now()
+                now = self._started_at_by_key[key] = self.clock.now()
+                self._lost_runs.record_started(key, now)
         self._report_outcome(*key, outcome)
 
     def _call_stop(self, task, number):
@@ -373,7 +377,11 @@
         is_refused = isinstance(failure, WorkerFailure) and failure.is_refused
         self._refused_connections = self._refused_connections + 1 if is_refused else 0
         was_answering, self.is_answering = self.is_answering, False
+        was_down = self._is_worker_down
         self._is_worker_down = self._refused_connections >= REFUSALS_UNTIL_DOWN
+        if self._is_worker_down and not was_down:
+            with self._lock:
+                self._record_worker_end()
         if was_answering:
             self.log.write("worker-silent", "worker", why=str(failure))
         self.on_change()
@@ -409,10 +417,17 @@
                     )
             self.running = listing.running
             self.ended = listing.ended
+            running_keys = {(run.task, run.number) for run in listing.running}
+            self._lost_runs.record_present(
+                {*running_keys, *self._started_at_by_key}, now
+            )
+            self._lost_runs.withdraw(listed_keys)
+        # The report goes first, as it tells which runs were lost with their worker; the
+        # outcome of an order releases its run.
+        self.on_change()
         for task, number, outcome in outcomes:
             self._report_outcome(task, number, outcome)
         self._stop_overdue(listing, now)
-        self.on_change()
 
     def _stop_overdue(self, listing, now):
         """Stop runs that are still listed after the renewal grant has ended.
@@ -441,6 +456,7 @@
                 self._candidate_incarnation == (listing.started_ms, True)
                 and fence >= self._incarnation_fence
             ):
+                self._record_worker_end()
                 self.incarnation = listing.started_ms
                 self._lease.forget_clock()
                 self._started_at_by_key.clear()
@@ -460,6 +476,15 @@
     _candidate_incarnation = (0, False)
     _incarnation_fence = 0
 
+    def _record_worker_end(self):
+        """Record which runs are lost with a worker; one that drains ends by itself."""
+        is_draining = self.worker_report is not None and self.worker_report.is_draining
+        if not is_draining and self.incarnation:
+            doubtful = [
+                key for key, order in self._unresolved_by_key.items() if order.is_sent
+            ]
+            self._lost_runs.record_end(doubtful, self.clock.now())
+
     @property
     def ended_incarnation(self):
         """Return the incarnation of the worker if it is certainly gone, otherwise 0."""
@@ -526,6 +551,7 @@
             ],
             doubtful=list(self._unresolved_by_key),
             is_gone=bool(self.ended_incarnation),
+            lost=self._lost_runs.list_recent(now),
         )
 
 
