--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -449,8 +449,7 @@
             # A node that restarted tells only that its worker's leases have expired.
             self._release_worker(worker, "worker-lapsed", now)
             return
-        if self._has_crashed(worker, stream, report, now):
-            self._record_crash(worker, report)
+        self._record_crash(worker, now)
         if worker.stream is not stream:
             worker.stream = stream
             worker.forget_limits()
@@ -460,28 +459,27 @@
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
 
-    def _has_crashed(self, worker, stream, report, now):
-        """Return whether a report shows that a worker has crashed.
+    def _record_crash(self, worker, now):
+        """Count a crash for the runs that a node has seen on a worker that is lost.
 
         A node that was away as well has lost its machine, and a worker that drains or
         is down for maintenance ends by a decision of the operator.
         """
-        if worker.stream is not stream or worker.incarnation is None:
-            return False
-        is_over = (
-            report.is_gone or report.born != worker.incarnation.started_ms
-        ) and not worker.is_draining
-        return is_over and worker.node not in self.maintenance.get_evacuating_nodes(
-            self.cluster, now
-        )
-
-    def _record_crash(self, worker, report):
-        doubtful = (
-            set()
-            if report.born != worker.incarnation.started_ms
-            else {tuple(key) for key in report.doubtful}
-        )
-        for run in record_crash(self.cluster, worker, doubtful):
+        lost_by_key = self.directory.get_lost_runs(worker.node)
+        runs = [
+            run
+            for run in worker.allocation_by_key.values()
+            if run.key in lost_by_key and not run.is_crash_recorded
+        ]
+        if not runs:
+            return
+        if any(lost_by_key[run.key].was_away for run in runs):
+            self._log_uncounted(worker, "node-away", runs)
+            return
+        if worker.node in self.maintenance.get_evacuating_nodes(self.cluster, now):
+            self._log_uncounted(worker, "maintenance", runs)
+            return
+        for run in record_crash(self.cluster, worker, lost_by_key):
             self.registry.count("run_crashes_total")
             self.log.write(
                 "crash-counted",
@@ -494,7 +492,18 @@
                 self.registry.count("tasks_given_up_total")
                 self.log.write("task-given-up", run.name, crashes=run.crashes)
 
+    def _log_uncounted(self, worker, reason, runs):
+        self.log.write("crash-uncounted", worker.node, why=reason, runs=len(runs))
+
     def _release_worker(self, worker, reason, now):
+        self._record_crash(worker, now)
+        uncounted = [
+            run
+            for run in worker.allocation_by_key.values()
+            if not run.is_crash_recorded
+        ]
+        if uncounted:
+            self._log_uncounted(worker, reason, uncounted)
         if worker.allocation_by_key:
             self.log.write(
                 "runs-lost",
@@ -530,6 +539,7 @@
         ended = self.directory.ends.get_ended_incarnations(worker.node)
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
+            self._record_crash(worker, now)
             self.log.write(
                 "runs-lost", worker.node, reason="worker-gone", runs=len(runs)
             )
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -11,6 +11,7 @@
 from bergamotshore.core.work.confirmation import MAX_ORDER_AGE_SECONDS
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunReport
+from bergamotshore.node.lostruns import LostRuns
 from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
 from bergamotshore.node.workerlease import WorkerLease
@@ -45,10 +46,12 @@
 
     :param fence: Fencing token of the call.
     :param is_in_flight: Whether the call to the worker has not returned.
+    :param is_sent: Whether the call has been made.
     """
 
     fence: int
     is_in_flight: bool = True
+    is_sent: bool = False
 
 
 class RunManager:
@@ -89,6 +92,7 @@
         self._stopped_run_by_task = OrderedDict()
         self._cancelled_jobs = CancelledJobs()
         self._started_at_by_key = {}
+        self._lost_runs = LostRuns()
         self._lease = WorkerLease(grant, clock.now())
         self._refused_connections = 0
         self._is_worker_down = False
@@ -278,7 +282,7 @@
             return
         with self._lock:
             fence = self._fence
-            self._unresolved_by_key[key] = UnresolvedOrder(fence)
+            self._unresolved_by_key[key] = UnresolvedOrder(fence, is_sent=True)
             extension = self._lease.extend(now)
             worker = (
                 self.worker_report.incarnation.worker
@@ -307,9 +311,8 @@
         """Let the next list of runs show whether an order was carried out."""
         with self._lock:
             if key in self._unresolved_by_key:
-                self._unresolved_by_key[key] = UnresolvedOrder(
-                    fence, is_in_flight=False
-                )
+                order = self._unresolved_by_key[key]
+                order.fence, order.is_in_flight = fence, False
         self._void_fence(fence)
 
     def _void_fence(self, fence):
@@ -322,7 +325,8 @@
             if self._unresolved_by_key.pop(key, None) is None:
                 return
             if outcome == "started":
-                self._started_at_by_key[key] = self.clock.now()
+                now = self._started_at_by_key[key] = self.clock.now()
+                self._lost_runs.record_started(key, now)
         self._report_outcome(*key, outcome)
 
     def _call_stop(self, task, number):
@@ -413,9 +417,12 @@
             refusals = self._refused_connections + 1 if is_refused else 0
             self._refused_connections = refusals
             was_answering, self.is_answering = self.is_answering, False
+            was_down = self._is_worker_down
             self._is_worker_down = refusals >= REFUSALS_UNTIL_DOWN
             if self._is_worker_down:
                 self._state_known_at = self.clock.now()
+                if not was_down:
+                    self._record_worker_end()
         if was_answering:
             self.log.write("worker-silent", "worker", why=str(failure))
         self.on_change()
@@ -452,10 +459,17 @@
                     )
             self.running = listing.running
             self.ended = listing.ended
+            running_keys = {(run.task, run.number) for run in listing.running}
+            self._lost_runs.record_present(
+                {*running_keys, *self._started_at_by_key}, now
+            )
+            self._lost_runs.withdraw(listed_keys)
+        # The report goes first, as it tells which runs were lost with their worker; the
+        # outcome of an order releases its run.
+        self.on_change()
         for task, number, outcome in outcomes:
             self._report_outcome(task, number, outcome)
         self._stop_overdue(listing, now)
-        self.on_change()
 
     def _stop_overdue(self, listing, now):
         """Stop runs that are still listed after the renewal grant has ended.
@@ -484,6 +498,7 @@
                 self._candidate_incarnation == (listing.started_ms, True)
                 and fence >= self._incarnation_fence
             ):
+                self._record_worker_end()
                 self.incarnation = listing.started_ms
                 self._lease.forget_clock()
                 self._started_at_by_key.clear()
@@ -503,6 +518,15 @@
     _candidate_incarnation = (0, False)
     _incarnation_fence = 0
 
+    def _record_worker_end(self):
+        """Record which runs are lost with a worker; one that drains ends by itself."""
+        is_draining = self.worker_report is not None and self.worker_report.is_draining
+        if not is_draining and self.incarnation:
+            doubtful = [
+                key for key, order in self._unresolved_by_key.items() if order.is_sent
+            ]
+            self._lost_runs.record_end(doubtful, self.clock.now())
+
     @property
     def ended_incarnation(self):
         """Return the incarnation of the worker if it is certainly gone, otherwise 0."""
@@ -569,6 +593,7 @@
             ],
             doubtful=list(self._unresolved_by_key),
             is_gone=bool(self.ended_incarnation),
+            lost=self._lost_runs.list_recent(now),
         )
 
 
