Leave the end of a worker to its node while that is heard

Cause: an end that another entry passes on releases the runs, but only the node tells which runs were lost.

Nodes that have left tell nothing, and their runs are released once they are not heard.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -536,7 +536,11 @@
 
         The node may have told so before this term, and have left since.
         """
-        ended = self.directory.ends.get_ended_incarnations(worker.node)
+        last_heard = self.directory.get_last_heartbeat_at(worker.node)
+        heard_at = max(self.term_started_at, last_heard)
+        ended = self.directory.ends.get_ended_incarnations(
+            worker.node, is_node_heard=now - heard_at < HEARTBEAT_TIMEOUT_SECONDS
+        )
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
             self._record_crash(worker, now)
--- a/src/bergamotshore/entry/workerends.py
+++ b/src/bergamotshore/entry/workerends.py
@@ -53,7 +53,7 @@
         with self._lock:
             known = self._end_by_born_by_node.get(node, {}).get(born)
             is_known = known is not None and not known.is_refuted
-            if is_gone != is_known:
+            if is_gone != is_known or (is_gone and not known.is_first_hand):
                 self._store(node, born, KnownEnd(self._clock.now(), not is_gone, True))
             return is_gone and not is_known
 
@@ -84,11 +84,20 @@
         while len(ends) > MAX_ENDS_PER_NODE:
             del ends[next(iter(ends))]
 
-    def get_ended_incarnations(self, node):
-        """Return the start times of a node's workers that are gone, in ms."""
+    def get_ended_incarnations(self, node, is_node_heard=False):
+        """Return the start times of a node's workers that are gone, in ms.
+
+        :param is_node_heard: Whether this entry hears the node, or may do so soon. Then
+            only what the node itself told counts, since it also tells which runs were
+            lost with the worker.
+        """
         with self._lock:
             ends = self._end_by_born_by_node.get(node, {})
-            return tuple(born for born, end in ends.items() if not end.is_refuted)
+            return tuple(
+                born
+                for born, end in ends.items()
+                if not end.is_refuted and (end.is_first_hand or not is_node_heard)
+            )
 
     def list_announced(self):
         """Return each ``WorkerEnd`` to pass on; the latest if there are many."""
--- a/tests/site/test_crash_budget.py
+++ b/tests/site/test_crash_budget.py
@@ -130,6 +130,18 @@
     site.simulation.store.is_down = False
 
 
+def restart_leader_before_nodes_connect(site, node):
+    """Restart the scheduling entry, to which nodes connect later than other entries."""
+    leader = site.simulation.leader
+    if leader is None:
+        return
+    for name in site.simulation.node_by_name:
+        site.simulation.disconnect(leader.name, name)
+    site.simulation.start_entry(leader.name)
+    site.simulation.advance(0.8)
+    site.simulation.heal()
+
+
 def reset_streams(site, node):
     for stream in list(site.simulation.node_by_name[node].streams):
         stream.close("connection-lost")
@@ -153,6 +165,7 @@
         replace_leader,
         restart_all_entries,
         restart_leader_during_outage,
+        restart_leader_before_nodes_connect,
     ],
 )
 def test_crashes_are_counted_while_the_scheduling_entry_changes(disturb):
