--- a/tests/site/test_leaving_rounds.py
+++ b/tests/site/test_leaving_rounds.py
@@ -51,7 +51,10 @@
             self.plan(at + draw(3.0, 8.0), self.begin_to_leave)
 
     def begin_to_leave(self):
-        """Let a worker leave and its node after it, if possible one that runs tasks."""
+        """Let a worker and its node go, if possible one that runs tasks.
+
+        They leave one after another, or lose power together.
+        """
         site = self.simulation
         nodes = [
             node
@@ -62,6 +65,10 @@
         node = nodes[0]
         site.runner_by_node[node].is_draining = True
         leaves_at = site.clock.now() - self.start + self.random.uniform(0.0, 3.5)
+        if self.random.random() < 0.3:
+            self.plan(leaves_at, site.lose_worker, node)
+            self.plan(leaves_at, site.kill_node, node)
+            return
         if self.random.random() < 0.5:
             self.plan(leaves_at - 0.2, site.delay_calls, node, 1.9)
         is_lost = self.random.random() < 0.2
