Tell other entries that a term has ended, so that nobody waits for its echoes

Cause: an entry that has lost its term to another one goes on as a process, so no later process proves its end, and each further successor waited for its last possible echo from its own takeover on.

Such an entry has stopped echoing once it has read of a newer term, and it can say so: heartbeats among entries carry the newest term of another process that the sender has read of while it holds none. A successor takes that as proof for all earlier terms, not for a later one that the same process may hold.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -91,6 +91,7 @@
         self._lock = threading.Lock()
         self._read_at_by_process = {}
         self._ended_at_by_process = {}
+        self._superseded_from_by_process = {}
         self._acquired_at = 0.0
         self._stands_back_until = 0.0
         self._abandoned_epoch = 0
@@ -103,6 +104,17 @@
         """Return the address of the scheduling entry; empty if unknown."""
         return self.row.address if self.row is not None and self.row.name else ""
 
+    @property
+    def superseded_epoch(self):
+        """Return the newest term of another process, if this one holds none, or 0.
+
+        This process has stopped echoing for all terms before that one.
+        """
+        row = self.row
+        if row is None or row.incarnation == self._incarnation or self.lease.epoch:
+            return 0
+        return row.epoch
+
     def step(self):
         """Renew the lease if held; otherwise acquire it if it is free.
 
@@ -175,10 +187,17 @@
     def _note_processes(self, now):
         """Note when the processes that the row names were first read of."""
         row = self.row
-        processes = set() if row is None else set(row.earlier)
+        epoch_by_process = {}
+        if row is not None:
+            epoch_by_process = dict.fromkeys(row.earlier, row.epoch)
         if row is not None and row.name:
-            processes.add((row.name, row.incarnation))
+            epoch_by_process[(row.name, row.incarnation)] = row.epoch + 1
+        processes = epoch_by_process.keys()
         with self._lock:
+            former, self._superseded_from_by_process = (
+                self._superseded_from_by_process,
+                epoch_by_process,
+            )
             self._read_at_by_process = {
                 process: self._read_at_by_process.get(process, now)
                 for process in processes
@@ -187,9 +206,11 @@
                 process: at
                 for process, at in self._ended_at_by_process.items()
                 if process in processes
+                # A process that holds another term may echo again.
+                and former.get(process, 0) >= epoch_by_process[process]
             }
 
-    def record_entry(self, name, incarnation, echo):
+    def record_entry(self, name, incarnation, echo, superseded_epoch=0):
         """Record a message from another entry.
 
         A process that has the name of one of an earlier term and another incarnation
@@ -199,15 +220,22 @@
         :param incarnation: Incarnation of its process.
         :param echo: Reading of this entry's clock that it received last, in seconds; a
             message that it sent before the earlier process was read of proves nothing.
+        :param superseded_epoch: Term before which the sender has stopped echoing.
         """
-        self._note_ended(name, incarnation, echo)
+        self._note_ended(name, incarnation, echo, superseded_epoch)
         processes = self._echoing_processes
-        if not processes or echo < self._acquired_at:
+        if not processes:
             return
+        epoch = self.lease.epoch
         ended = {
             process
             for process in processes
-            if process[0] == name and process[1] != incarnation
+            if process[0] == name
+            and (
+                echo >= self._acquired_at
+                if process[1] != incarnation
+                else 0 < epoch <= superseded_epoch
+            )
         }
         if not ended:
             return
@@ -216,12 +244,16 @@
         if not self._echoing_processes:
             self.last_echo_at = min(self.last_echo_at, self._clock.now())
 
-    def _note_ended(self, name, incarnation, echo):
-        """Note the processes of which another one with the same name is at work."""
+    def _note_ended(self, name, incarnation, echo, superseded_epoch):
+        """Note a process that has ended, or knows that its term has."""
         now = self._clock.now()
         with self._lock:
             for process, read_at in self._read_at_by_process.items():
-                if process[0] == name and process[1] != incarnation and echo >= read_at:
+                if process[0] == name and (
+                    echo >= read_at
+                    if process[1] != incarnation
+                    else superseded_epoch >= self._superseded_from_by_process[process]
+                ):
                     self._ended_at_by_process.setdefault(process, now)
 
     def _is_free(self):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -369,7 +369,9 @@
             self.log.write("worker-end-heard", node, born=report.born, source="node")
 
     def _handle_entry_heartbeat(self, peer, heartbeat):
-        self.election.record_entry(peer.name, peer.incarnation, heartbeat.echo)
+        self.election.record_entry(
+            peer.name, peer.incarnation, heartbeat.echo, heartbeat.superseded_epoch
+        )
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
         for end in heartbeat.worker_ends:
@@ -413,6 +415,7 @@
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
+            superseded_epoch=self.election.superseded_epoch if is_entry else 0,
         )
 
     def _send_heartbeat(self, stream):
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -613,6 +613,7 @@
                     echo=echo if is_echoing else 0.0,
                     cancelled=sender.cancellations.list_announced(),
                     worker_ends=sender.directory.ends.list_announced(),
+                    superseded_epoch=sender.election.superseded_epoch,
                 ),
             )
 
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -363,3 +363,44 @@
     second.step()
     assert second.lease.epoch == 3
     assert second.last_echo_at == last_echo_at
+
+
+# Guards against waiting for echoes of an entry that is at work and knows that its term
+# has ended, anew with each term of a series.
+def test_echoes_of_an_entry_that_lost_its_term_are_not_waited_for(build, clock):
+    first, second, third = build("a"), build("b"), build("c")
+    for election in (first, second, third):
+        election.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    assert second.lease.epoch == 2
+    second.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    assert second.last_echo_at > clock.now()
+    first.step()
+    assert first.superseded_epoch == 2
+    third.step()
+    third.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    restarted = build("b", incarnation=2)
+    restarted.step()
+    second.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    assert second.last_echo_at <= clock.now()
+    assert restarted.lease.epoch == 3
+    restarted.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    assert restarted.last_echo_at > clock.now()
+    first.step()
+    assert first.superseded_epoch == 3
+    restarted.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    assert restarted.last_echo_at <= clock.now()
+
+
+def test_an_entry_that_holds_or_claims_a_term_says_nothing_of_its_echoes(
+    build, store, clock
+):
+    first = build("a")
+    store.faults = ["late"]
+    first.step()
+    store.run_late()
+    assert first.superseded_epoch == 0
+    first.step()
+    assert first.lease.epoch
+    assert first.superseded_epoch == 0
