--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -14,7 +14,7 @@
     get_grant_seconds,
     get_lease_expiry_seconds,
 )
-from bergamotshore.entry.election import LEADER_ROW, Election
+from bergamotshore.entry.election import LEADER_ROW, Election, LeaderRow
 from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
@@ -393,14 +393,51 @@
     assert restarted.last_echo_at <= clock.now()
 
 
-def test_an_entry_that_holds_or_claims_a_term_says_nothing_of_its_echoes(
-    build, store, clock
+# Guards against an entry that says that it has stopped echoing while it may go on.
+def test_an_entry_that_holds_or_may_hold_a_term_says_nothing_of_its_echoes(
+    build, clock
 ):
-    first = build("a")
-    store.faults = ["late"]
+    first, second = build("a"), build("b")
     first.step()
-    store.run_late()
+    second.step()
     assert first.superseded_epoch == 0
-    first.step()
-    assert first.lease.epoch
+    first.row = LeaderRow("b", "b-1", "1.2.3.4:5", 2)
+    assert first.superseded_epoch == 0
+    first.stand_back(1.0)
+    assert first.superseded_epoch == 2
+    first.row = second.row
     assert first.superseded_epoch == 0
+
+
+# Guards against taking an earlier message for the end of the present term.
+def test_an_entry_that_lost_an_earlier_term_is_waited_for_after_the_present_one(
+    build, clock
+):
+    build("a").step()
+    second = build("b")
+    second.step()
+    second.record_entry("a", "a-1", clock.now(), superseded_epoch=1)
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    assert second.lease.epoch == 2
+    assert second.last_echo_at > clock.now()
+
+
+# Guards against the same if the entry holds a further term after the message.
+def test_an_entry_that_holds_a_further_term_is_waited_for_again(build, clock):
+    first, second, third = build("a"), build("b"), build("c")
+    for election in (first, second, third):
+        election.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    for election in (second, first, first, third):
+        election.step()
+    third.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    clock.advance(LEASE_SECONDS * 1.1)
+    first.step()
+    assert first.lease.epoch == 3
+    third.step()
+    third.record_entry("b", "b-2", clock.now())
+    clock.advance(LEASE_SECONDS * 1.1)
+    third.step()
+    assert third.lease.epoch == 4
+    assert third.last_echo_at > clock.now()
