Release the scheduling lease when the thread that schedules stands still

The dispatcher now counts its passes, events and the parts of a pass, and the thread that renews the lease watches the counter. What the thread does when it goes on is fenced like that of a paused process.

Log line scheduler-stalled, counter scheduler_stalls_total, gauge scheduler_stall_seconds.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -179,6 +179,9 @@
         self.feed_version = 0
         self.term_started_at = 0.0
         self.is_shutting_down = False
+        # Counts passes, events and parts of a pass, for the detection of stalls.
+        self.progress = 0
+        self.is_taking_over = False
         self._reset()
 
     def _reset(self):
@@ -236,6 +239,7 @@
 
         :param wait: Longest wait for the first event, in seconds.
         """
+        self.progress += 1
         events = self._collect_events(wait)
         try:
             self._step(events)
@@ -256,13 +260,16 @@
         if not self.epoch:
             return
         for event in events:
+            self.progress += 1
             with self.collector.containing("events", type(event).__name__):
                 self._handle_event(event)
         now = self.clock.now()
         if not self.election.lease.is_valid(now):
             return
         self._release_expired(now)
+        self.progress += 1
         self._decide(now)
+        self.progress += 1
         self._write(now)
         self._publish_counts(now)
         self._store_interference(now)
@@ -314,6 +321,7 @@
         if not epoch:
             return
         takeover_started_at = self.clock.now()
+        self.is_taking_over = True
         try:
             fences = write_fences(self.store, epoch, self.executor.map)
             open_jobs = read_open_jobs(self.store, self.executor.map)
@@ -324,6 +332,8 @@
                 self.election.lease.resign()
             self.pause(TAKEOVER_RETRY_SECONDS)
             return
+        finally:
+            self.is_taking_over = False
         # The thread that follows the feed reads the version once it sees the epoch.
         self.feed_version = open_jobs.version
         self.epoch = epoch
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -20,6 +20,7 @@
     get_candidacy_delay,
     get_grant_seconds,
 )
+from bergamotshore.core.work.stall import StallDetector
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import (
     Dispatcher,
@@ -142,6 +143,7 @@
             ),
             self.can_schedule,
         )
+        self.stall = StallDetector()
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
         self.freshness = StateFreshness(
             self.follower.state,
@@ -232,6 +234,7 @@
         self.registry.watch("calls_in_flight", lambda: self.app.in_flight)
         self.registry.watch("nodes", lambda: len(self.directory.list_streams()))
         self.registry.watch("epoch", lambda: self.dispatcher.epoch)
+        self.registry.watch("scheduler_stall_seconds", lambda: self.stall.seconds)
         self.registry.watch(
             "config_version", lambda: self.follower.state.configuration.version
         )
@@ -245,9 +248,14 @@
     def can_schedule(self):
         """Return whether this entry may become the scheduling entry.
 
-        Scheduling needs a configuration, which sets how often a task may fail.
+        Scheduling needs a configuration, which sets how often a task may fail, and a
+        dispatcher that doesn't stand still.
         """
-        return self.follower.state.is_loaded and not self.stopping.is_set()
+        return (
+            self.follower.state.is_loaded
+            and not self.stopping.is_set()
+            and not self.stall.is_stalled
+        )
 
     def run(self):
         """Run until a signal requests shutdown.
@@ -414,7 +422,7 @@
         while not self.finished.is_set():
             pause = RENEW_SECONDS
             with self._surviving("election"):
-                pause = self.election.step()
+                pause = self._step_election()
             for step in (self.watcher.step, self._send_peers):
                 with self._surviving("election"):
                     step()
@@ -422,6 +430,26 @@
             if self.stopping.is_set():
                 return
 
+    def _step_election(self):
+        """Renew or acquire the lease, or release it if the dispatcher stands still.
+
+        :returns: Time until the next step, in seconds.
+        """
+        dispatcher = self.dispatcher
+        self.stall.observe(
+            dispatcher.progress, dispatcher.is_taking_over, self.clock.now()
+        )
+        if self.stall.is_stalled and self.election.lease.epoch:
+            self.registry.count("scheduler_stalls_total")
+            self.log.write(
+                "scheduler-stalled",
+                self.election.name,
+                epoch=self.election.lease.epoch,
+                seconds=self.stall.seconds,
+            )
+            self.election.resign()
+        return self.election.step()
+
     @contextlib.contextmanager
     def _surviving(self, service):
         """Log an unexpected error of a service instead of ending the process.
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -19,6 +19,7 @@
 )
 from bergamotshore.core.work.model import JobSpec, Step, get_job_key
 from bergamotshore.core.work.site import Queue, ServicePool, SiteConfiguration
+from bergamotshore.core.work.stall import StallDetector
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import Dispatcher
 from bergamotshore.entry.election import Election
@@ -213,6 +214,7 @@
             self.log,
             can_schedule=self.can_schedule,
         )
+        self.stall = StallDetector()
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
         self.cancellations = RecentCancellations(self.clock)
         self.freshness = StateFreshness(
@@ -250,7 +252,7 @@
         elif self.is_following():
             self.follower.state.confirmed_at = self.clock.now()
         if self.clock.now() >= self.next_election_at:
-            self.next_election_at = self.clock.now() + self.election.step()
+            self.next_election_at = self.clock.now() + self._step_election()
         epoch = self.dispatcher.epoch
         if epoch:
             version = self.feed[1] if self.feed[0] == epoch else None
