Let waves of maintenance go on beside one whose row can't be read

Rows are now decoded one by one. A wave whose row can't be read waits, since its VMs may be down, and its row is read again each second; one without a number is nobody's.

Both cases of test_unreadable_row_of_a_wave_holds_up_no_other_wave failed before.

--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -27,7 +27,7 @@
 )
 from bergamotshore.entry.background import run_background_call
 from bergamotshore.entry.jobrows import PARTS, get_fence_id
-from bergamotshore.exceptions import PlatformAnswerInvalid, PlatformUnavailable
+from bergamotshore.exceptions import DecodingError, PlatformUnavailable
 from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
 from bergamotshore.ports.machines import MachineOrderRefused
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
@@ -115,6 +115,9 @@
         self._row_by_number = {}
         self._version_by_number = {}
         self._is_loaded = False
+        # Waves whose row can't be read. Their VMs may be down, so they wait until the
+        # row is replaced.
+        self._unreadable_numbers = set()
         self._calls_in_flight = set()
         self._retry_at_by_call = {}
         self._machine_by_name = {}
@@ -144,7 +147,13 @@
         if not self._is_loaded:
             self._call("loaded", None, self._read_rows, now)
             return
-        waves = [self._get_progress(wave, now) for wave in wave_by_number.values()]
+        if self._unreadable_numbers & wave_by_number.keys():
+            self._call("read-again", None, self._read_rows, now)
+        waves = [
+            self._get_progress(wave, now)
+            for wave in wave_by_number.values()
+            if wave.number not in self._unreadable_numbers
+        ]
         active = [progress for progress in waves if not progress.is_complete]
         if not active:
             return
@@ -294,6 +303,9 @@
                 self._listed_at = event.requested_at
             case "loaded", Success(rows):
                 self._restore(rows)
+            case "read-again", Success(rows):
+                self._restore_unreadable(rows)
+                self._retry_at_by_call[("read-again", None)] = now + RETRY_SECONDS
             case "claimed", Success(version):
                 self._record_claim(event.subject, version)
             case "ordered", outcome:
@@ -309,8 +321,26 @@
         """Load the rows of all waves; their progress is rebuilt from them."""
         self._is_loaded = True
         self._progress_by_number.clear()
+        self._unreadable_numbers.clear()
+        for number, version, row in rows:
+            self._restore_row(number, version, row)
+
+    def _restore_unreadable(self, rows):
+        """Load the rows that could not be read before and have been replaced."""
+        former_numbers = self._unreadable_numbers
+        self._unreadable_numbers = set()
+        for number in former_numbers:
+            self._version_by_number.pop(number, None)
         for number, version, row in rows:
-            self._version_by_number[number] = version
+            if number in former_numbers:
+                self._restore_row(number, version, row)
+
+    def _restore_row(self, number, version, row):
+        self._version_by_number[number] = version
+        if row is None:
+            self._unreadable_numbers.add(number)
+            self._log.write("row-invalid", WAVES, why=f"row of wave {number}")
+        else:
             self._row_by_number[number] = row
 
     def _record_claim(self, subject, version):
@@ -367,15 +397,21 @@
 
 
 def _decode_rows(page):
-    try:
-        rows = [
-            (
-                int(row.id.key),
-                row.version,
-                decode_msgpack(row.value, WaveRow),
-            )
+    """Return ``Result`` of number, version and ``WaveRow`` of each wave.
+
+    The last one is None if it can't be read. A row without a number is none of ours.
+    """
+    return Success(
+        [
+            (int(row.id.key), row.version, _decode_row(row.value))
             for row in page.rows
+            if row.id.key.isascii() and row.id.key.isdigit()
         ]
-    except ValueError as error:
-        return Failure(PlatformAnswerInvalid(f"rows of waves: {error}"))
-    return Success(rows)
+    )
+
+
+def _decode_row(value):
+    try:
+        return decode_msgpack(value, WaveRow)
+    except DecodingError:
+        return None
--- a/tests/site/test_upkeep.py
+++ b/tests/site/test_upkeep.py
@@ -7,8 +7,9 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import Wave
+from bergamotshore.entry.maintenance import WAVES, WAVES_PART
 from bergamotshore.exceptions import PlatformUnavailable
-from bergamotshore.ports.rows import RowId
+from bergamotshore.ports.rows import Put, RowId
 from tests.site.simulation import Simulation
 
 NODES = 4
@@ -52,6 +53,28 @@
         simulation.advance(0.5)
 
 
+# Guards against a row of one wave that can't be read and holds up all other waves.
+@pytest.mark.parametrize("key", ["2", "odd"])
+def test_unreadable_row_of_a_wave_holds_up_no_other_wave(site, key):
+    site.store.write([Put(RowId(WAVES, WAVES_PART, key), b"\xc1")], [])
+    request_wave(site)
+    wait_for_completion(site)
+    assert len(site.machines.done) == NODES
+
+
+# Guards against a wave that begins anew though its VMs may be down, and against one
+# that waits on after its row was replaced.
+def test_wave_waits_only_until_its_unreadable_row_is_replaced(site):
+    row_id = RowId(WAVES, WAVES_PART, "1")
+    site.store.write([Put(row_id, b"\xc1")], [])
+    request_wave(site)
+    site.advance(SECONDS_PER_VM)
+    assert not site.machines.done
+    site.store.write([], [row_id])
+    wait_for_completion(site)
+    assert len(site.machines.done) == NODES
+
+
 def test_every_vm_of_a_wave_goes_down_once_and_completion_is_reported(site):
     request_wave(site)
     site.advance(1.0)
