Leave time for a second read to callers with a short deadline

The first read took 0.8 s, which is all that a caller with a deadline of 1 s has.

The first attempt of a read now uses at most half of the caller's time.

Both cases of test_caller_with_little_time_is_answered_although_a_read_gets_no_answer failed before.

--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -41,6 +41,8 @@
 # A slow store answers a read in under 0.4 s; callers wait for two seconds or more, so
 # there is time for another attempt.
 READ_TIMEOUT_SECONDS = 0.8
+# Largest share of a caller's time that the first attempt of a read may use.
+FIRST_READ_SHARE = 0.5
 # Timeout of a call that is made right before its caller's deadline, in seconds.
 MIN_TIMEOUT_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.4
@@ -199,9 +201,11 @@
         One connection may have gone silent while the store answers on others.
         """
         pause = INITIAL_PAUSE_SECONDS
+        share = FIRST_READ_SHARE
         while True:
-            remaining = max(MIN_TIMEOUT_SECONDS, deadline - self._clock.now())
-            timeout = min(READ_TIMEOUT_SECONDS, remaining)
+            remaining = share * (deadline - self._clock.now())
+            timeout = min(READ_TIMEOUT_SECONDS, max(MIN_TIMEOUT_SECONDS, remaining))
+            share = 1.0
             outcome = self._store.read(*arguments, **options, timeout=timeout)
             is_late = self._clock.now() + pause >= deadline
             if isinstance(outcome, Success) or is_late:
--- a/tests/site/test_silent_store.py
+++ b/tests/site/test_silent_store.py
@@ -12,6 +12,7 @@
 from tests.site.simulation import CONFIG_SECONDS, Simulation
 
 DEADLINE_SECONDS = 3.0
+SHORT_DEADLINE_SECONDS = 1.0
 # Timeout of a call that sets none, in seconds.
 DEFAULT_TIMEOUT_SECONDS = 2.0
 STATE_PATH, COUNT_PATH = "/q/job", "/q/"
@@ -48,7 +49,7 @@
 def get(simulation, clock, registry):
     """Return a function that calls an entry; it returns the status."""
 
-    def get(path, silent_numbers):
+    def get(path, silent_numbers, deadline=DEADLINE_SECONDS):
         store = PartlySilentStore(simulation.store, clock, silent_numbers)
         app = SubmissionApp(
             JobRows(store, clock, clock.advance),
@@ -62,7 +63,7 @@
             "REQUEST_METHOD": "GET",
             "PATH_INFO": path,
             "HTTP_HOST": "host.example",
-            "HTTP_X_DEADLINE_MS": str(int(1000 * DEADLINE_SECONDS)),
+            "HTTP_X_DEADLINE_MS": str(int(1000 * deadline)),
             "wsgi.input": io.BytesIO(),
         }
         statuses = []
@@ -86,6 +87,17 @@
     assert clock.now() - started_at < DEADLINE_SECONDS
 
 
+# Guards against a caller with little time who is refused because the first read of the
+# store, on a connection that has gone silent, uses all of it.
+@pytest.mark.parametrize("path", [STATE_PATH, COUNT_PATH])
+def test_caller_with_little_time_is_answered_although_a_read_gets_no_answer(
+    get, clock, path
+):
+    started_at = clock.now()
+    assert get(path, {0}, SHORT_DEADLINE_SECONDS) == 200
+    assert clock.now() - started_at < SHORT_DEADLINE_SECONDS
+
+
 # Guards against an answer that comes after its caller has left.
 @pytest.mark.parametrize("path", [STATE_PATH, COUNT_PATH])
 def test_caller_is_refused_in_time_if_no_read_is_answered(get, clock, path):
