Soak: connections that go silent for good

`--add silence` makes the open connections of a random number of proxies silent, without a reset, while new ones are forwarded; giving the word several times makes it more frequent.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -32,6 +32,7 @@
         self.delay = 0.3
         self._random = random.Random(seed)
         self._sockets = set()
+        self._silenced_sockets = set()
         self._lock = threading.Lock()
         self._listener = None
         self._listen()
@@ -52,6 +53,11 @@
         if mode == "reset":
             self.close_connections()
 
+    def silence_connections(self):
+        """Drop what is sent on the open connections from now on, without a reset."""
+        with self._lock:
+            self._silenced_sockets |= self._sockets
+
     def redirect(self, target):
         """Forward new connections to another target, and close all connections."""
         self.target = target
@@ -77,6 +83,7 @@
         """Close all connections."""
         with self._lock:
             sockets, self._sockets = self._sockets, set()
+            self._silenced_sockets -= sockets
         for sock in sockets:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
@@ -111,7 +118,9 @@
         has_dropped_data = False
         with contextlib.suppress(OSError):
             while content := source.recv(READ_BYTES):
-                has_dropped_data = has_dropped_data or self.mode in dropping_modes
+                is_silent = self.mode in dropping_modes
+                is_silenced = source in self._silenced_sockets
+                has_dropped_data = has_dropped_data or is_silent or is_silenced
                 if has_dropped_data:
                     continue
                 if self.mode == "delay":
@@ -122,6 +131,7 @@
     def _close_pair(self, *sockets):
         with self._lock:
             self._sockets -= set(sockets)
+            self._silenced_sockets -= set(sockets)
         for sock in sockets:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
--- a/soak/run.py
+++ b/soak/run.py
@@ -44,7 +44,7 @@
 LARGE_TASK_CPU = 6000
 LARGE_TASK_INTERVAL = 8
 # Optional kinds of faults; without them, a seed repeats the faults it always had.
-OPTIONAL_KINDS = ("crashing-task", "resize", "calm", "drain", "evacuate")
+OPTIONAL_KINDS = ("crashing-task", "resize", "calm", "drain", "evacuate", "silence")
 # Time of work after which a task crashes its worker, in seconds.
 CRASH_DELAYS_SECONDS = (0.0, 0.0, 0.3, 1.5)
 CAPACITIES_CPU = (2000, 4000, 8000, 12000, 16000)
@@ -316,6 +316,11 @@
             case "pass":
                 for proxy in site.proxies:
                     proxy.set_mode("pass")
+            case "silence":
+                for proxy in rng.sample(
+                    site.proxies, rng.randint(1, len(site.proxies))
+                ):
+                    proxy.silence_connections()
             case "kill-entries":
                 for item in site.entry_by_name.values():
                     item.kill()
