Don't believe the number of a term that can't have begun

Each term begins with a write, so its number is at most the version of its row. A row with a greater one is now treated like one that can't be read: it isn't taken for a free lease, and after it has lapsed, the next term follows from its version.

test_term_that_can_not_have_begun_is_not_believed failed before.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -207,7 +207,7 @@
         self._is_unreadable = False
         if stored is not None:
             try:
-                self.row = decode_msgpack(stored.value, LeaderRow)
+                self.row = _decode_leader_row(stored)
             except DecodingError as error:
                 self._is_unreadable = True
                 self._log.write("leader-row-invalid", "leader", why=str(error))
@@ -302,3 +302,15 @@
             [],
         )
         self._log.write("term-resigned", self.name, epoch=epoch, outcome=str(outcome))
+
+
+def _decode_leader_row(stored):
+    """Return the ``LeaderRow`` in a row.
+
+    :raises DecodingError: if it is invalid, or names a term that can't have begun:
+        each term begins with a write.
+    """
+    row = decode_msgpack(stored.value, LeaderRow)
+    if row.epoch > stored.version:
+        raise DecodingError(f"term {row.epoch} in version {stored.version}")
+    return row
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -15,7 +15,7 @@
     get_grant_seconds,
     get_lease_expiry_seconds,
 )
-from bergamotshore.entry.election import LEADER_ROW, Election
+from bergamotshore.entry.election import LEADER_ROW, Election, LeaderRow
 from bergamotshore.exceptions import PlatformUnavailable, PlatformUncertain
 from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
@@ -314,3 +314,16 @@
     assert second.lease.epoch == 2
     second.record_entry("a", "a-2", echo=clock.now())
     assert second.last_echo_at > clock.now()
+
+
+# Guards against a term number of another writer that is believed, so that the next ones
+# are too large to be stored.
+def test_term_that_can_not_have_begun_is_not_believed(build, store, clock):
+    row = LeaderRow("x", "x-1", "1.2.3.4:5", 2**53 - 2)
+    store.write([Put(LEADER_ROW, msgspec.msgpack.encode(row))], [])
+    election = build("a")
+    election.step()
+    clock.advance(1.1 * LEASE_SECONDS)
+    election.step()
+    assert election.lease.is_valid(clock.now())
+    assert election.lease.epoch == 2
