--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -42,6 +42,8 @@
 # A slow store answers a read in under 0.4 s; callers wait for two seconds or more, so
 # there is time for another attempt.
 READ_TIMEOUT_SECONDS = 0.8
+# Largest share of a caller's time that the first attempt of a read may use.
+FIRST_READ_SHARE = 0.5
 # Timeout of a call that is made right before its caller's deadline, in seconds.
 MIN_TIMEOUT_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.4
@@ -209,12 +211,14 @@
         One connection may have gone silent while the store answers on others.
         """
         pause = INITIAL_PAUSE_SECONDS
+        share = FIRST_READ_SHARE
         while True:
             now = self._clock.now()
             if now >= self._end:
                 return Failure(PlatformUnavailable("the entry is shutting down"))
-            remaining = max(MIN_TIMEOUT_SECONDS, deadline - now)
+            remaining = max(MIN_TIMEOUT_SECONDS, share * (deadline - now))
             timeout = min(READ_TIMEOUT_SECONDS, remaining, self._end - now)
+            share = 1.0
             outcome = self._store.read(*arguments, **options, timeout=timeout)
             is_late = self._clock.now() + pause >= min(deadline, self._end)
             if isinstance(outcome, Success) or is_late:
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -470,3 +470,16 @@
     third.step()
     assert third.lease.epoch == 4
     assert third.last_echo_at > clock.now()
+
+
+# Guards against a term number of another writer that is believed, so that the next ones
+# are too large to be stored.
+def test_term_that_can_not_have_begun_is_not_believed(build, store, clock):
+    row = LeaderRow("x", "x-1", "1.2.3.4:5", 2**53 - 2)
+    store.write([Put(LEADER_ROW, msgspec.msgpack.encode(row))], [])
+    election = build("a")
+    election.step()
+    clock.advance(1.1 * LEASE_SECONDS)
+    election.step()
+    assert election.lease.is_valid(clock.now())
+    assert election.lease.epoch == 2
