Pass the messages of the simulation through their wire format

Streams of the simulation handed over objects, so that no simulated test noticed a message that can't be encoded, as addresses once could not, or that the receiver rejects. They now encode and decode each message with the codec of the product.

--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -32,12 +32,14 @@
     PlatformUnavailable,
 )
 from bergamotshore.generated.messages import Heartbeat, Hello
+from bergamotshore.generated.settings import Stream
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
 from bergamotshore.node.site import SiteNodeRole
 from bergamotshore.ports.rows import (
     Expect,
 )
+from bergamotshore.transport.codec import Decoder, encode_message
 from bergamotshore.utils.addresses import AddressReader
 from bergamotshore.utils.eventlog import EventLog
 from standins.ledger import Ledger
@@ -58,6 +60,8 @@
 CANCEL_SECONDS = 3.0
 STEP_SECONDS = 0.1
 HEARTBEAT_SECONDS = 0.5
+# Limit of the streams between real processes by default.
+MAX_MESSAGE_BYTES = Stream().largest_message
 # Time between the resignation of an entry that shuts down and its end, in seconds.
 ENTRY_SHUTDOWN_SECONDS = 2.2
 # Kinds of log lines about unexpected errors.
@@ -111,6 +115,7 @@
         self.other = None
         self.inbox = []
         self.has_lost_messages = False
+        self._decoder = Decoder(MAX_MESSAGE_BYTES)
 
     @property
     def is_open(self):
@@ -120,7 +125,7 @@
         if self.close_reason:
             return False
         if not self.other.close_reason:
-            self.other.inbox.append(message)
+            self.other.inbox.append(encode_message(message, 0))
         return True
 
     def close(self, reason):
@@ -130,13 +135,19 @@
 
     def deliver(self):
         inbox, self.inbox = self.inbox, []
-        for message in inbox:
+        for content in inbox:
             if self.close_reason:
                 return
+            message = self.decode(content)
             if isinstance(message, Heartbeat):
                 self.peer_clock = message.sent_at
             self.owner.on_message(self, message)
 
+    def decode(self, content):
+        """Decode the only message in some bytes."""
+        [frame] = self._decoder.feed(content)
+        return frame.message
+
 
 class InlineExecutor:
     """Executor that runs calls immediately in the calling thread."""
@@ -538,14 +549,13 @@
                 zone="",
             )
             is_echoing = echo >= max(sender.started_at, receiver.started_at)
-            receiver.on_message(
-                FakeStream(receiver, peer),
-                Heartbeat(
-                    sent_at=self.clock.now(),
-                    echo=echo if is_echoing else 0.0,
-                    cancelled=sender.cancellations.list_announced(),
-                ),
+            heartbeat = Heartbeat(
+                sent_at=self.clock.now(),
+                echo=echo if is_echoing else 0.0,
+                cancelled=sender.cancellations.list_announced(),
             )
+            stream = FakeStream(receiver, peer)
+            receiver.on_message(stream, stream.decode(encode_message(heartbeat, 0)))
 
     def deliver(self):
         """Deliver the messages that were sent."""
