Tests of lost runs at the node and of several tasks that crash workers

The count at the release of a worker is removed: no combination of faults that was tried needs it, as the report or the end of the incarnation comes first.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -496,7 +496,6 @@
         self.log.write("crash-uncounted", worker.node, why=reason, runs=len(runs))
 
     def _release_worker(self, worker, reason, now):
-        self._record_crash(worker, now)
         uncounted = [
             run
             for run in worker.allocation_by_key.values()
--- a/tests/site/test_crash_budget.py
+++ b/tests/site/test_crash_budget.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bergamotshore.core.work.model import Step
+from bergamotshore.generated.messages import RunOrders
 from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES
 from standins.site import CRASH_SECONDS
 from tests.fakes import FakeClock
@@ -140,6 +141,14 @@
     site.simulation.start_node(node)
 
 
+def restart_leader_and_node(site, node):
+    """Restart the scheduling entry, and the node once it has told of the crash."""
+    site.simulation.advance(0.3)
+    restart_leader(site, node)
+    site.simulation.advance(0.1)
+    restart_node(site, node)
+
+
 def do_nothing(site, node):
     """Leave the site as it is."""
 
@@ -153,6 +162,7 @@
         replace_leader,
         restart_all_entries,
         restart_leader_during_outage,
+        restart_leader_and_node,
     ],
 )
 def test_crashes_are_counted_while_the_scheduling_entry_changes(disturb):
@@ -203,6 +213,66 @@
         site.check()
 
 
+def list_lost(node):
+    return {task for task, *_ in node.run_manager.build_report(1).lost}
+
+
+@pytest.fixture
+def node():
+    """Return a node whose worker runs a harmless job."""
+    simulation = Simulation(FakeClock(), entries=1, nodes=1)
+    simulation.advance(1.0)
+    simulation.submit("harmless", (LASTING,))
+    simulation.advance(1.0)
+    (node,) = simulation.node_by_name.values()
+    return node
+
+
+# Guards against blaming a task for a crash although its order had not been sent yet.
+def test_order_that_was_never_sent_is_not_among_the_lost_runs(node):
+    orders = RunOrders(
+        epoch=1,
+        echo=node.clock.now(),
+        born=node.runner.born,
+        starts=[("harmless.0.0.7", 1, "", "")],
+        payload_by_job={"harmless": "payload"},
+        stops=[],
+        paces=[],
+        acknowledged=0,
+    )
+    _, starts = node.run_manager.accept_orders(orders)
+    assert len(starts) == 1
+    node.runner.crash()
+    node.run_manager.hold()
+    node.run_manager.hold()
+    assert list_lost(node) == {"harmless.0.0.0", "harmless.0.0.1"}
+
+
+# Guards against a loss that is told although the worker answers again: its runs would
+# be blamed for a later end of the worker.
+def test_runs_that_are_listed_again_are_not_lost(node):
+    node.runner.is_gone = True
+    node.run_manager.hold()
+    node.run_manager.hold()
+    assert list_lost(node) == {"harmless.0.0.0", "harmless.0.0.1"}
+    node.runner.is_gone = False
+    node.run_manager.hold()
+    assert list_lost(node) == set()
+
+
+# Guards against suspects that hide each other: several tasks that crash workers, of one
+# job or of several.
+@pytest.mark.parametrize("disturb", [do_nothing, restart_leader])
+def test_starts_of_several_tasks_that_crash_workers_are_limited(disturb):
+    for delay in CRASH_DELAYS:
+        site = Site(SHORT, delay)
+        site.ledger.record_crashing("deadly", delay)
+        site.ledger.record_crashing("other", delay)
+        site.simulation.submit("other", (SHORT,))
+        site.run(disturb, 0.1)
+        site.check()
+
+
 # Guards against combinations of these faults that add up to more starts than allowed.
 @pytest.mark.parametrize("seed", range(4))
 def test_starts_are_limited_under_random_faults(seed):
