State machine loses the scheduling entry at each crash of a worker

It submitted tasks that crash workers, but nothing tied the loss of an entry to a crash. The new rule loses it before the node notices, before the count is written or after, with or without the store, and tasks crash their worker after up to 4 s of work.

--- a/tests/site/test_machine.py
+++ b/tests/site/test_machine.py
@@ -89,7 +89,10 @@
 # Has two tasks for each worker, one after the other, and needs little capacity.
 WIDE_STEP = Step(tasks=2 * NODES, cpu=100, memory=1, estimate=1.0, per_worker=1)
 # Time of work after which a task crashes its worker, in seconds.
-CRASH_DELAYS = st.sampled_from([0.0, 0.3])
+CRASH_DELAYS = st.sampled_from([0.0, 0.3, 1.2, 4.0])
+# Time between a crash and the loss of the scheduling entry, in seconds: before its node
+# notices, between its report and the write of the count, and after.
+LOSS_DELAYS = st.sampled_from([0.0, 0.2, 0.6])
 # Times shorter and longer than those after which nothing may start.
 EVACUATION_TIMES = st.sampled_from([1.0, EVACUATE_SECONDS + 0.2])
 DRAIN_TIMES = st.sampled_from([0.4, DRAIN_SECONDS + 0.2])
@@ -161,6 +164,32 @@
             self.kind_by_job[job_id] = ("plain", "queue")
         self.simulation.advance(then)
 
+    @rule(delay=CRASH_DELAYS, wait=LOSS_DELAYS, has_outage=st.booleans(), then=SECONDS)
+    def lose_leader_at_crashes(self, delay, wait, has_outage, then):
+        """Submit a task that crashes workers; lose the leader at each of its crashes.
+
+        :param has_outage: Whether the store fails from the crash to the loss.
+        """
+        job_id = f"crashing{self.job_count + 1}"
+        self.submit_crashing(delay, 0.1)
+        crashes_by_task = self.simulation.ledger.crashes_by_task
+        known = 0
+        for _ in range(100):
+            self.simulation.advance(0.1)
+            crashes = len(crashes_by_task.get(f"{job_id}.0.0.0", ()))
+            if crashes > known:
+                known = crashes
+                was_down = self.simulation.store.is_down
+                self.simulation.store.is_down = was_down or has_outage
+                self.simulation.advance(wait)
+                self._restart_leader()
+                self.simulation.store.is_down = was_down
+        self.simulation.advance(then)
+
+    def _restart_leader(self):
+        if self.simulation.leader is not None:
+            self.simulation.start_entry(self.simulation.leader.name)
+
     @precondition(lambda self: self.kind_by_job)
     @rule(data=st.data(), then=SECONDS)
     def cancel(self, data, then):
