Don't take the store for away because open connections are silent

Cause: two failures in a row count as an outage of the store, also when both were those of connections that had been open before. Only the others count now.

test_store_is_not_taken_for_away_because_connections_are_silent failed before.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -79,7 +79,8 @@
         """Call the store; see ``HttpClient.call``.
 
         A failure of a call that began before the last direct answer is not counted: the
-        store has answered since.
+        store has answered since. Nor is one on a connection that was open before: the
+        store may answer on a new one.
 
         :param may_probe: Whether a short read may probe the store; false for a read
             that the store answers only after a wait.
@@ -89,7 +90,9 @@
         outcome = self._call(method, path, body, headers, timeout, may_probe)
         if not is_unserved(outcome):
             self._consecutive_failures = 0
-        elif started_at >= self._direct_answered_at:
+        elif started_at >= self._direct_answered_at and not _is_on_reused_connection(
+            outcome
+        ):
             self._consecutive_failures += 1
         return outcome
 
--- a/tests/site/test_entry_parts.py
+++ b/tests/site/test_entry_parts.py
@@ -380,6 +380,19 @@
     assert client.call("POST", "/x", timeout=1.0) == OK
 
 
+# Guards against callers who are refused at once (`store-away`) because several
+# connections had gone silent, though the store answers on new ones.
+def test_store_is_not_taken_for_away_because_connections_are_silent(
+    clock, registry, log
+):
+    direct = build_timed_client(clock, SILENT_CONNECTION)
+    peer = build_timed_client(clock, NEW_CONNECTION_TIMED_OUT)
+    client = build_client(direct, peer, clock, registry, log)
+    for _ in range(4):
+        client.call("POST", "/x", timeout=1.0)
+    assert client.is_reachable
+
+
 # Guards against an entry that the store rejects, which tries it in vain for longer
 # because its connections had been open before.
 def test_read_is_answered_by_a_peer_after_a_silent_connection_to_a_silent_store(
