--- a/tests/site/test_timeliness.py
+++ b/tests/site/test_timeliness.py
@@ -31,7 +31,9 @@
             ledger=self.ledger,
             runner_by_node=dict(enumerate(self.runners)),
             clock=clock,
-            rows=SimpleNamespace(get_waiting_counts=lambda: Success(self.counts)),
+            rows=SimpleNamespace(
+                get_waiting_counts=lambda deadline: Success(self.counts)
+            ),
         )
         self.judge = TimelinessJudge(simulation)
 
