Count crashes of tasks that have lost an earlier run, beside younger ones

Cause: a crash was counted for the runs of less than 1 s only, if there were any, so that the neighbours were blamed again and again.

A finite task that crashes its workers never has an outcome. Its second and later runs are suspected now however long they have worked. Both cases of test_crashes_are_counted_beside_runs_that_have_just_started failed before, with starts after 5 crashes and more.

--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -73,7 +73,10 @@
     ]
     crashed = []
     suspected = [
-        run for run in present if lost_by_key[run.key].worked_seconds < TRIAL_SECONDS
+        run
+        for run in present
+        if lost_by_key[run.key].worked_seconds < TRIAL_SECONDS
+        or _has_lost_earlier_run(cluster, run)
     ] or present
     counts = [cluster.count_crashes(run.ref) for run in suspected]
     for allocation in present:
@@ -97,6 +100,18 @@
     return crashed
 
 
+def _has_lost_earlier_run(cluster, allocation):
+    """Return whether an earlier run of a finite task ended without an outcome.
+
+    Each run of a task that crashes its workers does, however long it works before.
+    """
+    progress = cluster.job_by_key.get(allocation.ref.job)
+    task = progress.get_task(allocation.ref) if progress is not None else None
+    if task is None or allocation.step.is_lasting:
+        return False
+    return allocation.number - task.failures > 1
+
+
 def _is_young(worker, allocation):
     return (
         not allocation.is_started
--- a/tests/site/test_crash_budget.py
+++ b/tests/site/test_crash_budget.py
@@ -208,6 +208,19 @@
         site.check()
 
 
+# Guards against blaming only the runs that have just started: a task that crashes its
+# workers after a second of work was started without a limit on a busy site.
+@pytest.mark.parametrize("delay", [1.2, 1.6])
+def test_crashes_are_counted_beside_runs_that_have_just_started(delay):
+    site = Site(SHORT, delay)
+    until = site.simulation.clock.now() + LIMIT_SECONDS
+    while site.simulation.clock.now() < until and not site.is_over():
+        for _ in range(3):
+            site.advance()
+        site.submit_harmless()
+    site.check()
+
+
 # Guards against clearing a long-running task that crashes each worker after some
 # seconds of work: it was never given up.
 @pytest.mark.parametrize("delay", [2.2, 4.0, 8.0])
