Judge messages of other entries by the time of the present claim

An entry that claims the lease could count the wait for echoes of a former process as over too early, so that a task might run twice, or fail the claim with a ValueError. Found by review, shown with a hooked lock.

Cause: the processes to wait for were published before the time of the claim, and another thread read them without the lock.

The time is set first, the set is built apart and both are read and replaced under the lock. Both new tests failed before.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -150,9 +150,10 @@
             # Each term begins with a write, so the number of a term in a row that can't
             # be read is at most the version of that row. Without a row, it is 0.
             epoch = 1 + (self.row.epoch if self.row is not None else version)
+            # Messages that arrive meanwhile are judged by the time of this claim.
+            self._acquired_at = now
             if not self._is_own_row():
                 self._reckon_with_predecessors(version, now)
-            self._acquired_at = now
             return self._write(epoch, version, "free" if self._is_free() else "lapsed")
         return True
 
@@ -170,12 +171,13 @@
         """
         row = self.row
         if row is None or not (row.is_alone or row.earlier):
-            self._echoing_processes = None
-            self.last_echo_at = get_last_echo_time(now) if version else now
+            with self._lock:
+                self._echoing_processes = None
+                self.last_echo_at = get_last_echo_time(now) if version else now
             return
         # The holder wrote that a term is over before the row was read.
         ended_at = [] if row.name else [self._observation.first_seen]
-        self._echoing_processes = set()
+        echoing = set()
         with self._lock:
             for process in self._read_at_by_process:
                 if process[0] == self.name:
@@ -183,10 +185,9 @@
                 elif process in self._ended_at_by_process:
                     ended_at.append(self._ended_at_by_process[process])
                 else:
-                    self._echoing_processes.add(process)
-        self.last_echo_at = (
-            get_last_echo_time(now) if self._echoing_processes else max(ended_at)
-        )
+                    echoing.add(process)
+            self._echoing_processes = echoing
+            self.last_echo_at = get_last_echo_time(now) if echoing else max(ended_at)
 
     def _note_processes(self, now):
         """Note when the processes that the row names were first read of."""
@@ -227,26 +228,25 @@
         :param superseded_epoch: Term before which the sender has stopped echoing.
         """
         self._note_ended(name, incarnation, echo, superseded_epoch)
-        processes = self._echoing_processes
-        if not processes:
-            return
         epoch = self.lease.epoch
-        ended = {
-            process
-            for process in processes
-            if process[0] == name
-            and (
-                echo >= self._acquired_at
-                if process[1] != incarnation
-                else 0 < epoch <= superseded_epoch
-            )
-        }
-        if not ended:
-            return
-        self._echoing_processes = processes - ended
-        self._log.write("predecessor-ended", name, epoch=self.lease.epoch)
-        if not self._echoing_processes:
-            self.last_echo_at = min(self.last_echo_at, self._clock.now())
+        with self._lock:
+            processes = self._echoing_processes or set()
+            ended = {
+                process
+                for process in processes
+                if process[0] == name
+                and (
+                    echo >= self._acquired_at
+                    if process[1] != incarnation
+                    else 0 < epoch <= superseded_epoch
+                )
+            }
+            if not ended:
+                return
+            self._echoing_processes = processes - ended
+            if not self._echoing_processes:
+                self.last_echo_at = min(self.last_echo_at, self._clock.now())
+        self._log.write("predecessor-ended", name, epoch=epoch)
 
     def _note_ended(self, name, incarnation, echo, superseded_epoch):
         """Note a process that has ended, or knows that its term has."""
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -483,3 +483,52 @@
     election.step()
     assert election.lease.is_valid(clock.now())
     assert election.lease.epoch == 2
+
+
+class HookedLock:
+    """Lock that calls a function each time it has been released."""
+
+    def __init__(self, lock, call):
+        self.lock, self.call = lock, call
+
+    def __enter__(self):
+        self.lock.__enter__()
+
+    def __exit__(self, *details):
+        self.lock.__exit__(*details)
+        call, self.call = self.call, None
+        if call is not None:
+            call()
+        self.call = call
+
+
+# Guards against a late message that arrives during a claim and is judged by the time of
+# an earlier claim: it ended the wait for a process that may still echo.
+def test_late_message_during_a_claim_proves_nothing(build, clock):
+    holder, other = build("a", incarnation=2), build("b")
+    clock.advance(10.0)
+    holder.step()
+    other.step()
+    clock.advance(LEASE_SECONDS + 1.0)
+    other._lock = HookedLock(other._lock, lambda: other.record_entry("a", "a-1", 1.0))
+    other.step()
+    assert other.lease.epoch == 2
+    assert other.last_echo_at > clock.now()
+
+
+# Guards against the same after a resignation.
+def test_late_message_does_not_shorten_the_wait_after_a_resignation(
+    build, store, clock
+):
+    other = build("b")
+    clock.advance(10.0)
+    row = LeaderRow("", "c-1", "", 1, False, (("a", "a-2"),))
+    store.write([Put(LEADER_ROW, msgspec.msgpack.encode(row))], [])
+    other._can_schedule = lambda: False
+    other.step()
+    clock.advance(1.0)
+    other._can_schedule = lambda: True
+    other._lock = HookedLock(other._lock, lambda: other.record_entry("a", "a-1", 1.0))
+    other.step()
+    assert other.lease.epoch == 2
+    assert other.last_echo_at > clock.now()
