Keep that a worker answers against ends that others pass on

A task could run twice: an entry that heard a node say that its worker answers learnt an older end from another entry, or used an end for any time after it had lost its link to the node.

Cause: a report that the worker answers was kept only where the end was known already, and ends had no age limit. Both are kept now, and an end is used for 30 s.

--- a/src/bergamotshore/entry/workerends.py
+++ b/src/bergamotshore/entry/workerends.py
@@ -10,6 +10,9 @@
 # Time for which entries pass an end on, in seconds: the lease of a worker lapses within
 # 7 s, and an outage of the store may delay the next scheduling entry by 9 s.
 ANNOUNCE_SECONDS = 20.0
+# Time for which an end is used, in seconds: an entry that learns it last has the rest
+# to take over. Later, a worker that was wrongly taken for gone may have new runs.
+USED_SECONDS = ANNOUNCE_SECONDS + 10.0
 # Largest number of ends in one heartbeat, which bounds its size.
 MAX_ANNOUNCED = 40
 
@@ -43,6 +46,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._end_by_born_by_node = {}
+        self._answer_by_node = {}
 
     def record_report(self, node, born, is_gone):
         """Record whether a node reports its worker as gone.
@@ -50,11 +54,14 @@
         :param born: Start time of the worker's incarnation, in ms.
         :returns: Whether the end is new.
         """
+        now = self._clock.now()
         with self._lock:
+            if not is_gone:
+                self._answer_by_node[node] = (born, now)
             known = self._end_by_born_by_node.get(node, {}).get(born)
             is_known = known is not None and not known.is_refuted
             if is_gone != is_known or (is_gone and not known.is_first_hand):
-                self._store(node, born, KnownEnd(self._clock.now(), not is_gone, True))
+                self._store(node, born, KnownEnd(now, not is_gone, True))
             return is_gone and not is_known
 
     def record_passed_on(self, end):
@@ -66,6 +73,11 @@
         told_at = self._clock.now() - end.age
         with self._lock:
             known = self._end_by_born_by_node.get(end.node, {}).get(end.born)
+            answered_born, answered_at = self._answer_by_node.get(end.node, (0, 0.0))
+            if known is None and answered_born == end.born and answered_at >= told_at:
+                # Passed on as taken back from now on.
+                self._store(end.node, end.born, KnownEnd(answered_at, True, True))
+                return False
             is_newer = known is None or (
                 end.is_refuted
                 and not known.is_refuted
@@ -91,12 +103,15 @@
             only what the node itself told counts, since it also tells which runs were
             lost with the worker.
         """
+        now = self._clock.now()
         with self._lock:
             ends = self._end_by_born_by_node.get(node, {})
             return tuple(
                 born
                 for born, end in ends.items()
-                if not end.is_refuted and (end.is_first_hand or not is_node_heard)
+                if not end.is_refuted
+                and now - end.told_at < USED_SECONDS
+                and (end.is_first_hand or not is_node_heard)
             )
 
     def list_announced(self):
--- a/tests/site/test_worker_ends.py
+++ b/tests/site/test_worker_ends.py
@@ -8,6 +8,7 @@
     MAX_ENDS_PER_NODE,
     WorkerEnds,
 )
+from tests.site.test_promises import LONG_RUNNING
 
 BORN = 1_000
 
@@ -86,3 +87,45 @@
     assert len(announced) == MAX_ANNOUNCED
     assert announced[-1].node == f"node-{MAX_ANNOUNCED - 1}"
     assert len(entries[0].get_ended_incarnations("node-0")) == MAX_ENDS_PER_NODE
+
+
+# Guards against an end that is learnt from others after the node has said that its
+# worker answers, and against an entry that is not told of that.
+def test_end_is_refuted_by_an_earlier_report_that_the_worker_answers(entries, clock):
+    first, second, _ = entries
+    first.record_report("node", BORN, is_gone=True)
+    clock.advance(1.0)
+    second.record_report("node", BORN, is_gone=False)
+    assert pass_on(first, second) == [False]
+    assert second.get_ended_incarnations("node") == ()
+    pass_on(second, first)
+    assert first.get_ended_incarnations("node") == ()
+
+
+# Guards against starting tasks twice by an old end that was taken back elsewhere.
+def test_old_end_that_was_taken_back_elsewhere_starts_nothing_twice(simulation):
+    first = simulation.leader.name
+    second = next(name for name in simulation.entry_names if name != first)
+    simulation.kill_entry(first)
+    simulation.advance(6.0)
+    runner = simulation.runner_by_node["node-0"]
+    runner.is_gone = True
+    simulation.advance(1.0)
+    simulation.disconnect(second, "node-0")
+    runner.is_gone = False
+    simulation.without_store.add(second)
+    simulation.advance(ANNOUNCE_SECONDS + 1.0)
+    simulation.start_entry(first)
+    simulation.advance(6.0)
+    lease_of_first = simulation.entry_by_name[first].election.lease
+    assert lease_of_first.is_valid(simulation.clock.now())
+    for job in ("job", "job2", "job3"):
+        simulation.submit(job, LONG_RUNNING)
+    simulation.advance(2.0)
+    assert runner.run_by_task
+    simulation.without_store.discard(second)
+    simulation.advance(1.0)
+    simulation.kill_entry(first)
+    simulation.advance(7.0)
+    assert simulation.leader.name == second
+    assert simulation.ledger.problems == []
