--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -553,6 +553,9 @@
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
             self._record_crash(worker, now)
+            uncounted = [run for run in runs if not run.is_crash_recorded]
+            if uncounted:
+                self._log_uncounted(worker, "worker-gone", uncounted)
             self.log.write(
                 "runs-lost", worker.node, reason="worker-gone", runs=len(runs)
             )
