Let only an answer take back the end of a worker

A long-running task was down for over 6 s when the worker of its run had crashed and the next one at its address didn't answer: any failure but a refusal took back that the worker was gone. An accepted connection between two refused ones didn't end their series either. Found by review.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -399,7 +399,10 @@
         """
         sent_at = self.clock.now()
         is_refused = self.runner.is_refusing()
-        if is_refused:
+        if not is_refused:
+            with self._lock:
+                self._refused_connections = 0
+        else:
             failure = WorkerFailure("refused", is_certain=True, is_refused=True)
             self._record_failure(failure, sent_at)
         return is_refused
@@ -418,7 +421,9 @@
             self._refused_connections = refusals
             was_answering, self.is_answering = self.is_answering, False
             was_down = self._is_worker_down
-            self._is_worker_down = refusals >= REFUSALS_UNTIL_DOWN
+            # Only an answer takes an end back: a call that fails otherwise says nothing
+            # of the incarnation that has ended.
+            self._is_worker_down = was_down or refusals >= REFUSALS_UNTIL_DOWN
             if self._is_worker_down:
                 self._state_known_at = self.clock.now()
                 if not was_down:
@@ -520,12 +525,13 @@
 
     def _record_worker_end(self):
         """Record which runs are lost with a worker; one that drains ends by itself."""
+        now = self.clock.now()
         is_draining = self.worker_report is not None and self.worker_report.is_draining
         if not is_draining and self.incarnation:
             doubtful = [
                 key for key, order in self._unresolved_by_key.items() if order.is_sent
             ]
-            self._lost_runs.record_end(doubtful, self.clock.now())
+            self._lost_runs.record_end(doubtful, now)
 
     @property
     def ended_incarnation(self):
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -206,3 +206,35 @@
     site.advance(LOST_SECONDS - 0.2)
     assert list_running(site) == BOTH_RUN
     assert site.ledger.problems == []
+
+
+# Guards against taking back the end of a worker because a call to its successor fails,
+# which says nothing of the incarnation that has ended.
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_end_of_a_worker_is_known_after_its_successor_did_not_answer(site, is_cut):
+    first = site.leader.name
+    site.store.is_down = True
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    runner = site.runner_by_node[node]
+    runner.crash(0.8)
+    site.advance(0.7)
+    runner.is_cut = is_cut
+    site.advance(0.5)
+    site.lose_worker(node)
+    site.kill_node(node)
+    site.start_entry(first)
+    site.advance(0.1)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against a proof of two refused connections with an accepted one in between.
+def test_refusals_around_an_accepted_connection_prove_no_end(site):
+    node = site.node_by_name[find_node(site, BOTH_RUN[0])]
+    for is_gone in (True, False, True):
+        node.runner.is_gone = is_gone
+        assert node.run_manager.check_connection() == is_gone
+    assert not node.run_manager.ended_incarnation
