Don't count the end of a worker that took leave as a crash

The runs of a worker whose draining reports were missed were blamed for its end. Its farewell says the same. Found by review; the test failed before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -527,7 +527,8 @@
         """Record which runs are lost with a worker; one that drains ends by itself."""
         now = self.clock.now()
         is_draining = self.worker_report is not None and self.worker_report.is_draining
-        if not is_draining and self.incarnation:
+        has_taken_leave = now - self._farewell_at < FAREWELL_SECONDS
+        if not is_draining and not has_taken_leave and self.incarnation:
             doubtful = [
                 key for key, order in self._unresolved_by_key.items() if order.is_sent
             ]
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -238,3 +238,14 @@
         node.runner.is_gone = is_gone
         assert node.run_manager.check_connection() == is_gone
     assert not node.run_manager.ended_incarnation
+
+
+# Guards against blaming the runs of a worker that took leave for its end.
+def test_runs_of_a_worker_that_took_leave_are_not_blamed(site):
+    node = site.node_by_name[find_node(site, BOTH_RUN[0])]
+    node.receive_farewell()
+    node.runner.is_gone = True
+    for _ in range(2):
+        node.run_manager.hold()
+    assert node.run_manager.ended_incarnation
+    assert node.run_manager.build_report(1).lost == []
