--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -238,7 +238,7 @@
         self.registry.watch("calls_in_flight", lambda: self.app.in_flight)
         self.registry.watch("nodes", lambda: len(self.directory.list_streams()))
         self.registry.watch("epoch", lambda: self.dispatcher.epoch)
-        self.registry.watch("scheduler_stall_seconds", lambda: self.stall.seconds)
+        self.registry.watch("scheduler_stall", lambda: self.stall.seconds)
         self.registry.watch(
             "config_version", lambda: self.follower.state.configuration.version
         )
