--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -154,6 +154,7 @@
             self._acquired_at = now
             if not self._is_own_row():
                 self._reckon_with_predecessors(version, now)
+                self._log_awaited_echoes(now)
             return self._write(epoch, version, "free" if self._is_free() else "lapsed")
         return True
 
@@ -189,6 +190,19 @@
             self._echoing_processes = echoing
             self.last_echo_at = get_last_echo_time(now) if echoing else max(ended_at)
 
+    def _log_awaited_echoes(self, now):
+        seconds = self.last_echo_at - now
+        if seconds <= 0.0:
+            return
+        with self._lock:
+            processes = self._echoing_processes
+        names = ["unknown"] if processes is None else sorted(n for n, _ in processes)
+        epoch = self.row.epoch if self.row is not None else 0
+        for name in names:
+            self._log.write(
+                "echoes-awaited", name, epoch=epoch, counted="claim", seconds=seconds
+            )
+
     def _note_processes(self, now):
         """Note when the processes that the row names were first read of."""
         row = self.row
