--- a/tests/site/test_leaving_rounds.py
+++ b/tests/site/test_leaving_rounds.py
@@ -92,7 +92,9 @@
 
 # Guards against waits that begin anew with each entry that schedules: each task of a
 # long-running job has to run again in time, whenever workers, nodes and entries left.
-@pytest.mark.parametrize("seed", range(12))
+# In the later seeds, workers lose power with their nodes about when the scheduling
+# entry ends.
+@pytest.mark.parametrize("seed", [*range(12), 105, 133, 145, 156, 171])
 def test_long_running_tasks_run_again_in_time_after_each_round(clock, seed):
     rounds = LeavingRounds(clock, seed)
     rounds.run(3.0)
