Extend the scheduling lease by renewals whose answers are lost

While the store carried out renewals and lost their answers, the entry knew by the version of the row that one of them was stored, but left its lease as it was until a later one was answered: with two lost answers in a row it stood without a valid lease, decided nothing, and lived on its grace period. The stored write was sent no earlier than the first one under that version, so the lease counts from there, and the next renewal is sent at once. Both tests fail before.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -90,8 +90,9 @@
 
     def extend(self, epoch, sent_at):
         """Extend the lease after a successful renewal."""
+        former = self.valid_until if self.epoch == epoch else 0.0
         self.epoch = epoch
-        self.valid_until = sent_at + LEASE_SECONDS
+        self.valid_until = max(former, sent_at + LEASE_SECONDS)
 
     def resign(self):
         """Release the lease."""
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -99,6 +99,8 @@
         self._stands_back_until = 0.0
         self._abandoned_epoch = 0
         self._version = 0
+        # Version and time of the first write under it that got no answer.
+        self._unanswered = (-1, 0.0)
         self._is_unreadable = False
         self._observation = LeaseObservation()
 
@@ -329,8 +331,10 @@
                 self._record_term(row, new_version, sent_at, reason)
                 return True
             case Failure(RowsConflict()):
-                return self._resolve_conflict(row, version, sent_at, reason)
+                return self._resolve_conflict(row, version, reason)
             case Failure(failure):
+                if self._unanswered[0] != version:
+                    self._unanswered = (version, sent_at)
                 self._log.write("store-failed", "leader-row", why=str(failure))
                 return False
 
@@ -338,18 +342,20 @@
         """Return the processes that a successor has to reckon with as well."""
         return () if is_alone else tuple(sorted(self._echoing_processes or ()))
 
-    def _resolve_conflict(self, row, version, sent_at, reason):
-        """Check whether an earlier write succeeded although its answer was lost."""
+    def _resolve_conflict(self, row, version, reason):
+        """Check whether an earlier write succeeded although its answer was lost.
+
+        :returns: Whether the next renewal may wait.
+        """
         match self._read():
             case Success(stored) if (
                 row.is_same_term(self.row) and stored.version != version
             ):
-                # The write that succeeded may be an earlier one, so the lease isn't
-                # extended until the next renewal.
+                # It was sent no earlier than the first one without an answer.
+                since = self._unanswered[1] if self._unanswered[0] == version else 0.0
                 self._version = stored.version
-                if not self.lease.epoch:
-                    self._record_term(row, stored.version, 0.0, reason)
-                return True
+                self._record_term(self.row, stored.version, since, reason)
+                return False
             case Success(_):
                 if self.lease.epoch:
                     self._log.write("term-lost", self.name, epoch=self.lease.epoch)
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from bergamotshore.core.work.leases import (
     CANDIDACY_DELAY_SECONDS,
@@ -120,6 +120,46 @@
         assert election.lease.is_valid(clock.now())
 
 
+# Guards against a term without a valid lease while the store carries out renewals and
+# loses most of its answers.
+def test_lease_outlasts_a_series_of_renewals_whose_answers_are_lost(
+    build, store, clock
+):
+    election = build("a")
+    pause = election.step()
+    transact = store.transact
+
+    def lose_answer(expects, puts, deletes, timeout=DEFAULT_TIMEOUT_SECONDS):
+        outcome = transact(expects, puts, deletes, timeout)
+        if isinstance(outcome, Success):
+            clock.advance(timeout)
+            return Failure(PlatformUncertain("lost"))
+        return outcome
+
+    store.transact = lose_answer
+    for _ in range(12):
+        clock.advance(pause)
+        assert election.lease.is_valid(clock.now())
+        pause = election.step()
+        assert election.lease.is_valid(clock.now())
+
+
+# Guards against a lease that is counted from a later renewal than the stored one.
+def test_lease_counts_from_the_first_renewal_without_an_answer(build, store, clock):
+    election = build("a")
+    election.step()
+    valid_until = election.lease.valid_until
+    store.faults = ["down", "down", "lost"]
+    for _ in range(3):
+        clock.advance(0.5)
+        election.step()
+    assert election.lease.valid_until == valid_until
+    clock.advance(0.5)
+    election.step()
+    first_sent_at = valid_until - LEASE_SECONDS + 0.5
+    assert election.lease.valid_until == first_sent_at + LEASE_SECONDS
+
+
 # Guards against a site without a scheduling entry for the whole lease that a claim
 # without an answer has begun.
 def test_a_claim_that_was_carried_out_late_is_followed_by_another_one(
