Bound renewal grants by the leader lease unless all named entries permit longer ones

A successor that had no proof of the end of its predecessor waited for the grace period (4.2 s) in which an entry that can't renew its lease goes on echoing, and then for a whole grant (6.4 s), both counted from its own claim, although the store was there all the time, so that nobody had used the grace period.

Grants now end 2.5 s after the lease at the latest, so the last renewal that a successor has read of bounds them. Whole grants, and echoes in the grace period, need a permission of each entry that the row of the lease names; an entry gives it with its heartbeats only while it doesn't reach the store itself, so a successor that is named knows when it permitted the last echo. One that isn't named, or that reads a row of a former build, waits as before, from the reading of the row. What is left of the wait for earlier terms is in the row, so that a series of terms doesn't count it anew.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -4,11 +4,18 @@
 take over once they have observed the same version of the row for its time to live.
 
 A renewal grant permits a node to extend the lease of its worker for a limited time
-after a reading of the node's own clock that the scheduling entry has echoed. An entry
-that cannot renew its lease makes no further decisions, but continues to echo for
-``ECHO_GRACE_SECONDS``, so that tasks survive an outage of the store. It reads the clock
-value to echo before it checks its own lease, so that a successor can bound the end of
-every grant by the time of its takeover plus the grace period and the grant duration.
+after a reading of the node's own clock that the scheduling entry has echoed. Such a
+grant ends ``HANDOVER_SECONDS`` after the leader lease at the latest, so that a
+successor can bound it by the last renewal that it has read of.
+
+An entry that cannot renew its lease makes no further decisions. So that tasks survive
+an outage of the store, it may still echo for ``ECHO_GRACE_SECONDS``, and its grants
+last their whole duration, while each of the entries named in the row of its lease
+permits it. An entry gives this permission only while it does not reach the store
+itself, and knows when it gave the last one.
+
+The entry reads the clock value to echo before it checks lease and permissions: a
+successor relies on no later reading being echoed.
 """
 
 from dataclasses import dataclass
@@ -26,6 +33,15 @@
 # Lease, grace period and grant together cover a store outage of 9 s and the second
 # until the next renewal.
 ECHO_GRACE_SECONDS = 4.0
+# Time for which grants outlast the lease without a permission, in seconds. A successor
+# echoes 4 to 5 s after the last renewal.
+HANDOVER_SECONDS = 2.5
+# Validity of a permission to echo, counted from the clock reading of the permitted
+# entry that it carries, in seconds: two heartbeats, one of them late.
+PERMISSION_SECONDS = 1.5
+# An entry permits only entries that it heard of in this time, and names those in the
+# row of its lease, in seconds: it misses one of their heartbeats.
+ENTRY_HEARD_SECONDS = 1.3
 # Maximum difference in clock rate between processes, workers included: 2%.
 DRIFT_SHARE = 0.02
 # Part of the longest worker lease reserved for the latency of a call, in seconds.
@@ -59,6 +75,27 @@
     return lapsed_at + ECHO_GRACE_SECONDS * (1.0 + 2 * DRIFT_SHARE)
 
 
+def get_last_unpermitted_echo_time(renewed_at, duration):
+    """Return when an entry without permissions sent its last echo, in effect.
+
+    Grants that end with the lease are shorter than others, as if the last echo had been
+    sent earlier.
+
+    :param renewed_at: Any time after its last renewal was stored, in seconds.
+    :param duration: Duration of a renewal grant, in seconds.
+    """
+    lasts = LEASE_SECONDS + HANDOVER_SECONDS - duration
+    return renewed_at + lasts * (1.0 + 3 * DRIFT_SHARE)
+
+
+def get_last_permitted_echo_time(permitted_at):
+    """Return the time by which an entry has sent its last echo under a permission.
+
+    :param permitted_at: When the last permission was given, in seconds.
+    """
+    return permitted_at + PERMISSION_SECONDS * (1.0 + 2 * DRIFT_SHARE)
+
+
 # Resources that scheduling needs: a whole core, and four times the 4 Mbit/s that the
 # reports of 70 nodes use. Smaller entries wait before they claim a free lease, so that
 # larger ones can get it first: ``CANDIDACY_DELAY_SECONDS`` for each resource they lack.
@@ -104,7 +141,7 @@
         return self.epoch > 0 and now < self.valid_until
 
     def may_echo(self, now):
-        """Return whether this entry may still echo clock readings to nodes."""
+        """Return whether this entry may echo clock readings if others permit it."""
         return self.epoch > 0 and now < self.valid_until + ECHO_GRACE_SECONDS
 
 
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -8,13 +8,20 @@
 
 from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.leases import (
+    DRIFT_SHARE,
+    HANDOVER_SECONDS,
+    LEASE_SECONDS,
+    MAX_GRANT_SECONDS,
     RENEW_RETRY_SECONDS,
     RENEW_SECONDS,
     RENEW_TIMEOUT_SECONDS,
     LeaderLease,
     LeaseObservation,
     get_last_echo_time,
+    get_last_permitted_echo_time,
+    get_last_unpermitted_echo_time,
 )
+from bergamotshore.entry.permissions import EchoPermissions
 from bergamotshore.exceptions import DecodingError
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
@@ -33,6 +40,10 @@
         clocks of nodes, which grants renewals of worker leases.
     :param earlier: Name and incarnation of each process of an earlier term that may
         still echo; empty if they are not known.
+    :param permitting: Names of the entries without whose permission the holder doesn't
+        echo after its lease; None in rows of holders that ask for none.
+    :param echo_seconds: Time from the writing of the row until the processes of all
+        earlier terms have certainly stopped echoing, in seconds; None if not known.
     """
 
     name: str
@@ -41,6 +52,8 @@
     epoch: int
     is_alone: bool = False
     earlier: tuple[tuple[str, str], ...] = ()
+    permitting: tuple[str, ...] | None = None
+    echo_seconds: float | None = None
 
     def is_same_term(self, other):
         """Return whether another row was written by the same process in this term."""
@@ -61,9 +74,7 @@
     :param log: ``EventLog``.
     :param candidacy_delay: How long a free lease is left to other entries, in seconds.
     :param can_schedule: Function that returns whether this entry could schedule now.
-
-    ``last_echo_at`` is the time by which the entries of earlier terms have certainly
-    sent their last echo of a node's clock.
+    :param grant_seconds: Duration of a node's renewal grant, in seconds.
     """
 
     def __init__(
@@ -76,10 +87,10 @@
         log,
         candidacy_delay=0.0,
         can_schedule=lambda: True,
+        grant_seconds=MAX_GRANT_SECONDS,
     ):
         self.lease = LeaderLease()
         self.row = None
-        self.last_echo_at = 0.0
         self._store = store
         self.name = name
         self._incarnation = incarnation
@@ -88,8 +99,13 @@
         self._log = log
         self._candidacy_delay = candidacy_delay
         self._can_schedule = can_schedule
+        self._grant_seconds = grant_seconds
+        self._permissions = EchoPermissions(clock)
         self._free_since = None
-        self._echoing_processes = None
+        # When the processes of earlier terms have stopped echoing: those that the last
+        # row named, and all others.
+        self._awaited_until_by_process = {}
+        self._awaited_until = 0.0
         self._started_at = clock.now()
         self._lock = threading.Lock()
         self._read_at_by_process = {}
@@ -133,8 +149,9 @@
     def _observe(self):
         match self._read():
             case Success(stored):
-                pass
+                self._permissions.record_read(has_failed=False)
             case Failure(failure):
+                self._permissions.record_read(has_failed=True)
                 self._log.write("store-failed", "leader-row", why=str(failure))
                 return False
         version = stored.version if stored is not None else 0
@@ -156,7 +173,6 @@
             self._acquired_at = now
             if not self._is_own_row():
                 self._reckon_with_predecessors(version, now)
-                self._log_awaited_echoes(now)
             return self._write(epoch, version, "free" if self._is_free() else "lapsed")
         return True
 
@@ -167,42 +183,87 @@
             self._incarnation,
         )
 
+    @property
+    def last_echo_at(self):
+        """Return when all processes of earlier terms have stopped echoing, in seconds.
+
+        It is the time of the last echo that grants a whole renewal.
+        """
+        with self._lock:
+            return max([self._awaited_until, *self._awaited_until_by_process.values()])
+
     def _reckon_with_predecessors(self, version, now):
         """Find out which processes of earlier terms may still echo, and until when.
 
         :param version: Version of the row; 0 if there is none.
         """
         row = self.row
-        if row is None or not (row.is_alone or row.earlier):
+        if row is None:
+            awaited_until = get_last_echo_time(now) if version else now
             with self._lock:
-                self._echoing_processes = None
-                self.last_echo_at = get_last_echo_time(now) if version else now
+                self._awaited_until_by_process = {}
+                self._awaited_until = awaited_until
+            self._log_awaited("unknown", 0, "claim", awaited_until - now)
             return
-        # The holder wrote that a term is over before the row was read.
-        ended_at = [] if row.name else [self._observation.first_seen]
-        echoing = set()
+        read_at = self._observation.first_seen
+        earlier_bound = self._bound_earlier_terms(row, read_at)
+        bound_by_process = dict.fromkeys(row.earlier, earlier_bound)
+        if row.name:
+            holder = (row.name, row.incarnation)
+            bound_by_process[holder] = self._bound_holder(row, read_at)
         with self._lock:
-            for process in self._read_at_by_process:
+            for process, (until, _) in bound_by_process.items():
+                ended_at = self._ended_at_by_process.get(process, until)
                 if process[0] == self.name:
-                    ended_at.append(self._started_at)
-                elif process in self._ended_at_by_process:
-                    ended_at.append(self._ended_at_by_process[process])
-                else:
-                    echoing.add(process)
-            self._echoing_processes = echoing
-            self.last_echo_at = get_last_echo_time(now) if echoing else max(ended_at)
-
-    def _log_awaited_echoes(self, now):
-        seconds = self.last_echo_at - now
-        if seconds <= 0.0:
-            return
-        with self._lock:
-            processes = self._echoing_processes
-        names = ["unknown"] if processes is None else sorted(n for n, _ in processes)
-        epoch = self.row.epoch if self.row is not None else 0
-        for name in names:
+                    ended_at = self._started_at
+                if ended_at < until:
+                    bound_by_process[process] = (ended_at, "end")
+            self._awaited_until_by_process = {
+                process: until for process, (until, _) in bound_by_process.items()
+            }
+            # The holder wrote that a term is over before the row was read.
+            self._awaited_until = 0.0 if row.name else read_at
+            if not row.is_alone and not row.earlier:
+                self._awaited_until = earlier_bound[0]
+        for (name, _), (until, counted) in sorted(bound_by_process.items()):
+            self._log_awaited(name, row.epoch, counted, until - now)
+
+    def _bound_earlier_terms(self, row, read_at):
+        """Return when the processes of terms before that of a row stop echoing.
+
+        :param read_at: When the row was read first, in seconds.
+        :returns: The time in seconds, and what it is counted from.
+        """
+        if row.echo_seconds is None:
+            # The holder claimed its term after their leases had expired.
+            return get_last_echo_time(read_at), "claim"
+        return read_at + row.echo_seconds * (1.0 + 2 * DRIFT_SHARE), "row"
+
+    def _bound_holder(self, row, read_at):
+        """Return when the holder of the lease in a row stops echoing.
+
+        :param read_at: When the row was read first, in seconds.
+        :returns: The time in seconds, and what it is counted from.
+        """
+        lapsed_at = read_at + LEASE_SECONDS * (1.0 + 2 * DRIFT_SHARE)
+        latest = get_last_echo_time(lapsed_at)
+        if row.permitting is None or self.name not in row.permitting:
+            return latest, "renewal"
+        unpermitted = get_last_unpermitted_echo_time(read_at, self._grant_seconds)
+        # An earlier process of this name may have permitted echoes as well.
+        permitted_at = max(
+            self._permissions.get_last_given_at(row.name, row.incarnation),
+            self._started_at,
+        )
+        permitted = get_last_permitted_echo_time(permitted_at)
+        if permitted <= unpermitted:
+            return unpermitted, "renewal"
+        return min(permitted, latest), "permission"
+
+    def _log_awaited(self, name, epoch, counted, seconds):
+        if seconds > 0.0:
             self._log.write(
-                "echoes-awaited", name, epoch=epoch, counted="claim", seconds=seconds
+                "echoes-awaited", name, epoch=epoch, counted=counted, seconds=seconds
             )
 
     def _note_processes(self, now):
@@ -231,7 +292,9 @@
                 and former.get(process, 0) >= epoch_by_process[process]
             }
 
-    def record_entry(self, name, incarnation, echo, superseded_epoch=0):
+    def record_entry(
+        self, name, incarnation, echo, superseded_epoch=0, permits_echo=False
+    ):
         """Record a message from another entry.
 
         A process that has the name of one of an earlier term and another incarnation
@@ -242,27 +305,47 @@
         :param echo: Reading of this entry's clock that it received last, in seconds; a
             message that it sent before the earlier process was read of proves nothing.
         :param superseded_epoch: Term before which the sender has stopped echoing.
+        :param permits_echo: Whether it permits this entry to echo after its lease.
         """
+        self._permissions.record_message(name, incarnation, echo, permits_echo)
         self._note_ended(name, incarnation, echo, superseded_epoch)
         epoch = self.lease.epoch
+        now = self._clock.now()
         with self._lock:
-            processes = self._echoing_processes or set()
             ended = {
                 process
-                for process in processes
+                for process, until in self._awaited_until_by_process.items()
                 if process[0] == name
+                and until > now
                 and (
                     echo >= self._acquired_at
                     if process[1] != incarnation
                     else 0 < epoch <= superseded_epoch
                 )
             }
-            if not ended:
-                return
-            self._echoing_processes = processes - ended
-            if not self._echoing_processes:
-                self.last_echo_at = min(self.last_echo_at, self._clock.now())
-        self._log.write("predecessor-ended", name, epoch=epoch)
+            self._awaited_until_by_process.update(dict.fromkeys(ended, now))
+        if ended:
+            self._log.write("predecessor-ended", name, epoch=epoch)
+
+    def permit_echo(self, name, incarnation):
+        """Return whether a message to an entry permits it to echo after its lease."""
+        return self._permissions.give(name, incarnation)
+
+    def get_echo(self, reading, received_at):
+        """Return the clock reading of a node to echo to it, or None for no echo.
+
+        :param reading: Last clock reading received, in seconds; 0 for none.
+        :param received_at: When it was received, in seconds.
+        """
+        now = self._clock.now()
+        if not self.lease.may_echo(now):
+            return None
+        if self._permissions.are_held(now):
+            return reading
+        if not self.lease.is_valid(now):
+            return None
+        granted = self.lease.valid_until + HANDOVER_SECONDS - received_at
+        return max(0.0, reading - max(0.0, self._grant_seconds - granted))
 
     def _note_ended(self, name, incarnation, echo, superseded_epoch):
         """Note a process that has ended, or knows that its term has."""
@@ -311,14 +394,14 @@
 
     def _write(self, epoch, version, reason):
         sent_at = self._clock.now()
-        is_alone = sent_at >= self.last_echo_at
         row = LeaderRow(
             self.name,
             self._incarnation,
             self._address,
             epoch,
-            is_alone,
-            self._list_earlier(is_alone),
+            *self._describe_earlier_terms(sent_at),
+            permitting=self._permissions.begin_request(),
+            echo_seconds=max(0.0, self.last_echo_at - sent_at),
         )
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
@@ -338,9 +421,20 @@
                 self._log.write("store-failed", "leader-row", why=str(failure))
                 return False
 
-    def _list_earlier(self, is_alone):
-        """Return the processes that a successor has to reckon with as well."""
-        return () if is_alone else tuple(sorted(self._echoing_processes or ()))
+    def _describe_earlier_terms(self, now):
+        """Return whether their processes have stopped echoing, and which may not have.
+
+        :returns: ``is_alone`` and ``earlier`` of a ``LeaderRow``.
+        """
+        with self._lock:
+            if now < self._awaited_until:
+                return False, ()
+            echoing = sorted(
+                process
+                for process, until in self._awaited_until_by_process.items()
+                if now < until
+            )
+        return not echoing, tuple(echoing)
 
     def _resolve_conflict(self, row, version, reason):
         """Check whether an earlier write succeeded although its answer was lost.
@@ -373,6 +467,7 @@
             self._log.write("term-taken", self.name, epoch=row.epoch, reason=reason)
         self._version = version
         self.row = row
+        self._permissions.set_required(row.permitting)
         self.lease.extend(row.epoch, sent_at)
 
     def stand_back(self, seconds):
@@ -390,9 +485,15 @@
             return
         epoch, version = self.lease.epoch, self._version
         self.lease.resign()
-        is_alone = self._clock.now() >= self.last_echo_at
-        earlier = self._list_earlier(is_alone)
-        vacant = LeaderRow("", self._incarnation, "", epoch, is_alone, earlier)
+        now = self._clock.now()
+        vacant = LeaderRow(
+            "",
+            self._incarnation,
+            "",
+            epoch,
+            *self._describe_earlier_terms(now),
+            echo_seconds=max(0.0, self.last_echo_at - now),
+        )
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(vacant))],
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -183,6 +183,8 @@
     :param cancellations: ``RecentCancellations`` that are announced to the peers.
     :param worker_ends: ``WorkerEnds`` that are passed on to the peers.
     :param on_heartbeat: Called with the peer and each heartbeat that it sends.
+    :param permit_echo: Function that returns whether a heartbeat to a peer permits it
+        to echo clocks after its lease.
     """
 
     def __init__(
@@ -197,10 +199,12 @@
         cancellations,
         worker_ends,
         on_heartbeat,
+        permit_echo,
     ):
         self._cancellations = cancellations
         self._worker_ends = worker_ends
         self._on_heartbeat = on_heartbeat
+        self._permit_echo = permit_echo
         self._direct = direct
         self._executor = executor
         self._clock = clock
@@ -336,6 +340,7 @@
             echo=stream.peer_clock,
             cancelled=self._cancellations.list_announced(),
             worker_ends=self._worker_ends.list_announced(),
+            permits_echo=stream.peer is not None and self._permit_echo(stream.peer),
         )
 
 
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -146,6 +146,7 @@
                 self.site.processor_share * self.site.cores, self.site.link_mbps
             ),
             self.can_schedule,
+            get_grant_seconds(self.site.longest_hold_ms / 1000),
         )
         self.stall = StallDetector()
         self.freshness = StateFreshness(
@@ -192,6 +193,7 @@
             self.cancellations,
             self.directory.ends,
             self._handle_entry_heartbeat,
+            self._permit_echo,
         )
         client = RelayedClient(
             direct, relay, timeout, self.clock, self.registry, self.log
@@ -386,7 +388,11 @@
 
     def _handle_entry_heartbeat(self, peer, heartbeat):
         self.election.record_entry(
-            peer.name, peer.incarnation, heartbeat.echo, heartbeat.superseded_epoch
+            peer.name,
+            peer.incarnation,
+            heartbeat.echo,
+            heartbeat.superseded_epoch,
+            heartbeat.permits_echo,
         )
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
@@ -419,21 +425,26 @@
         The clock reading to echo is read before the lease is checked: a successor
         relies on no later reading being echoed.
         """
-        echo = stream.peer_clock
-        now = self.clock.now()
-        epoch = self.dispatcher.epoch if self.election.lease.may_echo(now) else 0
+        reading = stream.peer_clock
+        echo = self.election.get_echo(reading, stream.peer_clock_received_at)
+        epoch = self.dispatcher.epoch if echo is not None else 0
         is_entry = stream.peer is not None and stream.peer.role == "entry"
+        # Echoes among entries grant nothing, and their age matters.
         return Heartbeat(
-            sent_at=now,
-            echo=echo,
+            sent_at=self.clock.now(),
+            echo=reading if is_entry or echo is None else echo,
             config_version=self.follower.state.configuration.version,
             epoch=epoch,
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
             superseded_epoch=self.election.superseded_epoch if is_entry else 0,
+            permits_echo=is_entry and self._permit_echo(stream.peer),
         )
 
+    def _permit_echo(self, peer):
+        return self.election.permit_echo(peer.name, peer.incarnation)
+
     def _send_heartbeat(self, stream):
         stream.send(self.build_heartbeat(stream))
 
--- a/src/bergamotshore/transport/stream.py
+++ b/src/bergamotshore/transport/stream.py
@@ -38,6 +38,7 @@
         self.handler = handler
         self.peer = None
         self.peer_clock = 0.0
+        self.peer_clock_received_at = 0.0
         self.close_reason = ""
         self._decoder = Decoder(timing.largest_message)
         self._output = bytearray()
@@ -158,7 +159,10 @@
             case _ if self.peer is None:
                 self.close("message-before-hello")
             case Heartbeat():
-                self._silence.record_heartbeat(self.loop.clock.now())
+                now = self.loop.clock.now()
+                self._silence.record_heartbeat(now)
+                # Other threads read them in reverse order: the time is never too early.
+                self.peer_clock_received_at = now
                 self.peer_clock = message.sent_at
                 self.handler.on_message(self, message)
             case _:
--- /dev/null
+++ b/tests/site/test_echo_permissions.py
@@ -0,0 +1,264 @@
+"""Grants that end with the leader lease, and permissions for longer ones."""
+
+import pytest
+
+from bergamotshore.core.work.leases import (
+    DRIFT_SHARE,
+    ECHO_GRACE_SECONDS,
+    ENTRY_HEARD_SECONDS,
+    HANDOVER_SECONDS,
+    LEASE_SECONDS,
+    PERMISSION_SECONDS,
+    RENEW_SECONDS,
+    get_last_permitted_echo_time,
+    get_last_unpermitted_echo_time,
+)
+from bergamotshore.entry.election import Election
+from bergamotshore.utils.eventlog import EventLog
+from standins.site import RowsStandIn
+
+GRANT_SECONDS = 5.5
+
+
+@pytest.fixture
+def store():
+    return RowsStandIn()
+
+
+@pytest.fixture
+def build(store, clock):
+    def build(name, incarnation=1):
+        log = EventLog(clock, emit=lambda line: None)
+        return Election(
+            store,
+            name,
+            f"{name}-{incarnation}",
+            "1.2.3.4:5",
+            clock,
+            log,
+            grant_seconds=GRANT_SECONDS,
+        )
+
+    return build
+
+
+@pytest.fixture
+def holder(build):
+    """Return an entry that has heard of another one and holds the lease."""
+    holder = build("holder")
+    holder.record_entry("other", "other-1", 0.0)
+    holder.step()
+    return holder
+
+
+@pytest.fixture
+def other(build, holder):
+    """Return the other entry, which has read the row of the lease."""
+    other = build("other")
+    other.step()
+    return other
+
+
+def exchange(clock, sender, receiver, echoed_at=None):
+    """Let an entry send a heartbeat to another one, which has just been heard."""
+    now = clock.now()
+    sender.record_entry(receiver.name, f"{receiver.name}-1", now)
+    permits_echo = sender.permit_echo(receiver.name, f"{receiver.name}-1")
+    receiver.record_entry(
+        sender.name,
+        f"{sender.name}-1",
+        now if echoed_at is None else echoed_at,
+        permits_echo=permits_echo,
+    )
+    return permits_echo
+
+
+def get_grant_end(holder, clock):
+    """Return when a grant by an echo of the present time ends; 0 if there is none."""
+    echo = holder.get_echo(clock.now(), clock.now())
+    return 0.0 if echo is None else echo + GRANT_SECONDS
+
+
+def lapse(clock, *elections):
+    """Let the lease of the holder expire; the others read its row meanwhile."""
+    for _ in range(4):
+        clock.advance(1.1 * LEASE_SECONDS / 4)
+        for election in elections:
+            election.step()
+
+
+# Guards against grants that outlast what a successor waits for.
+@pytest.mark.parametrize("age", [0.0, 0.5, RENEW_SECONDS, 2.0, LEASE_SECONDS - 0.01])
+def test_grants_end_soon_after_the_lease_without_a_permission(
+    holder, other, clock, age
+):
+    renewed_at = clock.now()
+    clock.advance(age)
+    last_end = renewed_at + LEASE_SECONDS + HANDOVER_SECONDS
+    assert get_grant_end(holder, clock) <= last_end
+    assert get_grant_end(holder, clock) == pytest.approx(
+        min(clock.now() + GRANT_SECONDS, last_end)
+    )
+    clock.advance(LEASE_SECONDS)
+    assert holder.get_echo(clock.now(), clock.now()) is None
+
+
+# Guards against a grant that counts from the sending of an old clock reading.
+def test_grant_is_bounded_by_the_time_at_which_the_reading_was_received(holder, clock):
+    received_at = clock.now()
+    clock.advance(0.5)
+    echo = holder.get_echo(received_at, received_at)
+    assert echo + GRANT_SECONDS <= received_at + LEASE_SECONDS + HANDOVER_SECONDS
+
+
+def test_grants_are_whole_in_an_outage_that_the_other_entry_sees_too(
+    holder, other, store, clock
+):
+    store.is_down = True
+    renewed_at = clock.now()
+    while clock.now() < renewed_at + LEASE_SECONDS + ECHO_GRACE_SECONDS - 0.5:
+        clock.advance(0.5)
+        holder.step()
+        other.step()
+        assert exchange(clock, other, holder)
+        assert get_grant_end(holder, clock) == clock.now() + GRANT_SECONDS
+    clock.advance(0.5)
+    assert get_grant_end(holder, clock) == 0.0
+
+
+@pytest.mark.parametrize("reason", ["reaches-store", "silent", "late", "old"])
+def test_no_echo_in_the_grace_period_without_a_valid_permission(
+    holder, other, store, clock, reason
+):
+    """Permissions that are given late, delayed or not at all."""
+    store.is_down = reason != "reaches-store"
+    other.step()
+    clock.advance(LEASE_SECONDS + 0.1)
+    now = clock.now()
+    match reason:
+        case "reaches-store":
+            assert not exchange(clock, other, holder)
+        case "silent":
+            assert not other.permit_echo("holder", "holder-1")
+        case "late":
+            exchange(clock, other, holder, echoed_at=now - PERMISSION_SECONDS - 0.1)
+        case "old":
+            exchange(clock, other, holder)
+            clock.advance(PERMISSION_SECONDS + 0.1)
+    assert holder.get_echo(clock.now(), clock.now()) is None
+
+
+# Guards against echoes under the permissions of some entries only.
+def test_all_entries_that_the_row_names_have_to_permit_echoes(
+    build, holder, other, store, clock
+):
+    third = build("third")
+    holder.record_entry("third", "third-1", 0.0)
+    holder.step()
+    third.step()
+    store.is_down = True
+    other.step()
+    clock.advance(LEASE_SECONDS + 0.1)
+    exchange(clock, other, holder)
+    assert get_grant_end(holder, clock) == 0.0
+    third.step()
+    exchange(clock, third, holder)
+    assert get_grant_end(holder, clock) > 0.0
+
+
+# Guards against a holder that no longer asks an entry that a stored row may name.
+@pytest.mark.parametrize("fault", ["lost", "late"])
+def test_entry_named_by_a_renewal_without_an_answer_is_asked(
+    holder, other, store, clock, fault
+):
+    clock.advance(2.0)
+    holder.record_entry("third", "third-1", clock.now())
+    store.faults = [fault]
+    holder.step()
+    store.is_down = True
+    other.step()
+    clock.advance(LEASE_SECONDS)
+    exchange(clock, other, holder)
+    assert holder.get_echo(clock.now(), clock.now()) is None
+
+
+# Guards against a wait for echoes in the grace period where none can have been sent.
+def test_successor_that_has_permitted_no_echo_does_not_wait_for_them(
+    holder, other, clock
+):
+    read_at = clock.now()
+    lapse(clock, other)
+    assert other.lease.epoch == 2
+    latest = get_last_unpermitted_echo_time(read_at, GRANT_SECONDS)
+    assert other.last_echo_at == pytest.approx(
+        max(latest, get_last_permitted_echo_time(read_at))
+    )
+    assert other.last_echo_at < clock.now()
+
+
+# Guards against a takeover that forgets the echoes that the successor permitted.
+def test_successor_waits_for_the_echoes_that_it_has_permitted(
+    holder, other, store, clock
+):
+    store.is_down = True
+    lapse(clock, other)
+    assert exchange(clock, other, holder)
+    permitted_at = clock.now()
+    store.is_down = False
+    clock.advance(0.2)
+    other.step()
+    assert other.lease.epoch == 2
+    assert other.last_echo_at >= permitted_at + PERMISSION_SECONDS
+    assert other.last_echo_at == get_last_permitted_echo_time(permitted_at)
+
+
+# Guards against a restarted entry that forgets the permissions of its former process.
+def test_restarted_entry_waits_for_echoes_that_its_former_process_may_have_permitted(
+    build, holder, other, clock
+):
+    clock.advance(LEASE_SECONDS)
+    started_at = clock.now()
+    restarted = build("other", incarnation=2)
+    restarted.step()
+    lapse(clock, restarted)
+    assert restarted.lease.epoch == 2
+    assert restarted.last_echo_at >= started_at + PERMISSION_SECONDS
+
+
+# Guards against a successor that was never asked, and relies on its own permissions.
+def test_successor_that_the_row_does_not_name_waits_for_the_grace_period(
+    build, holder, clock
+):
+    third = build("third")
+    third.step()
+    read_at = clock.now()
+    lapse(clock, third)
+    assert third.lease.epoch == 2
+    grace_ends_at = read_at + LEASE_SECONDS + ECHO_GRACE_SECONDS
+    assert third.last_echo_at >= grace_ends_at
+    assert third.last_echo_at <= read_at + (grace_ends_at - read_at) * (
+        1.0 + 2 * DRIFT_SHARE
+    )
+
+
+# Guards against a wait for an earlier term that each successor counts anew.
+def test_wait_for_an_earlier_term_is_handed_on_in_the_row(build, holder, clock):
+    second, third = build("second"), build("third")
+    second.step()
+    lapse(clock, second)
+    assert second.lease.epoch == 2
+    awaited_until = second.last_echo_at
+    third.step()
+    second.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    assert awaited_until <= third.last_echo_at < awaited_until + 0.2
+
+
+# Guards against permissions for an entry that has ended, which a successor counts from.
+def test_no_permission_for_an_entry_that_is_not_heard(holder, other, store, clock):
+    store.is_down = True
+    other.step()
+    assert exchange(clock, other, holder)
+    clock.advance(ENTRY_HEARD_SECONDS + 0.1)
+    assert not other.permit_echo("holder", "holder-1")
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -33,6 +33,7 @@
         RecentCancellations(clock),
         WorkerEnds(clock),
         lambda peer, heartbeat: announced.extend(heartbeat.cancelled),
+        lambda peer: peer.name == "permitted",
     )
     relay.links = links
     return relay
