Use that an earlier term is over also if the sender has not read of the present one

A successor waited for the echoes of an entry of the term before its predecessor until that entry had read of the present term, up to 1.4 s after the takeover, although it had said since then that it had stopped echoing for its own term. What a process says about a term is a proof once the term that it names is later than the last one that the process held. One test is replaced: it asked for the number of the present term in a message about an earlier one; the message about the term before is now the counter-check, and one more test has the holder of the previous term name the present one.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -309,7 +309,6 @@
         """
         self._permissions.record_message(name, incarnation, echo, permits_echo)
         self._note_ended(name, incarnation, echo, superseded_epoch)
-        epoch = self.lease.epoch
         now = self._clock.now()
         with self._lock:
             ended = {
@@ -320,12 +319,12 @@
                 and (
                     echo >= self._acquired_at
                     if process[1] != incarnation
-                    else 0 < epoch <= superseded_epoch
+                    else superseded_epoch >= self._superseded_from_by_process[process]
                 )
             }
             self._awaited_until_by_process.update(dict.fromkeys(ended, now))
         if ended:
-            self._log.write("predecessor-ended", name, epoch=epoch)
+            self._log.write("predecessor-ended", name, epoch=self.lease.epoch)
 
     def permit_echo(self, name, incarnation):
         """Return whether a message to an entry permits it to echo after its lease."""
