Answer the first heartbeat of another entry at once, and tell terms on all streams

An entry that has restarted proves that its former process has ended by a heartbeat that echoes a reading of the receiver's clock. The first one echoes none, and the next one came with the regular heartbeats, so that a successor waited up to 1 s longer for echoes of a process that was gone. Heartbeats on streams that an entry has opened did not tell which terms are over, so that entries of a large site, to which not all others connect, didn't learn it.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -183,8 +183,8 @@
     :param cancellations: ``RecentCancellations`` that are announced to the peers.
     :param worker_ends: ``WorkerEnds`` that are passed on to the peers.
     :param on_heartbeat: Called with the peer and each heartbeat that it sends.
-    :param permit_echo: Function that returns whether a heartbeat to a peer permits it
-        to echo clocks after its lease.
+    :param describe_terms: Function that returns the fields of a heartbeat to a peer
+        that tell of the terms of scheduling entries.
     """
 
     def __init__(
@@ -199,12 +199,12 @@
         cancellations,
         worker_ends,
         on_heartbeat,
-        permit_echo,
+        describe_terms,
     ):
         self._cancellations = cancellations
         self._worker_ends = worker_ends
         self._on_heartbeat = on_heartbeat
-        self._permit_echo = permit_echo
+        self._describe_terms = describe_terms
         self._direct = direct
         self._executor = executor
         self._clock = clock
@@ -332,6 +332,7 @@
                     future.set_result(message)
             case Heartbeat():
                 self._on_heartbeat(stream.peer, message)
+                answer_first_heartbeat(stream, message, self)
 
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream."""
@@ -340,10 +341,22 @@
             echo=stream.peer_clock,
             cancelled=self._cancellations.list_announced(),
             worker_ends=self._worker_ends.list_announced(),
-            permits_echo=stream.peer is not None and self._permit_echo(stream.peer),
+            **(self._describe_terms(stream.peer) if stream.peer is not None else {}),
         )
 
 
+def answer_first_heartbeat(stream, heartbeat, handler):
+    """Answer the first heartbeat of another entry, which has read no clock yet.
+
+    The answer proves at once that this process is there, and that a former one of its
+    name has ended.
+
+    :param handler: Builds the heartbeats of this process.
+    """
+    if not heartbeat.echo:
+        stream.send(handler.build_heartbeat(stream))
+
+
 def build_answer(call_id, outcome):
     """Return the ``StoreAnswer`` that carries the outcome of a call."""
     match outcome:
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -33,7 +33,11 @@
 from bergamotshore.entry.election import Election
 from bergamotshore.entry.entrylist import EntryList
 from bergamotshore.entry.jobrows import JOBS, PARTS, JobRows
-from bergamotshore.entry.relay import RelayedClient, StoreRelay
+from bergamotshore.entry.relay import (
+    RelayedClient,
+    StoreRelay,
+    answer_first_heartbeat,
+)
 from bergamotshore.entry.retention import Retention
 from bergamotshore.entry.sitefollower import RETRY_SECONDS, SiteFollower
 from bergamotshore.entry.streams import StreamDirectory
@@ -193,7 +197,7 @@
             self.cancellations,
             self.directory.ends,
             self._handle_entry_heartbeat,
-            self._permit_echo,
+            self._describe_terms,
         )
         client = RelayedClient(
             direct, relay, timeout, self.clock, self.registry, self.log
@@ -373,6 +377,7 @@
                     self.directory.record_heartbeat(stream)
                 else:
                     self._handle_entry_heartbeat(stream.peer, message)
+                    answer_first_heartbeat(stream, message, self)
             case RunReport() | RunResults():
                 if isinstance(message, RunReport):
                     self._record_report(stream, message)
@@ -438,12 +443,15 @@
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
-            superseded_epoch=self.election.superseded_epoch if is_entry else 0,
-            permits_echo=is_entry and self._permit_echo(stream.peer),
+            **(self._describe_terms(stream.peer) if is_entry else {}),
         )
 
-    def _permit_echo(self, peer):
-        return self.election.permit_echo(peer.name, peer.incarnation)
+    def _describe_terms(self, peer):
+        """Return the fields of a heartbeat to another entry that tell of terms."""
+        return {
+            "superseded_epoch": self.election.superseded_epoch,
+            "permits_echo": self.election.permit_echo(peer.name, peer.incarnation),
+        }
 
     def _send_heartbeat(self, stream):
         stream.send(self.build_heartbeat(stream))
--- a/tests/site/test_power_loss.py
+++ b/tests/site/test_power_loss.py
@@ -3,6 +3,8 @@
 import pytest
 
 from bergamotshore.core.work.model import Step
+from bergamotshore.generated.messages import Heartbeat
+from tests.fakes import FakeStream
 from tests.site.calmjudge import CalmJudge
 from tests.site.simulation import STEP_SECONDS, Simulation
 
@@ -107,3 +109,15 @@
     loss.run(0.5)
     site.start_entry(lost)
     loss.assert_in_time()
+
+
+# Guards against an entry that waits for the echoes of one that has restarted until the
+# next heartbeat but one, also if the other one has opened the stream.
+def test_first_heartbeat_of_another_entry_is_answered_at_once(loss):
+    entry = loss.simulation.leader
+    stream = FakeStream("entry-9", role="entry")
+    stream.peer_clock = 5.0
+    entry.on_message(stream, Heartbeat(sent_at=5.0))
+    assert [message.echo for message in stream.sent] == [5.0]
+    entry.on_message(stream, Heartbeat(sent_at=5.5, echo=1.0))
+    assert len(stream.sent) == 1
