Bound the echoes of earlier processes by an entry's own permissions only

An entry that claims a lease, and then restarts, resigns, or whose claim is carried out late, may permit the former holder to echo again in an outage of the store; a successor relied on what its predecessor had concluded, and could move a task whose lease the former holder still extended. Each entry now bounds an earlier process by the end of its lease, which the row hands on with the end of its grace period and the names of those whose permission it needs, and by its own permissions, whenever it gave them; one that isn't named waits for the grace period.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -1,5 +1,6 @@
 """Leader election of the scheduling entry by a lease in one row of the store."""
 
+import math
 import threading
 from dataclasses import dataclass
 
@@ -7,10 +8,15 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.decoding import decode_msgpack
+from bergamotshore.core.work.echoes import (
+    EarlierProcess,
+    EchoBound,
+    bound_earlier,
+    bound_holder,
+    describe_earlier,
+)
 from bergamotshore.core.work.leases import (
-    DRIFT_SHARE,
     HANDOVER_SECONDS,
-    LEASE_SECONDS,
     MAX_GRANT_SECONDS,
     RENEW_RETRY_SECONDS,
     RENEW_SECONDS,
@@ -18,14 +24,14 @@
     LeaderLease,
     LeaseObservation,
     get_last_echo_time,
-    get_last_permitted_echo_time,
-    get_last_unpermitted_echo_time,
 )
 from bergamotshore.entry.permissions import EchoPermissions
 from bergamotshore.exceptions import DecodingError
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 LEADER_ROW = RowId("leader", "", "scheduler")
+# Name and incarnation that stand for all processes of earlier terms that are not known.
+UNKNOWN = ("", "")
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +48,8 @@
         still echo; empty if they are not known.
     :param permitting: Names of the entries without whose permission the holder doesn't
         echo after its lease; None in rows of holders that ask for none.
-    :param echo_seconds: Time from the writing of the row until the processes of all
-        earlier terms have certainly stopped echoing, in seconds; None if not known.
+    :param awaited: Until when the processes of earlier terms may echo; None in rows of
+        former builds.
     """
 
     name: str
@@ -53,7 +59,7 @@
     is_alone: bool = False
     earlier: tuple[tuple[str, str], ...] = ()
     permitting: tuple[str, ...] | None = None
-    echo_seconds: float | None = None
+    awaited: tuple[EarlierProcess, ...] | None = None
 
     def is_same_term(self, other):
         """Return whether another row was written by the same process in this term."""
@@ -102,10 +108,7 @@
         self._grant_seconds = grant_seconds
         self._permissions = EchoPermissions(clock)
         self._free_since = None
-        # When the processes of earlier terms have stopped echoing: those that the last
-        # row named, and all others.
-        self._awaited_until_by_process = {}
-        self._awaited_until = 0.0
+        self._bound_by_process = {}
         self._started_at = clock.now()
         self._lock = threading.Lock()
         self._read_at_by_process = {}
@@ -190,88 +193,64 @@
         It is the time of the last echo that grants a whole renewal.
         """
         with self._lock:
-            return max([self._awaited_until, *self._awaited_until_by_process.values()])
+            return max(
+                map(self._get_awaited_until, self._bound_by_process), default=0.0
+            )
+
+    def _get_awaited_until(self, process):
+        # An earlier process of this name may have permitted echoes as well.
+        permitted_at = max(
+            self._permissions.get_last_given_at(*process), self._started_at
+        )
+        return self._bound_by_process[process].get_until(self.name, permitted_at)
 
     def _reckon_with_predecessors(self, version, now):
         """Find out which processes of earlier terms may still echo, and until when.
 
         :param version: Version of the row; 0 if there is none.
         """
-        row = self.row
+        row, read_at = self.row, self._observation.first_seen
         if row is None:
-            awaited_until = get_last_echo_time(now) if version else now
-            with self._lock:
-                self._awaited_until_by_process = {}
-                self._awaited_until = awaited_until
-            self._log_awaited("unknown", 0, "claim", awaited_until - now)
-            return
-        read_at = self._observation.first_seen
-        earlier_bound = self._bound_earlier_terms(row, read_at)
-        bound_by_process = dict.fromkeys(row.earlier, earlier_bound)
-        if row.name:
-            holder = (row.name, row.incarnation)
-            bound_by_process[holder] = self._bound_holder(row, read_at)
+            latest = get_last_echo_time(now) if version else now
+            bound_by_process = {UNKNOWN: EchoBound(latest, latest)}
+        else:
+            bound_by_process = _bound_earlier_terms(row, read_at)
+            # A holder that resigned has written the row after its last echo.
+            if row.name:
+                bound_by_process[row.name, row.incarnation] = bound_holder(
+                    read_at, self._grant_seconds, row.permitting
+                )
+            else:
+                bound_by_process["", row.incarnation] = EchoBound(read_at, read_at)
         with self._lock:
-            for process, (until, _) in bound_by_process.items():
-                ended_at = self._ended_at_by_process.get(process, until)
-                if process[0] == self.name:
-                    ended_at = self._started_at
-                if ended_at < until:
-                    bound_by_process[process] = (ended_at, "end")
-            self._awaited_until_by_process = {
-                process: until for process, (until, _) in bound_by_process.items()
+            self._bound_by_process = {
+                process: bound.end_at(self._get_ended_at(process))
+                for process, bound in bound_by_process.items()
             }
-            # The holder wrote that a term is over before the row was read.
-            self._awaited_until = 0.0 if row.name else read_at
-            if not row.is_alone and not row.earlier:
-                self._awaited_until = earlier_bound[0]
-        for (name, _), (until, counted) in sorted(bound_by_process.items()):
-            self._log_awaited(name, row.epoch, counted, until - now)
-
-    def _bound_earlier_terms(self, row, read_at):
-        """Return when the processes of terms before that of a row stop echoing.
-
-        :param read_at: When the row was read first, in seconds.
-        :returns: The time in seconds, and what it is counted from.
-        """
-        if row.echo_seconds is None:
-            # The holder claimed its term after their leases had expired.
-            return get_last_echo_time(read_at), "claim"
-        return read_at + row.echo_seconds * (1.0 + 2 * DRIFT_SHARE), "row"
-
-    def _bound_holder(self, row, read_at):
-        """Return when the holder of the lease in a row stops echoing.
-
-        :param read_at: When the row was read first, in seconds.
-        :returns: The time in seconds, and what it is counted from.
-        """
-        lapsed_at = read_at + LEASE_SECONDS * (1.0 + 2 * DRIFT_SHARE)
-        latest = get_last_echo_time(lapsed_at)
-        if row.permitting is None or self.name not in row.permitting:
-            return latest, "renewal"
-        unpermitted = get_last_unpermitted_echo_time(read_at, self._grant_seconds)
-        # An earlier process of this name may have permitted echoes as well.
-        permitted_at = max(
-            self._permissions.get_last_given_at(row.name, row.incarnation),
-            self._started_at,
-        )
-        permitted = get_last_permitted_echo_time(permitted_at)
-        if permitted <= unpermitted:
-            return unpermitted, "renewal"
-        return min(permitted, latest), "permission"
-
-    def _log_awaited(self, name, epoch, counted, seconds):
+            awaited = [
+                (process[0], self._get_awaited_until(process) - now)
+                for process in sorted(self._bound_by_process)
+            ]
+        epoch = row.epoch if row is not None else 0
+        for name, seconds in awaited:
+            self._log_awaited(name or "unknown", epoch, seconds)
+
+    def _get_ended_at(self, process):
+        """Return when a process has ended, in seconds; infinite if it may be there."""
+        if process[0] == self.name:
+            return self._started_at
+        return self._ended_at_by_process.get(process, math.inf)
+
+    def _log_awaited(self, name, epoch, seconds):
         if seconds > 0.0:
-            self._log.write(
-                "echoes-awaited", name, epoch=epoch, counted=counted, seconds=seconds
-            )
+            self._log.write("echoes-awaited", name, epoch=epoch, seconds=seconds)
 
     def _note_processes(self, now):
         """Note when the processes that the row names were first read of."""
         row = self.row
         epoch_by_process = {}
         if row is not None:
-            epoch_by_process = dict.fromkeys(row.earlier, row.epoch)
+            epoch_by_process = dict.fromkeys(_bound_earlier_terms(row, now), row.epoch)
         if row is not None and row.name:
             epoch_by_process[(row.name, row.incarnation)] = row.epoch + 1
         processes = epoch_by_process.keys()
@@ -312,17 +291,18 @@
         now = self._clock.now()
         with self._lock:
             ended = {
-                process
-                for process, until in self._awaited_until_by_process.items()
+                process: bound.end_at(now)
+                for process, bound in self._bound_by_process.items()
                 if process[0] == name
-                and until > now
+                and bound.latest_until > now
                 and (
                     echo >= self._acquired_at
                     if process[1] != incarnation
-                    else superseded_epoch >= self._superseded_from_by_process[process]
+                    else superseded_epoch
+                    >= self._superseded_from_by_process.get(process, math.inf)
                 )
             }
-            self._awaited_until_by_process.update(dict.fromkeys(ended, now))
+            self._bound_by_process.update(ended)
         if ended:
             self._log.write("predecessor-ended", name, epoch=self.lease.epoch)
 
@@ -400,7 +380,7 @@
             epoch,
             *self._describe_earlier_terms(sent_at),
             permitting=self._permissions.begin_request(),
-            echo_seconds=max(0.0, self.last_echo_at - sent_at),
+            awaited=self._list_awaited(sent_at),
         )
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
@@ -420,20 +400,20 @@
                 self._log.write("store-failed", "leader-row", why=str(failure))
                 return False
 
-    def _describe_earlier_terms(self, now):
-        """Return whether their processes have stopped echoing, and which may not have.
-
-        :returns: ``is_alone`` and ``earlier`` of a ``LeaderRow``.
-        """
+    def _list_awaited(self, now):
+        """Return each ``EarlierProcess`` that a successor has to reckon with."""
         with self._lock:
-            if now < self._awaited_until:
-                return False, ()
-            echoing = sorted(
-                process
-                for process, until in self._awaited_until_by_process.items()
-                if now < until
+            return tuple(
+                describe_earlier(process, bound, now)
+                for process, bound in sorted(self._bound_by_process.items())
+                if now < bound.latest_until
             )
-        return not echoing, tuple(echoing)
+
+    def _describe_earlier_terms(self, now):
+        """Return the same for former builds: ``is_alone`` and ``earlier`` of a row."""
+        earlier = self._list_awaited(now)
+        processes = tuple((item.name, item.incarnation) for item in earlier)
+        return not processes, () if UNKNOWN in processes else processes
 
     def _resolve_conflict(self, row, version, reason):
         """Check whether an earlier write succeeded although its answer was lost.
@@ -491,7 +471,7 @@
             "",
             epoch,
             *self._describe_earlier_terms(now),
-            echo_seconds=max(0.0, self.last_echo_at - now),
+            awaited=self._list_awaited(now),
         )
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
@@ -501,6 +481,23 @@
         self._log.write("term-resigned", self.name, epoch=epoch, outcome=str(outcome))
 
 
+def _bound_earlier_terms(row, read_at):
+    """Return the ``EchoBound`` of processes of terms before that of a row.
+
+    :param read_at: When the row was read first, in seconds.
+    """
+    if row.awaited is not None:
+        return {
+            (item.name, item.incarnation): bound_earlier(read_at, item)
+            for item in row.awaited
+        }
+    if row.is_alone:
+        return {}
+    # The holder claimed its term after their leases had expired.
+    latest = get_last_echo_time(read_at)
+    return dict.fromkeys(row.earlier or (UNKNOWN,), EchoBound(latest, latest))
+
+
 def _decode_leader_row(stored):
     """Return the ``LeaderRow`` in a row.
 
--- a/tests/site/test_echo_permissions.py
+++ b/tests/site/test_echo_permissions.py
@@ -1,5 +1,6 @@
 """Grants that end with the leader lease, and permissions for longer ones."""
 
+import msgspec
 import pytest
 
 from bergamotshore.core.work.leases import (
@@ -13,7 +14,8 @@
     get_last_permitted_echo_time,
     get_last_unpermitted_echo_time,
 )
-from bergamotshore.entry.election import Election
+from bergamotshore.entry.election import LEADER_ROW, Election
+from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
 
@@ -262,3 +264,80 @@
     assert exchange(clock, other, holder)
     clock.advance(ENTRY_HEARD_SECONDS + 0.1)
     assert not other.permit_echo("holder", "holder-1")
+
+
+# Guards against a successor that relies on permissions that another process has given
+# or not: that one may have ended, and its next process has not read of its term.
+@pytest.mark.parametrize("name", ["second", "third", "fourth"])
+def test_restarted_successor_permits_echoes_that_the_next_one_waits_for(
+    build, store, clock, name
+):
+    first, second, third = build("first"), build("second"), build("third")
+    for other in ("second", "third"):
+        first.record_entry(other, f"{other}-1", 0.0)
+    first.step()
+    renewed_at = clock.now()
+    third.step()
+    second.step()
+    lapse(clock, second)
+    assert second.lease.epoch == 2
+    assert second.last_echo_at < clock.now()
+    restarted = build("second", incarnation=2)
+    observer = {"second": restarted, "third": third, "fourth": build("fourth")}[name]
+    if observer is not restarted:
+        observer.step()
+    store.is_down = True
+    for entry in (restarted, third):
+        entry.step()
+        entry.record_entry("first", "first-1", clock.now())
+        assert entry.permit_echo("first", "first-1")
+        first.record_entry(entry.name, "x", clock.now(), permits_echo=True)
+    permitted_at = clock.now()
+    assert first.get_echo(permitted_at, permitted_at) == permitted_at
+    store.is_down = False
+    lapse(clock, observer)
+    assert observer.lease.epoch == 3
+    grace_ends_at = renewed_at + LEASE_SECONDS + ECHO_GRACE_SECONDS
+    assert observer.last_echo_at >= min(
+        permitted_at + PERMISSION_SECONDS, grace_ends_at
+    )
+
+
+# Guards against a claim that is carried out late, after permissions of this entry.
+def test_entry_waits_for_echoes_that_it_permitted_after_a_claim(
+    holder, other, store, clock
+):
+    clock.advance(1.1 * LEASE_SECONDS)
+    store.faults = ["late"]
+    other.step()
+    store.is_down = True
+    other.step()
+    assert exchange(clock, other, holder)
+    permitted_at = clock.now()
+    store.is_down = False
+    store.run_late()
+    other.step()
+    assert other.lease.epoch == 3
+    assert other.last_echo_at >= permitted_at + PERMISSION_SECONDS
+
+
+# Guards against an unknown process that is forgotten beside known ones.
+def test_process_that_is_not_known_is_handed_on_beside_known_ones(build, store, clock):
+    build("a").step()
+    (row,) = store.row_by_id.values()
+    content = msgspec.msgpack.decode(row.value)
+    for field in ("earlier", "permitting", "awaited"):
+        content.pop(field)
+    content["is_alone"] = False
+    store.transact([], [Put(LEADER_ROW, msgspec.msgpack.encode(content))], [])
+    second, third = build("b"), build("c")
+    second.step()
+    lapse(clock, second)
+    assert second.lease.epoch == 2
+    third.step()
+    second.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    third.record_entry("a", "a-2", echo=clock.now())
+    third.record_entry("b", "b-2", echo=clock.now())
+    assert third.last_echo_at > clock.now()
