Keep a released scheduling lease released when a renewal in flight is answered

The next entry claims a released row at once, so that two entries held a valid lease and echoed. If the renewal was stored first, its answer extended the released lease.

resign() now notes the term as abandoned, as stand_back() does, and no answer begins it again. Both tests fail before: the lease is valid until 3.0 s after the unanswered renewal, beside the successor's; and 3.0 s after the answered one.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -484,6 +484,7 @@
         if not self.lease.epoch:
             return
         epoch, version = self.lease.epoch, self._version
+        self._abandoned_epoch = max(self._abandoned_epoch, epoch)
         self.lease.resign()
         now = self._clock.now()
         vacant = LeaderRow(
