Count the grants of a former scheduling entry from its last renewal at the earliest

Seen in review. An entry whose row names nobody, or another entry, may give whole grants until the renewal that names its later successor. Such a grant lasts until a grant's duration after that renewal. Where workers take leases of 10 s, so that grants last 6 s, the successor counted from 0.53 s before the renewal (lease and handover time less the duration, with drift), so that a task could be started in a second place while the first run still had a lease; the margin for slow clocks and a late call was used up. The bound is now never before the renewal.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -79,12 +79,13 @@
     """Return when an entry without permissions sent its last echo, in effect.
 
     Grants that end with the lease are shorter than others, as if the last echo had been
-    sent earlier.
+    sent earlier. Until its last renewal, the entry may have given whole ones: the row
+    before may have named other entries.
 
     :param renewed_at: Any time after its last renewal was stored, in seconds.
     :param duration: Duration of a renewal grant, in seconds.
     """
-    lasts = LEASE_SECONDS + HANDOVER_SECONDS - duration
+    lasts = max(0.0, LEASE_SECONDS + HANDOVER_SECONDS - duration)
     return renewed_at + lasts * (1.0 + 3 * DRIFT_SHARE)
 
 
