Reproduce echoes that an entry permits after its own claim and doesn't reckon with

A row names the entries whose permission its holder needs. The successor's bound, and what is left of it in the successor's own row, counts the permissions that it gave before its claim. It may give more to the former holder afterwards, while that one is in its grace period: after a claim whose answer is lost, when the store goes silent (its own row is not reckoned with again); after it has resigned and lost the store; and as a restarted process that knows of no claim.

--- a/tests/site/test_echo_bounds.py
+++ b/tests/site/test_echo_bounds.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotshore.core.work.leases import (
+    LEASE_SECONDS,
     MAX_GRANT_SECONDS,
     RENEW_SECONDS,
 )
@@ -83,6 +84,85 @@
         pytest.fail("no takeover")
 
 
+@pytest.fixture
+def entries(clock):
+    return Entries(clock)
+
+
+@pytest.fixture
+def other(entries):
+    """Return the only entry that the holder hears; the row of the lease names it."""
+    other = entries.build("other")
+    entries.exchange(other)
+    entries.holder.step()
+    assert entries.holder.row.permitting == ("other",)
+    other.step()
+    return other
+
+
+def lapse(entries, other):
+    """Let the lease of the holder expire until just before another entry claims it."""
+    entries.run(1.1 * LEASE_SECONDS, other)
+
+
+# Guards against a successor that permits echoes after its claim, whose answer was lost,
+# and reckons only with those before it.
+def test_successor_reckons_with_echoes_that_it_permits_after_a_lost_claim(
+    entries, other
+):
+    lapse(entries, other)
+    entries.store.faults = ["lost"]
+    other.step()
+    assert not other.lease.epoch
+    entries.store.is_down = True
+    entries.run(RENEW_SECONDS, other)
+    other.step()
+    entries.run(RENEW_SECONDS, other)
+    entries.store.is_down = False
+    entries.take_over(other)
+    entries.run(1.0)
+    assert other.last_echo_at >= entries.last_echo_at
+
+
+# Guards against echoes permitted by an entry that has resigned, of which the row that
+# it has left says nothing.
+def test_entry_that_has_resigned_permits_no_echoes_of_an_earlier_term(entries, other):
+    third = entries.build("third")
+    lapse(entries, other)
+    other.step()
+    assert other.lease.epoch == 2
+    third.step()
+    other.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    # The third entry reaches the store all the time.
+    entries.store.is_down = True
+    other.step()
+    entries.run(2.0, other)
+    assert third.last_echo_at >= entries.last_echo_at
+
+
+# Guards against echoes permitted by the restarted process of an entry that had claimed
+# the lease, of which the row of its former process says nothing.
+def test_restarted_successor_permits_no_echoes_that_its_row_rules_out(entries, other):
+    # The holder does not hear the third entry: on large sites, each knows a few others.
+    third = entries.build("third")
+    lapse(entries, other)
+    other.record_entry("third", "third-1", entries.clock.now())
+    other.step()
+    assert other.lease.epoch == 2
+    third.step()
+    entries.run(0.3)
+    restarted = entries.build("other", incarnation=2)
+    entries.store.is_down = True
+    restarted.step()
+    entries.run(LEASE_SECONDS, restarted)
+    entries.store.is_down = False
+    entries.take_over(third)
+    assert third.row.epoch == 3
+    assert third.last_echo_at >= entries.last_echo_at
+
+
 # Guards against a bound before the last renewal, up to which a holder that had heard no
 # entry yet gave whole grants.
 @pytest.mark.parametrize("grant_seconds", [3.0, GRANT_SECONDS, MAX_GRANT_SECONDS])
