Send renewals at their interval, however long the last one took

While renewals take 1.1 s, the next one was sent 0.8 s after the answer, so that the lease, and with it the grants, were short most of the time: the shortest grant of a whole site was 2.5 s. Counted from the sending of the last one, the lease has at least 0.7 s left.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -148,7 +148,10 @@
         if not self.lease.epoch:
             self._observe()
             return RENEW_SECONDS
-        return RENEW_SECONDS if self._renew() else RENEW_RETRY_SECONDS
+        started_at = self._clock.now()
+        pause = RENEW_SECONDS if self._renew() else 0.0
+        elapsed = self._clock.now() - started_at
+        return max(RENEW_RETRY_SECONDS, pause - elapsed)
 
     def _observe(self):
         match self._read():
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -8,6 +8,8 @@
     CANDIDACY_DELAY_SECONDS,
     ECHO_GRACE_SECONDS,
     LEASE_SECONDS,
+    RENEW_RETRY_SECONDS,
+    RENEW_SECONDS,
     LeaderLease,
     LeaseObservation,
     RenewalGrant,
@@ -120,6 +122,30 @@
         assert election.lease.is_valid(clock.now())
 
 
+# Guards against a lease that is short most of the time while the store is slow.
+@pytest.mark.parametrize("seconds", [0.05, 0.4, 1.1])
+def test_renewals_are_sent_at_their_interval_however_long_they_take(
+    build, store, clock, seconds
+):
+    election = build("a")
+    pause = election.step()
+    transact = store.transact
+
+    def transact_slowly(*arguments, **options):
+        clock.advance(seconds)
+        return transact(*arguments, **options)
+
+    store.transact = transact_slowly
+    election.step()
+    for _ in range(5):
+        sent_at = clock.now()
+        pause = election.step()
+        assert clock.now() + pause - sent_at == pytest.approx(
+            max(RENEW_SECONDS, seconds + RENEW_RETRY_SECONDS)
+        )
+        clock.advance(pause)
+
+
 # Guards against a term without a valid lease while the store carries out renewals and
 # loses most of its answers.
 def test_lease_outlasts_a_series_of_renewals_whose_answers_are_lost(
