Require that refused connections are apart in time to prove a worker's end

Two threads of a node check whether its worker refuses connections: the one that renews the lease, and the one that looks for the end of a worker that takes leave. No caller is known to have been harmed by it.

Cause: refusals were counted; only the thread that renews the lease waits between its calls.

The end is now proved by a refusal of a call that was sent 0.25 s or more after the first refusal of the series had been recorded. A node that is told to end checks until then, four times instead of twice.

test_refusals_at_the_same_moment_prove_no_end and test_refusal_counts_from_the_end_of_its_call failed before. The pause of a simulated node advances the clock, as the checks now depend on it. Three tests made two calls at one moment to let a node notice an end; time passes between them now: test_runs_of_a_worker_that_took_leave_are_not_blamed and two of test_crash_budget.py.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -24,9 +24,10 @@
 RETRY_SECONDS = 0.25
 # A run started under a shorter lease than this would lapse before its next renewal.
 MIN_LEASE_SECONDS = 0.8
-# Consecutive refused connections that prove that no worker process is listening. A
-# worker that doesn't accept a connection in time may still work on.
-REFUSALS_UNTIL_DOWN = 2
+# Time over which connections have to be refused to prove that no worker process is
+# listening, in seconds; refusals at the same moment may have one cause. A worker that
+# doesn't accept a connection in time may still work on.
+MIN_REFUSAL_SECONDS = RETRY_SECONDS
 # Time for which a worker that takes leave is expected to end, in seconds.
 FAREWELL_SECONDS = 3.0
 # Leases end within 2% of the node's renewal grant, 0.12 s for the longest grant. Runs
@@ -94,7 +95,8 @@
         self._started_at_by_key = {}
         self._lost_runs = LostRuns()
         self._lease = WorkerLease(grant, clock.now())
-        self._refused_connections = 0
+        # When the first of the latest refused connections was refused.
+        self._refused_since = math.inf
         self._is_worker_down = False
         self._state_known_at = -math.inf
         self._farewell_at = -math.inf
@@ -384,6 +386,11 @@
         self.log.write("worker-left", worker)
         self._farewell_at = self.clock.now()
 
+    @property
+    def is_worker_down(self):
+        """Return whether the worker is certainly gone."""
+        return self._is_worker_down
+
     def is_end_expected(self):
         """Return whether the worker has taken leave and is not known to be gone."""
         is_recent = self.clock.now() - self._farewell_at < FAREWELL_SECONDS
@@ -401,7 +408,7 @@
         is_refused = self.runner.is_refusing()
         if not is_refused:
             with self._lock:
-                self._refused_connections = 0
+                self._refused_since = math.inf
         else:
             failure = WorkerFailure("refused", is_certain=True, is_refused=True)
             self._record_failure(failure, sent_at)
@@ -417,13 +424,17 @@
         with self._lock:
             if sent_at < self._state_known_at:
                 return
-            refusals = self._refused_connections + 1 if is_refused else 0
-            self._refused_connections = refusals
+            refused_seconds = sent_at - self._refused_since
+            self._refused_since = (
+                min(self._refused_since, self.clock.now()) if is_refused else math.inf
+            )
             was_answering, self.is_answering = self.is_answering, False
             was_down = self._is_worker_down
             # Only an answer takes an end back: a call that fails otherwise says nothing
             # of the incarnation that has ended.
-            self._is_worker_down = was_down or refusals >= REFUSALS_UNTIL_DOWN
+            self._is_worker_down = was_down or (
+                is_refused and refused_seconds >= MIN_REFUSAL_SECONDS
+            )
             if self._is_worker_down:
                 self._state_known_at = self.clock.now()
                 if not was_down:
@@ -444,7 +455,7 @@
                 self.log.write("worker-answers", "worker", born=listing.started_ms)
             self._lease.record_clock(now, listing.clock_ms)
             self._reported_size.record_clock(sent_at, listing.clock_ms)
-            self._refused_connections, self._is_worker_down = 0, False
+            self._refused_since, self._is_worker_down = math.inf, False
             self._state_known_at = now
             self.is_answering = True
             listed_keys = {(run.task, run.number) for run in listing.running}
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -1,5 +1,6 @@
 """The node process for submitted jobs: wiring, threads and shutdown."""
 
+import math
 import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor
@@ -20,7 +21,7 @@
 from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.links import EntryLinks
-from bergamotshore.node.runs import REFUSALS_UNTIL_DOWN, RunManager
+from bergamotshore.node.runs import MIN_REFUSAL_SECONDS, RunManager
 from bergamotshore.platform.runner import PlatformRunner, parse_heartbeat
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock
@@ -43,6 +44,8 @@
 ERROR_PAUSE_SECONDS = 0.25
 # Interval of the checks whether a worker that takes leave has ended, in seconds.
 END_CHECK_SECONDS = 0.1
+# Checks before this process leaves: enough to prove that the worker has ended.
+CHECKS_BEFORE_LEAVING = 1 + math.ceil(MIN_REFUSAL_SECONDS / END_CHECK_SECONDS)
 # Time for calls in flight at shutdown; the streams close after a tenth of it.
 SHUTDOWN_SECONDS = 1.0
 
@@ -149,8 +152,8 @@
 
     def _tell_end_before_leaving(self):
         """Tell the entries if the worker is gone; nobody can tell them afterwards."""
-        for _ in range(REFUSALS_UNTIL_DOWN):
-            if not self._check_connection():
+        for _ in range(CHECKS_BEFORE_LEAVING):
+            if not self._check_connection() or self.run_manager.is_worker_down:
                 return
             self.pause(END_CHECK_SECONDS)
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -315,7 +315,7 @@
         self.loop = InlineLoop()
         self.links = NodeLinks(self)
         self.settings = SimpleNamespace(name=name)
-        self.pause = lambda seconds: None
+        self.pause = simulation.clock.advance
         self.heartbeat_server = self.loop
         self.addresses = AddressReader(self.registry, self.log)
         self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
--- a/tests/site/test_crash_budget.py
+++ b/tests/site/test_crash_budget.py
@@ -6,6 +6,7 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.generated.messages import RunOrders
+from bergamotshore.node.runs import MIN_REFUSAL_SECONDS
 from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES
 from standins.site import CRASH_SECONDS
 from tests.fakes import FakeClock
@@ -243,6 +244,13 @@
     return {task for task, *_ in node.run_manager.build_report(1).lost}
 
 
+def notice_end(node):
+    """Let a node prove by two calls that its worker has ended."""
+    node.run_manager.hold()
+    node.clock.advance(2 * MIN_REFUSAL_SECONDS)
+    node.run_manager.hold()
+
+
 @pytest.fixture
 def node():
     """Return a node whose worker runs a harmless job."""
@@ -269,8 +277,7 @@
     _, starts = node.run_manager.accept_orders(orders)
     assert len(starts) == 1
     node.runner.crash()
-    node.run_manager.hold()
-    node.run_manager.hold()
+    notice_end(node)
     assert list_lost(node) == {"harmless.0.0.0", "harmless.0.0.1"}
 
 
@@ -278,8 +285,7 @@
 # be blamed for a later end of the worker.
 def test_runs_that_are_listed_again_are_not_lost(node):
     node.runner.is_gone = True
-    node.run_manager.hold()
-    node.run_manager.hold()
+    notice_end(node)
     assert list_lost(node) == {"harmless.0.0.0", "harmless.0.0.1"}
     node.runner.is_gone = False
     node.run_manager.hold()
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotshore.exceptions import WorkerFailure
+from bergamotshore.node.runs import MIN_REFUSAL_SECONDS
 from soak.judges import MISSING_SECONDS, RESTART_SECONDS
 from tests.site.test_promises import LONG_RUNNING
 
@@ -240,6 +241,37 @@
     assert not node.run_manager.ended_incarnation
 
 
+# Guards against a proof of refusals at the same moment, of two threads, which may have
+# one cause.
+def test_refusals_at_the_same_moment_prove_no_end(site):
+    node = site.node_by_name[find_node(site, BOTH_RUN[0])]
+    manager = node.run_manager
+    node.runner.is_gone = True
+    manager.hold()
+    for _ in range(3):
+        assert manager.check_connection()
+    site.clock.advance(MIN_REFUSAL_SECONDS - 0.01)
+    assert manager.check_connection()
+    assert not manager.ended_incarnation
+    site.clock.advance(0.02)
+    assert manager.check_connection()
+    assert manager.ended_incarnation
+
+
+# Guards against counting from the start of a call that was refused late, maybe at the
+# same moment as another one.
+def test_refusal_counts_from_the_end_of_its_call(site):
+    node = site.node_by_name[find_node(site, BOTH_RUN[0])]
+    refused = WorkerFailure("refused", is_certain=True, is_refused=True)
+    first_sent_at = site.clock.now()
+    site.clock.advance(MIN_REFUSAL_SECONDS)
+    second_sent_at = site.clock.now()
+    site.clock.advance(MIN_REFUSAL_SECONDS)
+    for sent_at in (first_sent_at, second_sent_at):
+        node.run_manager._record_failure(refused, sent_at)
+    assert not node.run_manager.ended_incarnation
+
+
 # Guards against blaming the runs of a worker that took leave for its end.
 def test_runs_of_a_worker_that_took_leave_are_not_blamed(site):
     node = site.node_by_name[find_node(site, BOTH_RUN[0])]
@@ -247,5 +279,6 @@
     node.runner.is_gone = True
     for _ in range(2):
         node.run_manager.hold()
+        site.clock.advance(2 * MIN_REFUSAL_SECONDS)
     assert node.run_manager.ended_incarnation
     assert node.run_manager.build_report(1).lost == []
