Tell all entries of the end of a worker whose node has restarted

Cause: a node that has restarted does not know which incarnation of its worker has ended, so it told only the scheduling entry that all leases were over. Entries that schedule later heard nothing and waited for the silent node.

Nodes now tell all entries each incarnation of their worker, also entries that connect later, and a restarted node tells all of them that its worker is gone. Each entry takes that for the end of the last incarnation that it knows and passes it on like other ends. That is safe without comparing clocks: what answered an earlier process of the node has ended if nothing listens at the address now, and an incarnation that starts later is another one. A report on a stream that the node has replaced may be older than the last answer, so it ends nothing.

Without telling entries that connect later, and without ignoring former streams, test_entry_that_started_later_learns_the_end_from_a_restarted_node and test_end_without_an_incarnation_on_a_former_stream_ends_nothing fail.

Left: if all entries have restarted since the worker answered last, none knows the incarnation, and the next scheduling entry waits.

--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -91,14 +91,19 @@
         :returns: Whether it newly does.
         """
         now = self._clock.now()
+        node = stream.peer.name
         with self._lock:
-            contact = self._get_contact(stream.peer.name)
+            is_current = self._stream_by_node.get(node) is stream
+            contact = self._get_contact(node)
             contact.record_message(now)
             contact.lost_by_key = {
                 (task, number): LostRun(seconds, contact.was_away(now - ago))
                 for task, number, seconds, ago in report.lost
             }
-        return self.ends.record_report(stream.peer.name, report.born, report.is_gone)
+        if report.born or not report.is_gone:
+            return self.ends.record_report(node, report.born, report.is_gone)
+        # A report on a former stream may be older than the last answer of the worker.
+        return is_current and self.ends.record_end_of_known(node)
 
     def get_lost_runs(self, node):
         """Return the ``LostRun`` by task and run that a node has told of."""
--- a/src/bergamotshore/entry/workerends.py
+++ b/src/bergamotshore/entry/workerends.py
@@ -56,7 +56,7 @@
         """
         now = self._clock.now()
         with self._lock:
-            if not is_gone:
+            if not is_gone and born:
                 self._answer_by_node[node] = (born, now)
             known = self._end_by_born_by_node.get(node, {}).get(born)
             is_known = known is not None and not known.is_refuted
@@ -64,6 +64,18 @@
                 self._store(node, born, KnownEnd(now, not is_gone, True))
             return is_gone and not is_known
 
+    def record_end_of_known(self, node):
+        """Record that a node that has restarted reports its worker as gone.
+
+        The node does not know the incarnation that has ended: it is the last one that
+        has answered as far as this entry knows, or a later one.
+
+        :returns: Whether an end is new.
+        """
+        with self._lock:
+            born, _ = self._answer_by_node.get(node, (0, 0.0))
+        return bool(born) and self.record_report(node, born, is_gone=True)
+
     def record_passed_on(self, end):
         """Record an end that another entry passes on.
 
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -610,7 +610,7 @@
                 if completion.sequence > self.acknowledged
             ],
             doubtful=list(self._unresolved_by_key),
-            is_gone=bool(self.ended_incarnation),
+            is_gone=self._is_worker_down,
             lost=self._lost_runs.list_recent(now),
         )
 
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -92,8 +92,9 @@
         self.peers = set()
         self.leader = ""
         self.leader_stream = None
-        self._announced_end = 0
-        self._has_announced_end = False
+        # Start of the worker's incarnation and whether it is gone, as last told to all
+        # entries.
+        self._announced_state = (0, False)
         self.heartbeat_server = HttpServer(
             HeartbeatApp(self.run_manager, self.registry, self.log),
             split_address(self.site.heartbeats),
@@ -140,7 +141,7 @@
             "node-left",
             self.settings.name,
             born=self.run_manager.incarnation,
-            gone=bool(self.run_manager.ended_incarnation),
+            gone=self.run_manager.is_worker_down,
             answers=self.run_manager.is_answering,
         )
         for executor in (self.starts, self.stops):
@@ -220,8 +221,9 @@
         """Record a connected entry once its hello message has arrived."""
         self.links.record_open(stream)
         self.log.write("entry-connected", stream.peer.name)
-        if self._has_announced_end:
-            # The entry may have missed the end, or that it was taken back.
+        if self._announced_state != (0, False):
+            # The entry may have missed the present incarnation of the worker, its end,
+            # or that this was taken back.
             stream.send(self.run_manager.build_report(self.grant.epoch))
 
     def on_close(self, stream):
@@ -289,14 +291,17 @@
         report = self.run_manager.build_report(self.grant.epoch)
         if report is None:
             return
-        end = report.born if report.is_gone else 0
-        if end != self._announced_end:
-            # This node may have left when a later scheduling entry looks for its runs.
-            self._announced_end, self._has_announced_end = end, True
+        state = (report.born, report.is_gone)
+        if state != self._announced_state:
+            # This node may have left when a later scheduling entry looks for its runs,
+            # or have restarted, so that it can't tell which incarnation has ended.
+            self._announced_state = state
             self.links.broadcast(report)
-            if end:
+            if report.is_gone:
                 entries = len(self.links.list_streams())
-                self.log.write("worker-gone", report.worker, born=end, entries=entries)
+                self.log.write(
+                    "worker-gone", report.worker, born=report.born, entries=entries
+                )
             return
         stream = self.leader_stream
         if stream is not None and stream.is_open:
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -323,8 +323,7 @@
         self.is_draining = False
         self.leader = ""
         self.leader_stream = None
-        self._announced_end = 0
-        self._has_announced_end = False
+        self._announced_state = (0, False)
         self.peers = set()
         self.runner = runner
         self.is_receiving_heartbeats = lambda: (
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -90,6 +90,46 @@
     assert manager.ended_incarnation
 
 
+# Guards against an end of a worker that only the scheduling entry is told, since the
+# node has restarted and doesn't know which incarnation of the worker has ended.
+@pytest.mark.parametrize("restart_seconds", [0.0, 0.3])
+def test_node_that_restarts_beside_a_lost_worker_and_leaves_tells_its_end(
+    site, restart_seconds
+):
+    first = site.leader.name
+    site.store.is_down = True
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    site.lose_worker(node)
+    site.kill_node(node)
+    site.advance(restart_seconds)
+    site.start_node(node)
+    site.advance(NODE_LEAVES_SECONDS - restart_seconds)
+    site.stop_node(node)
+    site.advance(0.5)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS - 0.5)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against the same at an entry that has started after the node had told others
+# which incarnation of the worker there is.
+def test_entry_that_started_later_learns_the_end_from_a_restarted_node(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    site.start_entry(second)
+    site.advance(0.5)
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    born = site.runner_by_node[node].born
+    site.lose_worker(node)
+    site.start_node(node)
+    site.advance(0.5)
+    ends = site.entry_by_name[second].directory.ends
+    assert ends.get_ended_incarnations(node) == (born,)
+
+
 # Guards against an end of a worker that only former entries were told: those that
 # schedule afterwards waited for the lease of a node that they never heard of.
 def test_entries_that_restart_one_after_another_learn_the_ends_of_workers(site):
--- a/tests/site/test_worker_ends.py
+++ b/tests/site/test_worker_ends.py
@@ -1,5 +1,7 @@
 """Ends of workers that entries pass on to each other."""
 
+from dataclasses import replace
+
 import pytest
 
 from bergamotshore.entry.workerends import (
@@ -8,6 +10,7 @@
     MAX_ENDS_PER_NODE,
     WorkerEnds,
 )
+from tests.site.simulation import FakeStream
 from tests.site.test_promises import LONG_RUNNING
 
 BORN = 1_000
@@ -77,6 +80,44 @@
     assert entries[0].list_announced() == []
 
 
+# Guards against a wait for the lease of a worker whose node has restarted and doesn't
+# know which incarnation has ended.
+def test_end_without_an_incarnation_is_that_of_the_last_known_one(entries):
+    first, second, _ = entries
+    assert not first.record_end_of_known("node")
+    first.record_report("node", BORN, is_gone=False)
+    first.record_report("other", BORN + 1, is_gone=False)
+    assert first.record_end_of_known("node")
+    assert not first.record_end_of_known("node")
+    assert first.get_ended_incarnations("node") == (BORN,)
+    assert first.get_ended_incarnations("other") == ()
+    assert pass_on(first, second) == [True]
+    first.record_report("node", BORN, is_gone=False)
+    assert first.get_ended_incarnations("node") == ()
+
+
+# Guards against an end of the incarnation that has answered since, by a report that is
+# read late from a stream that the node has replaced.
+@pytest.mark.parametrize("is_late", [False, True])
+def test_end_without_an_incarnation_on_a_former_stream_ends_nothing(
+    simulation, is_late
+):
+    simulation.advance(1.0)
+    node = simulation.node_by_name["node-0"]
+    born = simulation.runner_by_node["node-0"].born
+    directory = simulation.leader.directory
+    report = node.run_manager.build_report(1)
+    (stream,) = [
+        stream for stream in directory.list_streams() if stream.peer.name == "node-0"
+    ]
+    if is_late:
+        stream = FakeStream(simulation.leader, stream.peer)
+    late_report = replace(report, born=0, is_gone=True)
+    assert directory.record_report(stream, late_report) == (not is_late)
+    ended = directory.ends.get_ended_incarnations("node-0")
+    assert ended == (() if is_late else (born,))
+
+
 # Guards against heartbeats and memory that grow with the number of ends.
 def test_announced_and_known_ends_are_limited(entries, clock):
     for number in range(MAX_ANNOUNCED):
