Show through sockets that reads for callers are repeated without an answer

test_read_for_a_caller_survives_calls_without_an_answer plays one and two unanswered calls through all layers, with and without a former connection; its eight cases fail if reads are not repeated.

--- a/tests/adapters/test_silent_clients.py
+++ b/tests/adapters/test_silent_clients.py
@@ -15,7 +15,9 @@
 from bergamotshore.adapters.rowwrites import write_rows
 from bergamotshore.adapters.table import HttpTable
 from bergamotshore.adapters.worker import HttpWorker
+from bergamotshore.entry.jobrows import JobRows
 from bergamotshore.entry.relay import RelayedClient
+from bergamotshore.entry.submissions import DEADLINE_SHARE, DEFAULT_DEADLINE_SECONDS
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.platform.advice import AdviceClient
 from bergamotshore.platform.machines import PlatformMachines
@@ -43,11 +45,15 @@
 
 
 class SilencingServer:
-    """Server with one answer to all calls, whose open connections can go silent."""
+    """Server with one answer to all calls, whose open connections can go silent.
+
+    ``unanswered`` is the number of next calls to leave without an answer.
+    """
 
     def __init__(self):
         self.connections = []
         self._silent_connections = set()
+        self.unanswered = 0
         self._server = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -77,6 +83,9 @@
                 reader.read(length)
                 if connection in self._silent_connections:
                     return
+                if self.unanswered:
+                    self.unanswered -= 1
+                    continue
                 connection.sendall(head + body)
 
     def close(self):
@@ -155,6 +164,11 @@
     ),
 }
 
+READ_BY_NAME = {
+    "state": lambda rows, deadline: rows.get_state("queue", "job", deadline),
+    "counts": lambda rows, deadline: rows.get_waiting_counts(deadline),
+}
+
 
 @pytest.fixture
 def server():
@@ -212,6 +226,25 @@
     assert seconds < TIMEOUT_SECONDS + SLACK_SECONDS
 
 
+# Guards against refusing the state or number of jobs to a caller because one read of
+# the store got no answer, also on a new connection, while there is time for another.
+@pytest.mark.parametrize("has_connection", [False, True])
+@pytest.mark.parametrize("unanswered", [1, 2])
+@pytest.mark.parametrize("name", READ_BY_NAME)
+def test_read_for_a_caller_survives_calls_without_an_answer(
+    server, name, unanswered, has_connection
+):
+    clock = SystemClock()
+    store = Clients(server.address).build_store()
+    rows = JobRows(store, clock, time.sleep)
+    if has_connection:
+        assert isinstance(CALL_BY_NAME["store-read"][1](store), Success)
+    server.unanswered = unanswered
+    deadline = clock.now() + DEADLINE_SHARE * DEFAULT_DEADLINE_SECONDS
+    assert isinstance(READ_BY_NAME[name](rows, deadline), Success)
+    assert clock.now() < deadline
+
+
 # Guards against a write of the product's own interface that spends the timeout of
 # several calls.
 def test_write_to_the_table_survives_a_silent_connection(server):
