--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -1,5 +1,6 @@
 """The node process for submitted jobs: wiring, threads and shutdown."""
 
+import math
 import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor
@@ -20,7 +21,7 @@
 from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.links import EntryLinks
-from bergamotshore.node.runs import REFUSALS_UNTIL_DOWN, RunManager
+from bergamotshore.node.runs import MIN_REFUSAL_SECONDS, RunManager
 from bergamotshore.platform.runner import PlatformRunner, parse_heartbeat
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock
@@ -43,6 +44,8 @@
 ERROR_PAUSE_SECONDS = 0.25
 # Interval of the checks whether a worker that takes leave has ended, in seconds.
 END_CHECK_SECONDS = 0.1
+# Checks before this process leaves: enough to prove that the worker has ended.
+CHECKS_BEFORE_LEAVING = 1 + math.ceil(MIN_REFUSAL_SECONDS / END_CHECK_SECONDS)
 # Time for calls in flight at shutdown; the streams close after a tenth of it.
 SHUTDOWN_SECONDS = 1.0
 
@@ -89,8 +92,9 @@
         self.peers = set()
         self.leader = ""
         self.leader_stream = None
-        self._announced_end = 0
-        self._has_announced_end = False
+        # Start of the worker's incarnation and whether it is gone, as last told to all
+        # entries.
+        self._announced_state = (0, False)
         self.heartbeat_server = HttpServer(
             HeartbeatApp(self.run_manager, self.registry, self.log),
             split_address(self.site.heartbeats),
@@ -137,7 +141,7 @@
             "node-left",
             self.settings.name,
             born=self.run_manager.incarnation,
-            gone=bool(self.run_manager.ended_incarnation),
+            gone=self.run_manager.is_worker_down,
             answers=self.run_manager.is_answering,
         )
         for executor in (self.starts, self.stops):
@@ -149,8 +153,8 @@
 
     def _tell_end_before_leaving(self):
         """Tell the entries if the worker is gone; nobody can tell them afterwards."""
-        for _ in range(REFUSALS_UNTIL_DOWN):
-            if not self._check_connection():
+        for _ in range(CHECKS_BEFORE_LEAVING):
+            if not self._check_connection() or self.run_manager.is_worker_down:
                 return
             self.pause(END_CHECK_SECONDS)
 
@@ -217,8 +221,9 @@
         """Record a connected entry once its hello message has arrived."""
         self.links.record_open(stream)
         self.log.write("entry-connected", stream.peer.name)
-        if self._has_announced_end:
-            # The entry may have missed the end, or that it was taken back.
+        if self._announced_state != (0, False):
+            # The entry may have missed the present incarnation of the worker, its end,
+            # or that this was taken back.
             stream.send(self.run_manager.build_report(self.grant.epoch))
 
     def on_close(self, stream):
@@ -286,14 +291,17 @@
         report = self.run_manager.build_report(self.grant.epoch)
         if report is None:
             return
-        end = report.born if report.is_gone else 0
-        if end != self._announced_end:
-            # This node may have left when a later scheduling entry looks for its runs.
-            self._announced_end, self._has_announced_end = end, True
+        state = (report.born, report.is_gone)
+        if state != self._announced_state:
+            # This node may have left when a later scheduling entry looks for its runs,
+            # or have restarted, so that it can't tell which incarnation has ended.
+            self._announced_state = state
             self.links.broadcast(report)
-            if end:
+            if report.is_gone:
                 entries = len(self.links.list_streams())
-                self.log.write("worker-gone", report.worker, born=end, entries=entries)
+                self.log.write(
+                    "worker-gone", report.worker, born=report.born, entries=entries
+                )
             return
         stream = self.leader_stream
         if stream is not None and stream.is_open:
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -315,7 +315,7 @@
         self.loop = InlineLoop()
         self.links = NodeLinks(self)
         self.settings = SimpleNamespace(name=name)
-        self.pause = lambda seconds: None
+        self.pause = simulation.clock.advance
         self.heartbeat_server = self.loop
         self.addresses = AddressReader(self.registry, self.log)
         self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
@@ -323,8 +323,7 @@
         self.is_draining = False
         self.leader = ""
         self.leader_stream = None
-        self._announced_end = 0
-        self._has_announced_end = False
+        self._announced_state = (0, False)
         self.peers = set()
         self.runner = runner
         self.is_receiving_heartbeats = lambda: (
--- a/tests/site/test_leaving_nodes.py
+++ b/tests/site/test_leaving_nodes.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotshore.exceptions import WorkerFailure
+from bergamotshore.node.runs import MIN_REFUSAL_SECONDS
 from soak.judges import MISSING_SECONDS, RESTART_SECONDS
 from tests.site.test_promises import LONG_RUNNING
 
@@ -89,6 +90,46 @@
     assert manager.ended_incarnation
 
 
+# Guards against an end of a worker that only the scheduling entry is told, since the
+# node has restarted and doesn't know which incarnation of the worker has ended.
+@pytest.mark.parametrize("restart_seconds", [0.0, 0.3])
+def test_node_that_restarts_beside_a_lost_worker_and_leaves_tells_its_end(
+    site, restart_seconds
+):
+    first = site.leader.name
+    site.store.is_down = True
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    site.lose_worker(node)
+    site.kill_node(node)
+    site.advance(restart_seconds)
+    site.start_node(node)
+    site.advance(NODE_LEAVES_SECONDS - restart_seconds)
+    site.stop_node(node)
+    site.advance(0.5)
+    site.store.is_down = False
+    site.advance(RESTART_SECONDS - 0.5)
+    assert list_running(site) == BOTH_RUN
+    assert site.ledger.problems == []
+
+
+# Guards against the same at an entry that has started after the node had told others
+# which incarnation of the worker there is.
+def test_entry_that_started_later_learns_the_end_from_a_restarted_node(site):
+    first = site.leader.name
+    second = next(name for name in site.entry_names if name != first)
+    site.start_entry(second)
+    site.advance(0.5)
+    site.kill_entry(first)
+    node = find_node(site, BOTH_RUN[0])
+    born = site.runner_by_node[node].born
+    site.lose_worker(node)
+    site.start_node(node)
+    site.advance(0.5)
+    ends = site.entry_by_name[second].directory.ends
+    assert ends.get_ended_incarnations(node) == (born,)
+
+
 # Guards against an end of a worker that only former entries were told: those that
 # schedule afterwards waited for the lease of a node that they never heard of.
 def test_entries_that_restart_one_after_another_learn_the_ends_of_workers(site):
@@ -240,6 +281,37 @@
     assert not node.run_manager.ended_incarnation
 
 
+# Guards against a proof of refusals at the same moment, of two threads, which may have
+# one cause.
+def test_refusals_at_the_same_moment_prove_no_end(site):
+    node = site.node_by_name[find_node(site, BOTH_RUN[0])]
+    manager = node.run_manager
+    node.runner.is_gone = True
+    manager.hold()
+    for _ in range(3):
+        assert manager.check_connection()
+    site.clock.advance(MIN_REFUSAL_SECONDS - 0.01)
+    assert manager.check_connection()
+    assert not manager.ended_incarnation
+    site.clock.advance(0.02)
+    assert manager.check_connection()
+    assert manager.ended_incarnation
+
+
+# Guards against counting from the start of a call that was refused late, maybe at the
+# same moment as another one.
+def test_refusal_counts_from_the_end_of_its_call(site):
+    node = site.node_by_name[find_node(site, BOTH_RUN[0])]
+    refused = WorkerFailure("refused", is_certain=True, is_refused=True)
+    first_sent_at = site.clock.now()
+    site.clock.advance(MIN_REFUSAL_SECONDS)
+    second_sent_at = site.clock.now()
+    site.clock.advance(MIN_REFUSAL_SECONDS)
+    for sent_at in (first_sent_at, second_sent_at):
+        node.run_manager._record_failure(refused, sent_at)
+    assert not node.run_manager.ended_incarnation
+
+
 # Guards against blaming the runs of a worker that took leave for its end.
 def test_runs_of_a_worker_that_took_leave_are_not_blamed(site):
     node = site.node_by_name[find_node(site, BOTH_RUN[0])]
@@ -247,5 +319,6 @@
     node.runner.is_gone = True
     for _ in range(2):
         node.run_manager.hold()
+        site.clock.advance(2 * MIN_REFUSAL_SECONDS)
     assert node.run_manager.ended_incarnation
     assert node.run_manager.build_report(1).lost == []
