Count crashes beside which the process of the node restarts

Cause: the node tells what was lost, and the process that had seen it had ended. The next one sees only that the worker is gone or in another life, so the runs were released and no crash was counted.

A node now tells whether an earlier life of its worker ended unseen by its process. The scheduling entry then counts the crash for what it had been told or had ordered there, if only the process had ended: a process that ends closes its streams at once and is soon back; a machine without power does neither, and a rack takes several nodes at the same moment. Losses of power stay uncounted, and so does the end of a worker that drained.

Processes of nodes have an incarnation of their own in the simulation now, as real ones do.

Not mended: node and the entry that schedules next restart at the same crash.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -5,6 +5,7 @@
 and the completion of a run is acknowledged only after it is written.
 """
 
+import math
 import queue
 from dataclasses import dataclass
 
@@ -13,7 +14,7 @@
 
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.containment import ErrorCollector
-from bergamotshore.core.work.crashes import record_crash
+from bergamotshore.core.work.crashes import LostRun, record_crash
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
@@ -455,11 +456,15 @@
 
     def _handle_report(self, stream, report, now):
         worker = self.cluster.get_worker(stream.peer.name, stream.peer.zone)
+        lost_by_key = {
+            **self.directory.get_lost_runs(worker.node),
+            **self._find_unseen_losses(worker, report),
+        }
+        self._record_crash(worker, lost_by_key, now)
         if not report.born:
             # A node that restarted tells only that its worker's leases have expired.
             self._release_worker(worker, "worker-lapsed", now)
             return
-        self._record_crash(worker, now)
         if worker.stream is not stream:
             worker.stream = stream
             worker.forget_limits()
@@ -469,13 +474,43 @@
         if report.is_lapsed:
             self._release_worker(worker, "worker-lapsed", now)
 
-    def _record_crash(self, worker, now):
-        """Count a crash for the runs that a node has seen on a worker that is lost.
+    def _find_unseen_losses(self, worker, report):
+        """Return ``LostRun`` by key of runs that no process of the node saw end.
+
+        A process that ends beside its worker can't tell what was there, and the next
+        one sees only that the worker is gone. What the former one had reported or been
+        sent was there, unless it may have lost power together with the worker.
+        """
+        restart = self.directory.get_restart(worker.node)
+        if restart is None or not report.has_missed_end or worker.is_draining:
+            return {}
+        present = {(task, number) for task, number, *_ in report.running}
+        present.update((task, number) for _, task, number, *_ in report.ended)
+        present.update(report.doubtful)
+        runs = [
+            run
+            for run in worker.allocation_by_key.values()
+            if run.born != report.born
+            and run.key not in present
+            and run.sent_at
+            and not run.is_crash_recorded
+        ]
+        if runs and not restart.has_kept_power:
+            self._log_uncounted(worker, "node-restarted", runs)
+            return {}
+        return {
+            run.key: LostRun(_get_worked_seconds(worker, run), was_away=False)
+            for run in runs
+        }
+
+    def _record_crash(self, worker, lost_by_key, now):
+        """Count a crash for the runs that were on a worker that is lost.
 
         A node that was away as well has lost its machine, and a worker that drains or
         is down for maintenance ends by a decision of the operator.
+
+        :param lost_by_key: ``LostRun`` by name and number of what was there.
         """
-        lost_by_key = self.directory.get_lost_runs(worker.node)
         runs = [
             run
             for run in worker.allocation_by_key.values()
@@ -552,7 +587,8 @@
         )
         runs = [run for run in worker.allocation_by_key.values() if run.born in ended]
         if runs:
-            self._record_crash(worker, now)
+            lost_by_key = self.directory.get_lost_runs(worker.node)
+            self._record_crash(worker, lost_by_key, now)
             uncounted = [run for run in runs if not run.is_crash_recorded]
             if uncounted:
                 self._log_uncounted(worker, "worker-gone", uncounted)
@@ -792,3 +828,13 @@
         self._interference_stored_at = now
         interference_state = self.cluster.interference.export()
         self._interference_row.put(msgspec.msgpack.encode(interference_state))
+
+
+def _get_worked_seconds(worker, run):
+    """Return how long a run had worked when its worker was last reported.
+
+    :returns: Seconds; infinite if no node has told this entry.
+    """
+    if run.is_started:
+        return max(0.0, worker.reported_at - run.started_at)
+    return math.inf if run.stream is None else 0.0
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -82,6 +82,7 @@
         self.worker_report = None
         self._reported_size = ReportedSize()
         self.incarnation = 0
+        self._has_seen_end = False
         self.is_answering = False
         self.running = []
         self.ended = []
@@ -504,6 +505,7 @@
                 and fence >= self._incarnation_fence
             ):
                 self._record_worker_end()
+                self._has_seen_end = bool(self.incarnation)
                 self.incarnation = listing.started_ms
                 self._lease.forget_clock()
                 self._started_at_by_key.clear()
@@ -539,6 +541,13 @@
         """Return the incarnation of the worker if it is certainly gone, otherwise 0."""
         return self.incarnation if self._is_worker_down else 0
 
+    @property
+    def _has_missed_end(self):
+        """Return whether an incarnation before the first one seen may have ended."""
+        if not self.incarnation:
+            return self._is_worker_down
+        return not self._has_seen_end
+
     def build_report(self, epoch):
         """Return the current ``RunReport``.
 
@@ -600,6 +609,7 @@
             ],
             doubtful=list(self._unresolved_by_key),
             is_gone=bool(self.ended_incarnation),
+            has_missed_end=self._has_missed_end,
             lost=self._lost_runs.list_recent(now),
         )
 
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -309,6 +309,7 @@
 
     def __init__(self, simulation, name, zone, runner):
         self.name, self.zone = name, zone
+        self.incarnation = f"{name}-{next(simulation.incarnations)}"
         self.clock = simulation.clock
         self.registry = Registry()
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
@@ -508,7 +509,8 @@
             stream.close("lost")
             stream.other.close("lost")
             node.streams.remove(stream)
-        at_entry = FakeStream(entry, build_hello("node", node.name, node.zone))
+        hello = build_hello("node", node.name, node.zone, node.incarnation)
+        at_entry = FakeStream(entry, hello)
         at_node = FakeStream(node, build_hello("entry", entry.name, ""))
         at_entry.other, at_node.other = at_node, at_entry
         entry.streams.append(at_entry)
@@ -727,8 +729,8 @@
         return sorted((task, worker) for worker, task in self.ledger.live)
 
 
-def build_hello(role, name, zone):
-    return Hello(protocol=1, role=role, name=name, incarnation="run", zone=zone)
+def build_hello(role, name, zone, incarnation="run"):
+    return Hello(protocol=1, role=role, name=name, incarnation=incarnation, zone=zone)
 
 
 def build_configuration(version=1, **fields):
--- a/tests/site/test_crash_budget.py
+++ b/tests/site/test_crash_budget.py
@@ -1,20 +1,25 @@
 """Tests of the limit of starts of tasks that crash workers, beside other faults."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
+from bergamotshore.core.work.crashes import TRIAL_SECONDS
 from bergamotshore.core.work.model import Step
+from bergamotshore.entry.streams import NodeRestart, StreamDirectory
 from bergamotshore.generated.messages import RunOrders
 from standins.ledger import MAX_CRASHES, MAX_STARTS_AFTER_CRASHES
 from standins.site import CRASH_SECONDS
 from tests.fakes import FakeClock
-from tests.site.simulation import Simulation
+from tests.site.simulation import FakeStream, Simulation, build_hello
 
 CULPRIT = "deadly.0.0.0"
 WORK_SECONDS = 1.3
 SHORT = Step(tasks=2, cpu=240, memory=100, estimate=WORK_SECONDS)
 LASTING = Step(tasks=2, cpu=400, memory=100, is_lasting=True)
+# One task for each worker.
+LASTING_EVERYWHERE = Step(tasks=6, cpu=400, memory=100, is_lasting=True, per_worker=1)
 COPIED = Step(tasks=2, cpu=240, memory=100, is_speculative=True)
 # Time of work after which the task crashes its worker, in seconds.
 CRASH_DELAYS = (0.0, 0.1, 0.8, 1.6)
@@ -153,6 +158,29 @@
     site.simulation.start_node(node)
 
 
+def restart_node_later(site, node):
+    site.simulation.kill_node(node)
+    site.simulation.advance(1.0)
+    restart_node(site, node)
+
+
+def replace_leader_and_restart_node(site, node):
+    replace_leader(site, node)
+    restart_node(site, node)
+
+
+def restart_node_after_replacing_leader(site, node):
+    replace_leader(site, node)
+    site.simulation.advance(0.1)
+    restart_node(site, node)
+
+
+def replace_leader_after_restarting_node(site, node):
+    restart_node(site, node)
+    site.simulation.advance(0.1)
+    replace_leader(site, node)
+
+
 def restart_leader_and_node(site, node):
     """Restart the scheduling entry, and the node once it has told of the crash."""
     site.simulation.advance(0.3)
@@ -239,6 +267,203 @@
         site.check()
 
 
+# Guards against the same while the worker is back at once, the node later, or another
+# entry begins to schedule.
+@pytest.mark.parametrize("crash_seconds", CRASH_TIMES)
+@pytest.mark.parametrize(
+    "disturb",
+    [
+        restart_node,
+        restart_node_later,
+        replace_leader_and_restart_node,
+        restart_node_after_replacing_leader,
+        replace_leader_after_restarting_node,
+    ],
+)
+def test_crashes_are_counted_although_node_and_entry_restart(disturb, crash_seconds):
+    for delay in CRASH_DELAYS:
+        site = Site(SHORT, delay, crash_seconds)
+        site.run(disturb, 0.0)
+        site.check()
+
+
+# Guards against blaming the tasks of a rack that loses power, whether its processes are
+# back at once or not, or of one machine that stays away.
+@pytest.mark.parametrize(("nodes", "away"), [(3, 0.0), (3, 0.5), (3, 3.0), (1, 3.0)])
+@pytest.mark.parametrize("crash_seconds", CRASH_TIMES)
+def test_loss_of_power_is_not_counted(nodes, away, crash_seconds):
+    simulation = Simulation(FakeClock(), entries=3, nodes=6)
+    simulation.advance(1.0)
+    simulation.submit("harmless", (LASTING_EVERYWHERE,))
+    simulation.advance(1.5)
+    lost = list(simulation.runner_by_node)[:nodes]
+    for name in lost:
+        assert simulation.runner_by_node[name].run_by_task
+        simulation.kill_node(name)
+        simulation.runner_by_node[name].crash(crash_seconds)
+    if away:
+        simulation.advance(away)
+    for name in lost:
+        simulation.start_node(name)
+    simulation.advance(CRASH_SECONDS + 3.0)
+    assert list_counted(simulation) == []
+    assert len(simulation.running) == LASTING_EVERYWHERE.tasks
+
+
+# Guards against taking a machine without power for a process that ended: it leaves its
+# streams open, or they are lost only once it has been silent.
+@pytest.mark.parametrize(
+    ("silence", "is_lost", "away", "has_kept_power"),
+    [
+        (0.2, True, 0.5, True),
+        (0.2, False, 0.5, False),
+        (2.0, True, 0.5, False),
+        (0.2, True, 3.0, False),
+    ],
+)
+def test_machine_without_power_is_told_from_a_process_that_ended(
+    clock, silence, is_lost, away, has_kept_power
+):
+    directory = StreamDirectory(clock, lambda stream: None)
+    clock.advance(5.0)
+    stream = open_stream(directory, "first")
+    clock.advance(1.0)
+    directory.record_heartbeat(stream)
+    clock.advance(silence)
+    if is_lost:
+        directory.close(stream)
+    clock.advance(away)
+    open_stream(directory, "second")
+    assert directory.get_restart("node-0").has_kept_power == has_kept_power
+
+
+# Guards against forgetting a loss of power because the process of the node ends again
+# before it has told of its worker.
+@pytest.mark.parametrize("has_told", [True, False])
+def test_loss_of_power_is_remembered_until_the_node_has_told_of_its_worker(
+    node, has_told
+):
+    clock = node.clock
+    directory = StreamDirectory(clock, lambda stream: None)
+    directory.close(open_stream(directory, "first"))
+    clock.advance(3.0)
+    second = open_stream(directory, "second")
+    if has_told:
+        directory.record_report(second, node.run_manager.build_report(1))
+    directory.close(second)
+    clock.advance(0.5)
+    open_stream(directory, "third")
+    assert directory.get_restart("node-0").has_kept_power == has_told
+
+
+# Guards against blaming the tasks of a worker that leaves beside its restarting node.
+def test_end_of_a_draining_worker_beside_its_restarting_node_is_not_counted():
+    simulation = Simulation(FakeClock(), entries=3, nodes=6)
+    simulation.advance(1.0)
+    simulation.submit("harmless", (LASTING_EVERYWHERE,))
+    simulation.advance(1.5)
+    node, runner = next(iter(simulation.runner_by_node.items()))
+    runner.is_draining = True
+    simulation.advance(0.2)
+    runner.stop_faults = ["silent"] * 100
+    runner.crash()
+    simulation.start_node(node)
+    simulation.advance(CRASH_SECONDS + 3.0)
+    assert list_counted(simulation) == []
+
+
+# Guards against blaming a run for an end of its worker that it has outlived: the node
+# process that starts beside it finds it there.
+def test_restart_of_a_node_beside_a_sound_worker_is_not_counted():
+    simulation = Simulation(FakeClock(), entries=3, nodes=6)
+    simulation.advance(1.0)
+    simulation.submit("harmless", (LASTING_EVERYWHERE,))
+    simulation.advance(1.5)
+    for _ in range(3):
+        for name in simulation.runner_by_node:
+            simulation.start_node(name)
+            simulation.advance(0.5)
+    assert list_counted(simulation) == []
+    assert len(simulation.ledger.starts) == LASTING_EVERYWHERE.tasks
+
+
+# Guards against counting an end that the present process of a node has seen, and does
+# not tell as a loss, since its worker took leave.
+def test_end_that_the_restarted_node_has_seen_is_not_counted_by_guess():
+    simulation = Simulation(FakeClock(), entries=3, nodes=6)
+    simulation.advance(1.0)
+    simulation.submit("harmless", (LASTING_EVERYWHERE,))
+    simulation.advance(1.5)
+    name, runner = next(iter(simulation.runner_by_node.items()))
+    simulation.start_node(name)
+    simulation.advance(2.0)
+    simulation.node_by_name[name].receive_farewell()
+    runner.restart()
+    simulation.advance(5.0)
+    assert any("outcome=life-over" in line for line in simulation.lines)
+    assert list_counted(simulation) == []
+
+
+@pytest.fixture
+def restarted():
+    """Return a site with a harmless task at each worker."""
+    simulation = Simulation(FakeClock(), entries=1, nodes=2)
+    simulation.advance(1.0)
+    simulation.submit("harmless", (replace(LASTING_EVERYWHERE, tasks=2),))
+    simulation.advance(3.0)
+    return simulation
+
+
+def find_unseen(simulation, change_run=(), **changes):
+    """Return what is taken for lost at a worker whose node has restarted."""
+    dispatcher = simulation.leader.dispatcher
+    worker = dispatcher.cluster.worker_by_node["node-0"]
+    (run,) = worker.allocation_by_key.values()
+    for field, value in change_run:
+        setattr(run, field, value)
+    report = simulation.node_by_name["node-0"].run_manager.build_report(1)
+    contact = simulation.leader.directory._get_contact("node-0")
+    contact.restart = NodeRestart(simulation.clock.now(), True)
+    report = replace(
+        report, **{"born": 1, "has_missed_end": True, "running": [], **changes}
+    )
+    return list(dispatcher._find_unseen_losses(worker, report).values())
+
+
+# Guards against blaming a run for the end of the worker before although the present one
+# has it or has just refused it, or its order had not been sent.
+def test_only_runs_that_were_there_are_lost_beside_a_restarting_node(restarted):
+    (lost,) = find_unseen(restarted)
+    assert lost.worked_seconds > 1.0
+    worker = restarted.leader.dispatcher.cluster.worker_by_node["node-0"]
+    (run,) = worker.allocation_by_key.values()
+    assert not find_unseen(restarted, running=[(*run.key, "", 0, 0.0)])
+    assert not find_unseen(restarted, ended=[(1, *run.key, "done", "")])
+    assert not find_unseen(restarted, doubtful=[run.key])
+    assert not find_unseen(restarted, born=run.born)
+    assert not find_unseen(restarted, has_missed_end=False)
+    assert not find_unseen(restarted, [("sent_at", 0.0)])
+
+
+# Guards against blaming a run of which a successor knows only the claim as one that has
+# just started: it may have worked for long.
+def test_unseen_losses_that_no_node_has_told_of_count_as_old(restarted):
+    (sent,) = find_unseen(restarted, [("is_started", False)])
+    (claimed,) = find_unseen(restarted, [("stream", None)])
+    assert sent.worked_seconds == 0.0
+    assert claimed.worked_seconds > TRIAL_SECONDS
+
+
+def open_stream(directory, incarnation):
+    stream = FakeStream(None, build_hello("node", "node-0", "", incarnation))
+    directory.open(stream)
+    return stream
+
+
+def list_counted(simulation):
+    return [line for line in simulation.lines if "event=crash-counted " in line]
+
+
 def list_lost(node):
     return {task for task, *_ in node.run_manager.build_report(1).lost}
 
