--- a/src/bergamotshore/entry/workerends.py
+++ b/src/bergamotshore/entry/workerends.py
@@ -72,9 +72,15 @@
 
         :returns: Whether an end is new.
         """
+        now = self._clock.now()
         with self._lock:
             born, _ = self._answer_by_node.get(node, (0, 0.0))
-        return bool(born) and self.record_report(node, born, is_gone=True)
+            known = self._end_by_born_by_node.get(node, {}).get(born)
+            is_new = bool(born) and (known is None or known.is_refuted)
+            if is_new:
+                # While the node is heard, its reports tell which runs were lost.
+                self._store(node, born, KnownEnd(now, False, False))
+            return is_new
 
     def record_passed_on(self, end):
         """Record an end that another entry passes on.
