Serve the connections of tests about silent clients in one thread

Calls to the stand-in timed out after 0.4 or 0.5 s though they had been sent on new connections.

Cause, by a trace of clients and server: the clients had connected and waited for the answer, but the server started a thread for each connection, and a new thread did not run for 0.64 s, in another round not within 0.5 s; its start also held up the thread that accepts connections.

Both tests now share a server that reads all connections in one thread that exists before. Silence, answers, timeouts and bounds are as before.

--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -1,9 +1,6 @@
 """Tests of the worker client against a worker that restarts at the same address."""
 
-import contextlib
-import http.server
 import json
-import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -14,6 +11,7 @@
 from bergamotshore.node.site import STOP_THREADS
 from bergamotshore.platform.runner import PlatformRunner
 from bergamotshore.ports.runner import Acknowledgement, ListedRun
+from tests.adapters.servers import SilencingServer
 
 TIMEOUT_SECONDS = 2.0
 SHORT_TIMEOUT_SECONDS = 0.4
@@ -21,78 +19,44 @@
 CURRENT_MS = 2_000
 
 
-class Worker(http.server.ThreadingHTTPServer):
+class Worker(SilencingServer):
     """Worker that records the acknowledgements sent to each of its incarnations."""
 
-    daemon_threads = True
-
     def __init__(self):
-        super().__init__(("127.0.0.1", 0), Handler)
         self.started_ms = FORMER_MS
         self.acknowledged_by_incarnation = {FORMER_MS: [], CURRENT_MS: []}
         self.running = []
-        self.silenced_sockets = set()
-        self._sockets = []
-        threading.Thread(target=self.serve_forever, daemon=True).start()
-
-    def get_request(self):
-        sock, address = super().get_request()
-        self._sockets.append(sock)
-        return sock, address
+        super().__init__(self.build_listing)
+
+    def build_listing(self, request):
+        """Return the listing that answers each call."""
+        order = json.loads(request)
+        if "ack_cursor" in order:
+            acknowledged = self.acknowledged_by_incarnation[self.started_ms]
+            acknowledged.append(order["ack_cursor"])
+        return {
+            "clock_ms": 1,
+            "born": self.started_ms,
+            "running": self.running,
+            "finished": [],
+        }
 
     def restart(self):
         """Start a new incarnation; the connections to the former one end."""
         self.started_ms = CURRENT_MS
         self.end_connections()
 
-    def silence_connections(self):
-        """Answer nothing more on the present connections, and leave them open."""
-        self.silenced_sockets = set(self._sockets)
-
-    def end_connections(self):
-        for sock in self._sockets:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-
-
-class Handler(http.server.BaseHTTPRequestHandler):
-    """Answer each call with the listing of the server."""
-
-    protocol_version = "HTTP/1.1"
-
-    def do_POST(self):
-        request = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-        if self.connection in self.server.silenced_sockets:
-            return
-        started_ms = self.server.started_ms
-        if "ack_cursor" in request:
-            acknowledged = self.server.acknowledged_by_incarnation[started_ms]
-            acknowledged.append(request["ack_cursor"])
-        listing = {"clock_ms": 1, "born": started_ms}
-        body = json.dumps(
-            {**listing, "running": self.server.running, "finished": []}
-        ).encode()
-        self.send_response(200)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, *_):
-        """Write no access log."""
-
 
 @pytest.fixture
 def worker():
     server = Worker()
     yield server
-    server.shutdown()
-    server.end_connections()
-    server.server_close()
+    server.close()
 
 
 @pytest.fixture
 def runner(worker):
-    return PlatformRunner(f"127.0.0.1:{worker.server_address[1]}", TIMEOUT_SECONDS)
+    return PlatformRunner(worker.address, TIMEOUT_SECONDS)
 
 
 def renew(runner, acknowledgement):
@@ -133,8 +97,7 @@
 # Guards against a cancelled task that runs on because each thread that sends stops
 # waits for an answer on an idle connection that went silent long before.
 def test_stops_reach_a_worker_whose_former_connections_are_silent(worker):
-    address = f"127.0.0.1:{worker.server_address[1]}"
-    runner = PlatformRunner(address, SHORT_TIMEOUT_SECONDS)
+    runner = PlatformRunner(worker.address, SHORT_TIMEOUT_SECONDS)
     with ThreadPoolExecutor(STOP_THREADS) as threads:
         assert isinstance(renew(runner, Acknowledgement()), Success)
         stop_in_each_thread(threads, runner)
@@ -149,8 +112,7 @@
 
 def test_worker_that_is_gone_is_reported_as_not_reached(runner, worker):
     renew(runner, Acknowledgement())
-    worker.shutdown()
-    worker.server_close()
+    worker.stop_listening()
     worker.end_connections()
     renew(runner, Acknowledgement(FORMER_MS, 1))
     match renew(runner, Acknowledgement(FORMER_MS, 1)):
@@ -202,6 +164,5 @@
     assert not runner.is_refusing()
     worker.silence_connections()
     assert not runner.is_refusing()
-    worker.shutdown()
-    worker.server_close()
+    worker.stop_listening()
     assert runner.is_refusing()
--- a/tests/adapters/test_silent_clients.py
+++ b/tests/adapters/test_silent_clients.py
@@ -1,8 +1,5 @@
 """Clients that keep connections, over connections that go silent and stay open."""
 
-import contextlib
-import json
-import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -27,6 +24,7 @@
 from bergamotshore.ports.rows import Put, RowId
 from bergamotshore.ports.runner import Acknowledgement
 from bergamotshore.utils.eventlog import EventLog
+from tests.adapters.servers import SilencingServer
 
 TIMEOUT_SECONDS = 0.5
 # Wait of a long poll, which is part of the time stated for it.
@@ -44,57 +42,6 @@
 }
 
 
-class SilencingServer:
-    """Server with one answer to all calls, whose open connections can go silent.
-
-    ``unanswered`` is the number of next calls to leave without an answer.
-    """
-
-    def __init__(self):
-        self.connections = []
-        self._silent_connections = set()
-        self.unanswered = 0
-        self._server = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def silence_connections(self):
-        """Drop all that is sent on the open connections, without a reset."""
-        self._silent_connections = set(self.connections)
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._server.accept()
-                self.connections.append(connection)
-                threading.Thread(
-                    target=self._answer, args=(connection,), daemon=True
-                ).start()
-
-    def _answer(self, connection):
-        body = json.dumps(ANSWERS).encode()
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-        with contextlib.suppress(OSError), connection.makefile("rb") as reader:
-            while reader.readline():
-                length = 0
-                while (line := reader.readline()) != b"\r\n":
-                    name, _, value = line.partition(b":")
-                    length = int(value) if name.lower() == b"content-length" else length
-                reader.read(length)
-                if connection in self._silent_connections:
-                    return
-                if self.unanswered:
-                    self.unanswered -= 1
-                    continue
-                connection.sendall(head + body)
-
-    def close(self):
-        """Close all sockets."""
-        self._server.shutdown(socket.SHUT_RDWR)
-        for sock in (self._server, *self.connections):
-            sock.close()
-
-
 class NoPeer:
     """Relay without peers."""
 
@@ -172,7 +119,7 @@
 
 @pytest.fixture
 def server():
-    server = SilencingServer()
+    server = SilencingServer(lambda request: ANSWERS)
     yield server
     server.close()
 
