--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -46,7 +46,8 @@
 DRIFT_SHARE = 0.02
 # Part of the longest worker lease reserved for the latency of a call, in seconds.
 CALL_MARGIN_SECONDS = 0.5
-MAX_GRANT_SECONDS = 6.0
+# Longest renewal grant. A longer one could outlast those that follow the next renewal.
+MAX_GRANT_SECONDS = LEASE_SECONDS + HANDOVER_SECONDS
 
 
 def get_grant_seconds(longest_hold):
@@ -100,6 +101,7 @@
 # Resources that scheduling needs: a whole core, and four times the 4 Mbit/s that the
 # reports of 70 nodes use. Smaller entries wait before they claim a free lease, so that
 # larger ones can get it first: ``CANDIDACY_DELAY_SECONDS`` for each resource they lack.
+# So do entries that the row of a lapsed lease doesn't name, which wait for more echoes.
 SUFFICIENT_CORES = 1.0
 SUFFICIENT_MBPS = 16.0
 CANDIDACY_DELAY_SECONDS = 1.2
