Play rounds of faults while each process of the simulation has a clock of its own

Nothing judged the bound of renewal grants by the leader lease but tests of single guards. The rounds let the scheduling entry lose the store while one or two nodes reach only it, beside entries that freeze, are restarted or replaced, links that are cut or slow in one direction, answers of the store that are lost or late, and lost power. Each process and each worker has a clock with another offset, and rates that differ by up to 2%. The ledger and the judge of long-running tasks look at each step.

Heartbeats among entries now echo the clock reading that was really received; they can be lost, wait, and arrive after the end of their sender.

--- a/standins/site.py
+++ b/standins/site.py
@@ -29,7 +29,7 @@
 
 SERVICE = "books"
 LONGEST_HOLD_SECONDS = 6.0
-# The worker's clock runs this much slower than true time.
+# The worker's clock runs this much slower than true time by default.
 WORKER_DRIFT = 0.02
 # Time for which a crashed worker refuses connections, in seconds.
 CRASH_SECONDS = 3.0
@@ -156,6 +156,8 @@
     ``stop_seconds`` is the time that a stop takes; the run keeps its resources until
     then.
 
+    ``drift`` is the share by which its clock runs slower than true time.
+
     A task with a crash delay in the ledger crashes the worker after that time of work,
     for ``crash_seconds``; with delay 0, the order to start it gets no response.
     """
@@ -165,6 +167,7 @@
         self.name = name
         self.machine = f"vm of {name}"
         self.ledger = ledger
+        self.drift = WORKER_DRIFT
         self.capacity = Capacity(cpu, memory)
         self.stop_seconds = 0.0
         self.rack = "r1-1"
@@ -218,7 +221,7 @@
     @property
     def clock_ms(self):
         """Return the time of the worker's clock, in milliseconds."""
-        return int((self.clock.now() - self.started_at) * 1000 * (1 - WORKER_DRIFT))
+        return int((self.clock.now() - self.started_at) * 1000 * (1 - self.drift))
 
     @property
     def is_down(self):
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -16,6 +16,7 @@
 
 from bergamotshore.core.work.confirmation import StateFreshness, get_max_age
 from bergamotshore.core.work.leases import (
+    DRIFT_SHARE,
     RenewalGrant,
     get_grant_seconds,
 )
@@ -74,10 +75,34 @@
     "service-error",
     "term-abandoned",
 )
+# Largest difference of the clocks of two processes, in seconds.
+MAX_OFFSET_SECONDS = 1000.0
 # Lower than the priority of all other queues in the tests.
 BATCH_PRIORITY = 9
 
 
+class ProcessClock:
+    """Clock of one process, which runs slower than that of the simulation.
+
+    :param clock: ``Clock`` of the simulation.
+    :param drift: Share by which it is slower.
+    :param offset: What it is ahead at time 0, in seconds.
+    """
+
+    def __init__(self, clock, drift, offset):
+        self._clock = clock
+        self._drift = drift
+        self._offset = offset
+
+    def now(self):
+        """Return the time on this clock, in seconds."""
+        return self._offset + (1.0 - self._drift) * self._clock.now()
+
+    def wall(self):
+        """Return seconds since the epoch, which all processes agree on."""
+        return self._clock.wall()
+
+
 class StoreConnection:
     """Connection of one process to the store, on which failures can be injected.
 
@@ -210,7 +235,7 @@
 
     def __init__(self, simulation, name, incarnation):
         self.name = name
-        self.clock = simulation.clock
+        self.clock = simulation.build_clock()
         self.registry = Registry()
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
         self.store = StoreConnection(
@@ -228,7 +253,7 @@
         self.has_operator = simulation.operator is not None
         if not self.has_operator:
             self.follower.state.accept(simulation.configuration)
-            self.follower.state.confirmed_at = simulation.clock.now()
+            self.follower.state.confirmed_at = self.clock.now()
         self.stopping = threading.Event()
         self.incarnation = f"{name}-{incarnation}"
         self.election = Election(
@@ -269,7 +294,8 @@
         )
         self.dispatcher.events = NonBlockingQueue()
         self.streams = []
-        self.started_at = simulation.clock.now()
+        # Last clock reading that each process of another entry sent.
+        self.reading_by_incarnation = {}
         self.next_election_at = 0.0
         self.feed = (0, 0)
 
@@ -309,7 +335,8 @@
 
     def __init__(self, simulation, name, zone, runner):
         self.name, self.zone = name, zone
-        self.clock = simulation.clock
+        self.clock = simulation.build_clock()
+        self._true_clock = simulation.clock
         self.registry = Registry()
         self.log = EventLog(simulation.clock, emit=simulation.lines.append)
         self.loop = InlineLoop()
@@ -350,8 +377,8 @@
         if self.is_receiving_heartbeats():
             report = self.runner.build_report(self.zone)
             self.run_manager.record_heartbeat(report)
-            self.runner.ledger.record_heartbeat(report, self.clock.now())
-        if self.clock.now() >= self.calls_delayed_until:
+            self.runner.ledger.record_heartbeat(report, self._true_clock.now())
+        if self._true_clock.now() >= self.calls_delayed_until:
             self._renew_lease()
         self._check_expected_end()
 
@@ -374,11 +401,22 @@
 
     :param has_operator: Whether the entries follow the rows of ``operator``; otherwise,
         tests set the state that entries have of them.
+    :param is_drifting: Whether each process and worker has a clock of its own, whose
+        rate differs from that of the others by up to ``DRIFT_SHARE``.
     """
 
-    def __init__(self, clock, entries=2, nodes=3, seed=0, has_operator=False):
+    def __init__(
+        self,
+        clock,
+        entries=2,
+        nodes=3,
+        seed=0,
+        has_operator=False,
+        is_drifting=False,
+    ):
         self.clock = clock
         self.random = random.Random(seed)
+        self._drift_random = random.Random(seed) if is_drifting else None
         self.lines = []
         self.allows_errors = False
         self._checked_lines = 0
@@ -397,8 +435,15 @@
             f"node-{index}": RunnerStandIn(clock, f"worker-{index}", self.ledger)
             for index in range(nodes)
         }
+        if is_drifting:
+            for runner in self.runner_by_node.values():
+                runner.drift = self._draw_drift()
         self.machines = MachinesStandIn(clock, self.runner_by_node, self.ledger)
         self.disconnected_pairs = set()
+        # Pairs of sender and receiver whose messages are lost, or wait.
+        self.cut_links = set()
+        self.held_links = set()
+        self._entry_messages = []
         self.without_store = set()
         self.without_feeds = set()
         self.without_heartbeats = set()
@@ -413,6 +458,18 @@
         self.next_heartbeat_at = 0.0
         self.rows = JobRows(self.store, clock, self.clock.advance)
 
+    def build_clock(self):
+        """Return the clock of a new process."""
+        if self._drift_random is None:
+            return self.clock
+        offset = self._drift_random.uniform(0.0, MAX_OFFSET_SECONDS)
+        return ProcessClock(self.clock, self._draw_drift(), offset)
+
+    def _draw_drift(self):
+        """Return by how much a clock is slow; often it is one of the extremes."""
+        draw = self._drift_random
+        return draw.choice([0.0, DRIFT_SHARE, draw.uniform(0.0, DRIFT_SHARE)])
+
     def start_entry(self, name):
         self.kill_entry(name)
         self.entry_by_name[name] = EntryProcess(self, name, next(self.incarnations))
@@ -477,8 +534,10 @@
         self.disconnected_pairs.add((entry, node))
 
     def heal(self):
-        """Reconnect all processes that were disconnected by ``disconnect``."""
+        """Let all messages arrive again."""
         self.disconnected_pairs.clear()
+        self.cut_links.clear()
+        self.held_links.clear()
 
     def _connect(self):
         for entry in self.entry_by_name.values():
@@ -489,6 +548,10 @@
                     for stream in streams:
                         self._drop_messages(stream)
                     continue
+                if not self.cut_links.isdisjoint((pair, pair[::-1])):
+                    for stream in streams:
+                        self._drop_cut_messages(stream)
+                    continue
                 if any(stream.has_lost_messages for stream in streams) or not any(
                     stream.is_open and stream.other.is_open for stream in streams
                 ):
@@ -503,6 +566,13 @@
         stream.inbox.clear()
         stream.other.inbox.clear()
 
+    def _drop_cut_messages(self, stream):
+        """Drop messages of a node's stream on links that are cut, and mark it."""
+        for end in (stream, stream.other):
+            if (end.peer.name, end.owner.name) in self.cut_links:
+                stream.has_lost_messages = stream.has_lost_messages or bool(end.inbox)
+                end.inbox.clear()
+
     def _open(self, entry, node):
         for stream in [p for p in node.streams if p.peer.name == entry.name]:
             stream.close("lost")
@@ -555,6 +625,7 @@
     def _record_faults(self):
         """Record the present faults, those of a node apart from those of the site."""
         now, store = self.clock.now(), self.store
+        impaired_links = self.cut_links | self.held_links
         is_history_lost = store.oldest != self._oldest_history
         self._oldest_history = store.oldest
         if (
@@ -566,8 +637,12 @@
             or self.without_feeds
             or not self.entry_by_name
             or not self.paused.isdisjoint(self.entry_by_name)
+            or any(self._list_nodes(link) == [] for link in impaired_links)
         ):
             self._harmed_at = now
+        for link in impaired_links:
+            for node in self._list_nodes(link):
+                self._harmed_at_by_node[node] = now
         for node, runner in self.runner_by_node.items():
             if (
                 node in self.paused
@@ -579,6 +654,10 @@
             ):
                 self._harmed_at_by_node[node] = now
 
+    def _list_nodes(self, link):
+        """Return the nodes among sender and receiver; none if both are entries."""
+        return [name for name in link if name in self.runner_by_node]
+
     def _is_waiting_for_call(self, name):
         node = self.node_by_name.get(name)
         return node is not None and self.clock.now() < node.calls_delayed_until
@@ -603,14 +682,45 @@
         self._exchange_entry_heartbeats()
 
     def _exchange_entry_heartbeats(self):
-        """Deliver heartbeats among the entries, which echo the previous ones."""
-        echo = self.clock.now() - HEARTBEAT_SECONDS
+        """Send heartbeats among the entries, and deliver those that may arrive.
+
+        Each echoes the last clock reading that its sender has received before.
+        """
         entries = [
             entry
             for entry in self.entry_by_name.values()
             if entry.name not in self.paused
         ]
         for sender, receiver in itertools.permutations(entries, 2):
+            if (sender.name, receiver.name) not in self.cut_links:
+                message = self._build_entry_heartbeat(sender, receiver)
+                self._entry_messages.append((sender, receiver, message))
+        self._deliver_entry_heartbeats()
+
+    @staticmethod
+    def _build_entry_heartbeat(sender, receiver):
+        heartbeat = Heartbeat(
+            sent_at=sender.clock.now(),
+            echo=sender.reading_by_incarnation.get(receiver.incarnation, 0.0),
+            cancelled=sender.cancellations.list_announced(),
+            worker_ends=sender.directory.ends.list_announced(),
+            superseded_epoch=sender.election.superseded_epoch,
+            permits_echo=sender.election.permit_echo(
+                receiver.name, receiver.incarnation
+            ),
+        )
+        return encode_message(heartbeat, 0)
+
+    def _deliver_entry_heartbeats(self):
+        """Deliver the heartbeats among entries, also those of processes that ended."""
+        messages, self._entry_messages = self._entry_messages, []
+        for sender, receiver, content in messages:
+            link = (sender.name, receiver.name)
+            if self.entry_by_name.get(receiver.name) is not receiver:
+                continue
+            if link in self.held_links or receiver.name in self.paused:
+                self._entry_messages.append((sender, receiver, content))
+                continue
             peer = Hello(
                 protocol=1,
                 role="entry",
@@ -618,30 +728,22 @@
                 incarnation=sender.incarnation,
                 zone="",
             )
-            is_echoing = echo >= max(sender.started_at, receiver.started_at)
-            heartbeat = Heartbeat(
-                sent_at=self.clock.now(),
-                echo=echo if is_echoing else 0.0,
-                cancelled=sender.cancellations.list_announced(),
-                worker_ends=sender.directory.ends.list_announced(),
-                superseded_epoch=sender.election.superseded_epoch,
-                permits_echo=sender.election.permit_echo(
-                    receiver.name, receiver.incarnation
-                ),
-            )
             stream = FakeStream(receiver, peer)
-            receiver.on_message(stream, stream.decode(encode_message(heartbeat, 0)))
+            message = stream.decode(content)
+            receiver.reading_by_incarnation[sender.incarnation] = message.sent_at
+            receiver.on_message(stream, message)
 
     def deliver(self):
         """Deliver the messages that were sent."""
+        self._deliver_entry_heartbeats()
+        unavailable = self.cut_links | self.held_links
         for process in self._list_unpaused():
             for stream in list(process.streams):
-                pair = (
-                    (process.name, stream.peer.name)
-                    if isinstance(process, EntryProcess)
-                    else (stream.peer.name, process.name)
+                link = (stream.peer.name, process.name)
+                is_disconnected = not self.disconnected_pairs.isdisjoint(
+                    (link, link[::-1])
                 )
-                if stream.is_open and pair not in self.disconnected_pairs:
+                if stream.is_open and not is_disconnected and link not in unavailable:
                     stream.deliver()
 
     def advance(self, seconds):
--- a/tests/site/test_leaving_rounds.py
+++ b/tests/site/test_leaving_rounds.py
@@ -1,11 +1,9 @@
 """Rounds of restarts of entries while workers and their nodes leave for good."""
 
-import random
-
 import pytest
 
 from bergamotshore.core.work.model import Step
-from tests.site.calmjudge import CalmJudge
+from tests.site.rounds import Rounds
 from tests.site.simulation import Simulation
 
 NODES = 9
@@ -15,7 +13,7 @@
 LASTING = (Step(tasks=3, cpu=3000, memory=100, is_lasting=True),)
 
 
-class LeavingRounds:
+class LeavingRounds(Rounds):
     """Faults of several rounds at random times, with a calm end to each round.
 
     :param clock: ``Clock``.
@@ -23,14 +21,7 @@
     """
 
     def __init__(self, clock, seed):
-        self.random = random.Random(seed)
-        self.simulation = Simulation(clock, entries=3, nodes=NODES, seed=seed)
-        self.judge = CalmJudge(self.simulation)
-        self.actions = []
-        self.start = clock.now()
-
-    def plan(self, at, action, *arguments):
-        self.actions.append((self.start + at, len(self.actions), action, arguments))
+        super().__init__(Simulation(clock, entries=3, nodes=NODES, seed=seed), seed)
 
     def plan_round(self, at):
         """Plan the faults of a round that begins at a time, in seconds."""
@@ -76,19 +67,6 @@
         self.plan(leaves_at, take_away, node)
         self.plan(leaves_at + 1.0, site.stop_node, node)
 
-    def run(self, seconds):
-        """Run for a time and carry out the planned faults."""
-        until = self.start + seconds
-        while self.simulation.clock.now() < until:
-            due = sorted(
-                item for item in self.actions if item[0] <= self.simulation.clock.now()
-            )
-            for item in due:
-                self.actions.remove(item)
-                item[2](*item[3])
-            self.simulation.advance(0.1)
-            self.judge.check()
-
 
 # Guards against waits that begin anew with each entry that schedules: each task of a
 # long-running job has to run again in time, whenever workers, nodes and entries left.
