--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -177,6 +177,31 @@
         return frame.message
 
 
+class EntryStream(FakeStream):
+    """An entry's end of an in-memory stream to another entry.
+
+    :param owner: ``EntryProcess``.
+    :param peer_process: The other ``EntryProcess``.
+    :param post: Called with both and the content of each message that is sent.
+    """
+
+    def __init__(self, owner, peer_process, post):
+        hello = Hello(
+            protocol=1,
+            role="entry",
+            name=peer_process.name,
+            incarnation=peer_process.incarnation,
+            zone="",
+        )
+        super().__init__(owner, hello)
+        self._peer_process = peer_process
+        self._post = post
+
+    def send(self, message):
+        self._post(self.owner, self._peer_process, encode_message(message, 0))
+        return True
+
+
 class InlineExecutor:
     """Executor that runs calls immediately in the calling thread."""
 
@@ -294,8 +319,6 @@
         )
         self.dispatcher.events = NonBlockingQueue()
         self.streams = []
-        # Last clock reading that each process of another entry sent.
-        self.reading_by_incarnation = {}
         self.next_election_at = 0.0
         self.feed = (0, 0)
 
@@ -444,6 +467,7 @@
         self.cut_links = set()
         self.held_links = set()
         self._entry_messages = []
+        self._entry_streams = {}
         self.without_store = set()
         self.without_feeds = set()
         self.without_heartbeats = set()
@@ -473,6 +497,7 @@
     def start_entry(self, name):
         self.kill_entry(name)
         self.entry_by_name[name] = EntryProcess(self, name, next(self.incarnations))
+        self._exchange_entry_heartbeats(started=name)
 
     def kill_entry(self, name):
         self._harmed_at = self.clock.now()
@@ -681,10 +706,13 @@
                     stream.send(process.build_heartbeat(stream))
         self._exchange_entry_heartbeats()
 
-    def _exchange_entry_heartbeats(self):
+    def _exchange_entry_heartbeats(self, started=None):
         """Send heartbeats among the entries, and deliver those that may arrive.
 
         Each echoes the last clock reading that its sender has received before.
+
+        :param started: Name of an entry that has just started and connects to the
+            others, which answer its first heartbeat at once; None for all entries.
         """
         entries = [
             entry
@@ -692,27 +720,26 @@
             if entry.name not in self.paused
         ]
         for sender, receiver in itertools.permutations(entries, 2):
-            if (sender.name, receiver.name) not in self.cut_links:
-                message = self._build_entry_heartbeat(sender, receiver)
-                self._entry_messages.append((sender, receiver, message))
-        self._deliver_entry_heartbeats()
-
-    @staticmethod
-    def _build_entry_heartbeat(sender, receiver):
-        heartbeat = Heartbeat(
-            sent_at=sender.clock.now(),
-            echo=sender.reading_by_incarnation.get(receiver.incarnation, 0.0),
-            cancelled=sender.cancellations.list_announced(),
-            worker_ends=sender.directory.ends.list_announced(),
-            superseded_epoch=sender.election.superseded_epoch,
-            permits_echo=sender.election.permit_echo(
-                receiver.name, receiver.incarnation
-            ),
+            if started in (None, sender.name):
+                stream = self._get_entry_stream(sender, receiver)
+                stream.send(sender.build_heartbeat(stream))
+        self._deliver_among_entries()
+        if started is not None:
+            self._deliver_among_entries()
+
+    def _get_entry_stream(self, owner, peer):
+        """Return an entry's end of its stream to another one."""
+        return self._entry_streams.setdefault(
+            (owner.incarnation, peer.incarnation),
+            EntryStream(owner, peer, self._post_among_entries),
         )
-        return encode_message(heartbeat, 0)
 
-    def _deliver_entry_heartbeats(self):
-        """Deliver the heartbeats among entries, also those of processes that ended."""
+    def _post_among_entries(self, sender, receiver, content):
+        if (sender.name, receiver.name) not in self.cut_links:
+            self._entry_messages.append((sender, receiver, content))
+
+    def _deliver_among_entries(self):
+        """Deliver messages among entries, also those of processes that have ended."""
         messages, self._entry_messages = self._entry_messages, []
         for sender, receiver, content in messages:
             link = (sender.name, receiver.name)
@@ -721,21 +748,13 @@
             if link in self.held_links or receiver.name in self.paused:
                 self._entry_messages.append((sender, receiver, content))
                 continue
-            peer = Hello(
-                protocol=1,
-                role="entry",
-                name=sender.name,
-                incarnation=sender.incarnation,
-                zone="",
-            )
-            stream = FakeStream(receiver, peer)
-            message = stream.decode(content)
-            receiver.reading_by_incarnation[sender.incarnation] = message.sent_at
-            receiver.on_message(stream, message)
+            stream = self._get_entry_stream(receiver, sender)
+            stream.inbox.append(content)
+            stream.deliver()
 
     def deliver(self):
         """Deliver the messages that were sent."""
-        self._deliver_entry_heartbeats()
+        self._deliver_among_entries()
         unavailable = self.cut_links | self.held_links
         for process in self._list_unpaused():
             for stream in list(process.streams):
--- a/tests/site/test_echo_permissions.py
+++ b/tests/site/test_echo_permissions.py
@@ -1,8 +1,10 @@
 """Grants that end with the leader lease, and permissions for longer ones."""
 
+import msgspec
 import pytest
 
 from bergamotshore.core.work.leases import (
+    CANDIDACY_DELAY_SECONDS,
     DRIFT_SHARE,
     ECHO_GRACE_SECONDS,
     ENTRY_HEARD_SECONDS,
@@ -13,11 +15,14 @@
     get_last_permitted_echo_time,
     get_last_unpermitted_echo_time,
 )
-from bergamotshore.entry.election import Election
+from bergamotshore.core.work.model import Step
+from bergamotshore.entry.election import LEADER_ROW, Election
+from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
 
 GRANT_SECONDS = 5.5
+LONG_RUNNING = (Step(tasks=2, cpu=9000, memory=100, is_lasting=True),)
 
 
 @pytest.fixture
@@ -233,6 +238,8 @@
     third.step()
     read_at = clock.now()
     lapse(clock, third)
+    clock.advance(CANDIDACY_DELAY_SECONDS)
+    third.step()
     assert third.lease.epoch == 2
     grace_ends_at = read_at + LEASE_SECONDS + ECHO_GRACE_SECONDS
     assert third.last_echo_at >= grace_ends_at
@@ -246,6 +253,8 @@
     second, third = build("second"), build("third")
     second.step()
     lapse(clock, second)
+    clock.advance(CANDIDACY_DELAY_SECONDS)
+    second.step()
     assert second.lease.epoch == 2
     awaited_until = second.last_echo_at
     third.step()
@@ -262,3 +271,130 @@
     assert exchange(clock, other, holder)
     clock.advance(ENTRY_HEARD_SECONDS + 0.1)
     assert not other.permit_echo("holder", "holder-1")
+
+
+# Guards against a successor that relies on permissions that another process has given
+# or not: that one may have ended, and its next process has not read of its term.
+@pytest.mark.parametrize("name", ["second", "third", "fourth"])
+def test_restarted_successor_permits_echoes_that_the_next_one_waits_for(
+    build, store, clock, name
+):
+    first, second, third = build("first"), build("second"), build("third")
+    for other in ("second", "third"):
+        first.record_entry(other, f"{other}-1", 0.0)
+    first.step()
+    renewed_at = clock.now()
+    third.step()
+    second.step()
+    lapse(clock, second)
+    assert second.lease.epoch == 2
+    assert second.last_echo_at < clock.now()
+    restarted = build("second", incarnation=2)
+    observer = {"second": restarted, "third": third, "fourth": build("fourth")}[name]
+    if observer is not restarted:
+        observer.step()
+    store.is_down = True
+    for entry in (restarted, third):
+        entry.step()
+        entry.record_entry("first", "first-1", clock.now())
+        assert entry.permit_echo("first", "first-1")
+        first.record_entry(entry.name, "x", clock.now(), permits_echo=True)
+    permitted_at = clock.now()
+    assert first.get_echo(permitted_at, permitted_at) == permitted_at
+    store.is_down = False
+    lapse(clock, observer)
+    assert observer.lease.epoch == 3
+    grace_ends_at = renewed_at + LEASE_SECONDS + ECHO_GRACE_SECONDS
+    assert observer.last_echo_at >= min(
+        permitted_at + PERMISSION_SECONDS, grace_ends_at
+    )
+
+
+# Guards against a claim that is carried out late, after permissions of this entry.
+def test_entry_waits_for_echoes_that_it_permitted_after_a_claim(
+    holder, other, store, clock
+):
+    clock.advance(1.1 * LEASE_SECONDS)
+    store.faults = ["late"]
+    other.step()
+    store.is_down = True
+    other.step()
+    assert exchange(clock, other, holder)
+    permitted_at = clock.now()
+    store.is_down = False
+    store.run_late()
+    other.step()
+    assert other.lease.epoch == 3
+    assert other.last_echo_at >= permitted_at + PERMISSION_SECONDS
+
+
+# Guards against an unknown process that is forgotten beside known ones.
+def test_process_that_is_not_known_is_handed_on_beside_known_ones(build, store, clock):
+    build("a").step()
+    (row,) = store.row_by_id.values()
+    content = msgspec.msgpack.decode(row.value)
+    for field in ("earlier", "permitting", "awaited"):
+        content.pop(field)
+    content["is_alone"] = False
+    store.transact([], [Put(LEADER_ROW, msgspec.msgpack.encode(content))], [])
+    second, third = build("b"), build("c")
+    second.step()
+    lapse(clock, second)
+    assert second.lease.epoch == 2
+    third.step()
+    second.resign()
+    third.step()
+    assert third.lease.epoch == 3
+    third.record_entry("a", "a-2", echo=clock.now())
+    third.record_entry("b", "b-2", echo=clock.now())
+    assert third.last_echo_at > clock.now()
+
+
+# Guards against a successor that waits for the grace period although another entry,
+# which the row names, could schedule without that wait.
+def test_entry_that_the_row_does_not_name_leaves_a_lapsed_lease_to_others(
+    holder, other, build, clock
+):
+    third = build("third")
+    third.step()
+    lapse(clock, third)
+    assert third.lease.epoch == 0
+    other.step()
+    assert other.lease.epoch == 2
+    assert other.last_echo_at < clock.now()
+
+
+def test_entry_that_the_row_does_not_name_takes_a_lapsed_lease_of_nobody_else(
+    holder, build, clock
+):
+    third = build("third")
+    third.step()
+    lapse(clock, third)
+    assert third.lease.epoch == 0
+    clock.advance(CANDIDACY_DELAY_SECONDS)
+    third.step()
+    assert third.lease.epoch == 2
+
+
+# Guards against running tasks twice that a former scheduling entry keeps alive with the
+# permission of a successor that was restarted, while a node reaches only the former.
+@pytest.mark.parametrize("away", [0.5, 1.5, 2.5, 3.5])
+def test_runs_kept_by_the_permission_of_a_restarted_successor_are_not_doubled(
+    simulation, away
+):
+    simulation.submit("watch", LONG_RUNNING)
+    simulation.advance(2.0)
+    former = simulation.leader.name
+    (successor,) = set(simulation.entry_names) - {former}
+    node = next(n for n, r in simulation.runner_by_node.items() if r.run_by_task)
+    simulation.without_store.add(former)
+    simulation.disconnect(successor, node)
+    while not simulation.entry_by_name[successor].election.lease.epoch:
+        simulation.advance(0.1)
+    simulation.without_store.add(successor)
+    simulation.start_entry(successor)
+    simulation.advance(away)
+    simulation.without_store.discard(successor)
+    simulation.advance(LEASE_SECONDS + ECHO_GRACE_SECONDS + 2 * GRANT_SECONDS)
+    assert len(simulation.ledger.starts) > 2
+    assert simulation.ledger.problems == []
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -8,6 +8,8 @@
     CANDIDACY_DELAY_SECONDS,
     ECHO_GRACE_SECONDS,
     LEASE_SECONDS,
+    RENEW_RETRY_SECONDS,
+    RENEW_SECONDS,
     LeaderLease,
     LeaseObservation,
     RenewalGrant,
@@ -120,6 +122,30 @@
         assert election.lease.is_valid(clock.now())
 
 
+# Guards against a lease that is short most of the time while the store is slow.
+@pytest.mark.parametrize("seconds", [0.05, 0.4, 1.1])
+def test_renewals_are_sent_at_their_interval_however_long_they_take(
+    build, store, clock, seconds
+):
+    election = build("a")
+    pause = election.step()
+    transact = store.transact
+
+    def transact_slowly(*arguments, **options):
+        clock.advance(seconds)
+        return transact(*arguments, **options)
+
+    store.transact = transact_slowly
+    election.step()
+    for _ in range(5):
+        sent_at = clock.now()
+        pause = election.step()
+        assert clock.now() + pause - sent_at == pytest.approx(
+            max(RENEW_SECONDS, seconds + RENEW_RETRY_SECONDS)
+        )
+        clock.advance(pause)
+
+
 # Guards against a term without a valid lease while the store carries out renewals and
 # loses most of its answers.
 def test_lease_outlasts_a_series_of_renewals_whose_answers_are_lost(
@@ -344,7 +370,7 @@
     build("a").step()
     (row,) = store.row_by_id.values()
     content = msgspec.msgpack.decode(row.value)
-    for field in ("earlier", "permitting", "echo_seconds"):
+    for field in ("earlier", "permitting", "awaited"):
         content.pop(field)
     content["is_alone"] = False
     store.transact([], [Put(LEADER_ROW, msgspec.msgpack.encode(content))], [])
@@ -455,14 +481,33 @@
     second.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
     assert second.last_echo_at <= clock.now()
     assert restarted.lease.epoch == 3
-    restarted.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
+    restarted.record_entry("a", "a-1", clock.now(), superseded_epoch=1)
     assert restarted.last_echo_at > clock.now()
-    first.step()
-    assert first.superseded_epoch == 3
+    assert first.superseded_epoch == 2
     restarted.record_entry("a", "a-1", clock.now(), first.superseded_epoch)
     assert restarted.last_echo_at <= clock.now()
 
 
+# Guards against taking what the holder of the previous term says of an earlier one for
+# the end of the previous one.
+def test_holder_of_the_previous_term_has_to_know_of_the_present_one(build, clock):
+    first, second = build("a"), build("b")
+    first.step()
+    second.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    second.step()
+    third = build("c")
+    third.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    third.step()
+    assert third.lease.epoch == 3
+    third.record_entry("a", "a-1", clock.now(), superseded_epoch=2)
+    third.record_entry("b", "b-1", clock.now(), superseded_epoch=2)
+    assert third.last_echo_at > clock.now()
+    third.record_entry("b", "b-1", clock.now(), superseded_epoch=3)
+    assert third.last_echo_at <= clock.now()
+
+
 # Guards against an entry that says that it has stopped echoing while it may go on.
 def test_an_entry_that_holds_or_may_hold_a_term_says_nothing_of_its_echoes(
     build, clock
