Lock blocks of ports by abstract sockets, so that all runs see the locks

Two test runs or soaks with different temporary folders listened on the same port: "Address already in use" in test_crashed_worker_refuses_connections_and_returns_at_its_address[0.0], seen once beside a soak with another TMPDIR.

The locks were files below the temporary folder. An abstract Unix socket belongs to the network namespace, as ports do, and is released with its process.

Evidence: two pools of the same range under different temporary folders allocated the same four ports before, and eight different ones now.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,13 +1,12 @@
 """Allocation of TCP ports that prevents collisions between concurrent test runs."""
 
-import fcntl
+import errno
 import itertools
 import socket
-import tempfile
 from contextlib import ExitStack
-from pathlib import Path
 
 HOST = "127.0.0.1"
+LOCK_PREFIX = "bergamotshore-ports"
 # A site in a test needs about 20 ports, a full test run about 1,500.
 BLOCK_PORTS = 50
 
@@ -15,17 +14,19 @@
 class PortPool:
     """Allocate ports from a range, one block at a time.
 
-    A process owns a block by a lock on the block's file, until ``close`` or its exit.
+    A process owns a block by a Unix socket with an abstract name, until ``close`` or
+    its exit. Like ports, such names are common to a network namespace.
     The range must lie below the kernel's ephemeral ports, so that no outgoing
     connection can occupy one of its ports.
 
     :param ports: Range of ports to allocate from.
-    :param folder: Parent folder of the lock files; None for the temporary folder.
+    :param lock_prefix: Begin of the names of the locks; pools with different prefixes
+        do not see the locks of each other.
     """
 
-    def __init__(self, ports, folder=None):
+    def __init__(self, ports, lock_prefix=LOCK_PREFIX):
         self._ports = ports
-        self._folder = Path(folder or tempfile.gettempdir()) / "bergamotshore-ports"
+        self._lock_prefix = lock_prefix
         self._locks = ExitStack()
         self._owned_ports = []
         self._unused = iter(())
@@ -48,9 +49,8 @@
 
     def _lock_block(self):
         """Lock and return another block; cycle through owned ports if none is left."""
-        self._folder.mkdir(exist_ok=True)
         for first in range(self._ports.start, self._ports.stop, BLOCK_PORTS):
-            if not self._try_lock(self._folder / str(first)):
+            if not self._try_lock(first):
                 continue
             block = range(first, min(first + BLOCK_PORTS, self._ports.stop))
             self._owned_ports += block
@@ -59,16 +59,18 @@
             raise RuntimeError(f"other runs have locked all ports of {self._ports}")
         return itertools.cycle(self._owned_ports)
 
-    def _try_lock(self, path):
-        """Lock a block's file until ``close`` or exit; return whether it worked.
+    def _try_lock(self, first):
+        """Lock a block until ``close`` or exit; return whether it worked.
 
-        The lock belongs to the open file, so a second attempt of this process fails.
+        :param first: First port of the block.
         """
         with ExitStack() as attempt:
-            lock = attempt.enter_context(path.open("w"))
+            lock = attempt.enter_context(socket.socket(socket.AF_UNIX))
             try:
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except BlockingIOError:
+                lock.bind(f"\0{self._lock_prefix}-{first}")
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
                 return False
             self._locks.push(attempt.pop_all())
         return True
--- a/tests/demo/test_ports.py
+++ b/tests/demo/test_ports.py
@@ -1,5 +1,8 @@
 """Port allocation of sites that run concurrently."""
 
+import tempfile
+import uuid
+
 import pytest
 
 from standins.ports import BLOCK_PORTS, PortPool
@@ -8,11 +11,12 @@
 
 
 @pytest.fixture
-def open_pool(tmp_path):
+def open_pool():
     pools = []
+    lock_prefix = f"test-{uuid.uuid4().hex}"
 
     def open_new_pool():
-        pools.append(PortPool(PORTS, tmp_path))
+        pools.append(PortPool(PORTS, lock_prefix))
         return pools[-1]
 
     yield open_new_pool
@@ -42,3 +46,15 @@
         second.allocate(1)
     first.close()
     assert second.allocate(1)
+
+
+# Guards against runs that don't see each other's locks and listen on the same port.
+def test_runs_with_different_temporary_folders_get_different_ports(
+    open_pool, tmp_path, monkeypatch
+):
+    allocated = []
+    for name in ("first", "second"):
+        (tmp_path / name).mkdir()
+        monkeypatch.setattr(tempfile, "tempdir", str(tmp_path / name))
+        allocated += open_pool().allocate(4)
+    assert len(set(allocated)) == 8
