--- a/tests/site/test_echo_permissions.py
+++ b/tests/site/test_echo_permissions.py
@@ -15,12 +15,14 @@
     get_last_permitted_echo_time,
     get_last_unpermitted_echo_time,
 )
+from bergamotshore.core.work.model import Step
 from bergamotshore.entry.election import LEADER_ROW, Election
 from bergamotshore.ports.rows import Put
 from bergamotshore.utils.eventlog import EventLog
 from standins.site import RowsStandIn
 
 GRANT_SECONDS = 5.5
+LONG_RUNNING = (Step(tasks=2, cpu=9000, memory=100, is_lasting=True),)
 
 
 @pytest.fixture
@@ -372,3 +374,27 @@
     clock.advance(CANDIDACY_DELAY_SECONDS)
     third.step()
     assert third.lease.epoch == 2
+
+
+# Guards against running tasks twice that a former scheduling entry keeps alive with the
+# permission of a successor that was restarted, while a node reaches only the former.
+@pytest.mark.parametrize("away", [0.5, 1.5, 2.5, 3.5])
+def test_runs_kept_by_the_permission_of_a_restarted_successor_are_not_doubled(
+    simulation, away
+):
+    simulation.submit("watch", LONG_RUNNING)
+    simulation.advance(2.0)
+    former = simulation.leader.name
+    (successor,) = set(simulation.entry_names) - {former}
+    node = next(n for n, r in simulation.runner_by_node.items() if r.run_by_task)
+    simulation.without_store.add(former)
+    simulation.disconnect(successor, node)
+    while not simulation.entry_by_name[successor].election.lease.epoch:
+        simulation.advance(0.1)
+    simulation.without_store.add(successor)
+    simulation.start_entry(successor)
+    simulation.advance(away)
+    simulation.without_store.discard(successor)
+    simulation.advance(LEASE_SECONDS + ECHO_GRACE_SECONDS + 2 * GRANT_SECONDS)
+    assert len(simulation.ledger.starts) > 2
+    assert simulation.ledger.problems == []
