--- a/src/bergamotshore/core/work/echoes.py
+++ b/src/bergamotshore/core/work/echoes.py
@@ -20,15 +20,15 @@
     :param unpermitted_seconds: Time from the writing of the row until it has stopped
         echoing, unless others permit it to go on.
     :param latest_seconds: The same if they permit it.
-    :param permitting: Names of the entries that all have to permit it; None if it asks
-        for no permissions.
+    :param required_permissions: Names of the entries that all have to permit it; None
+        if it asks for no permissions.
     """
 
     name: str
     incarnation: str
     unpermitted_seconds: float
     latest_seconds: float
-    permitting: tuple[str, ...] | None = None
+    required_permissions: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,13 +37,13 @@
 
     :param unpermitted_until: The time unless others permit it to go on, in seconds.
     :param latest_until: The time if they permit it, in seconds.
-    :param permitting: Names of the entries that all have to permit it; None if it asks
-        for no permissions.
+    :param required_permissions: Names of the entries that all have to permit it; None
+        if it asks for no permissions.
     """
 
     unpermitted_until: float
     latest_until: float
-    permitting: tuple[str, ...] | None = None
+    required_permissions: tuple[str, ...] | None = None
 
     def get_until(self, name, permitted_at):
         """Return when it has stopped echoing, as far as an entry knows.
@@ -54,7 +54,7 @@
         :param name: Name of that entry.
         :param permitted_at: When it last permitted echoes, in seconds.
         """
-        if self.permitting is None or name not in self.permitting:
+        if self.required_permissions is None or name not in self.required_permissions:
             return self.latest_until
         permitted_until = get_last_permitted_echo_time(permitted_at)
         return min(self.latest_until, max(self.unpermitted_until, permitted_until))
@@ -64,21 +64,22 @@
         return EchoBound(
             min(self.unpermitted_until, time),
             min(self.latest_until, time),
-            self.permitting,
+            self.required_permissions,
         )
 
 
-def bound_holder(read_at, grant_seconds, permitting):
+def bound_holder(read_at, grant_seconds, required_permissions):
     """Return the ``EchoBound`` of the holder of a lease.
 
     :param read_at: When the row of its last renewal was read first, in seconds.
     :param grant_seconds: Duration of a renewal grant, in seconds.
-    :param permitting: Names of the entries whose permission it needs, or None.
+    :param required_permissions: Names of the entries whose permission it needs; None if
+        it asks for none.
     """
     return EchoBound(
         get_last_unpermitted_echo_time(read_at, grant_seconds),
         get_last_echo_time(read_at + LEASE_SECONDS * (1.0 + 2 * DRIFT_SHARE)),
-        permitting,
+        required_permissions,
     )
 
 
@@ -91,7 +92,7 @@
     return EchoBound(
         read_at + earlier.unpermitted_seconds * rate,
         read_at + earlier.latest_seconds * rate,
-        earlier.permitting,
+        earlier.required_permissions,
     )
 
 
@@ -105,5 +106,5 @@
         *process,
         max(0.0, bound.unpermitted_until - now),
         max(0.0, bound.latest_until - now),
-        bound.permitting,
+        bound.required_permissions,
     )
--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -14,8 +14,8 @@
 permits it. An entry gives this permission only while it does not reach the store
 itself, and knows when it gave the last one.
 
-The entry reads the clock value to echo before it checks lease and permissions: a
-successor relies on no later reading being echoed.
+The entry reads the clock value to echo before it checks lease and permissions, so that
+a pause in between makes the grant shorter, not longer.
 """
 
 from dataclasses import dataclass
@@ -33,8 +33,8 @@
 # Lease, grace period and grant together cover a store outage of 9 s and the second
 # until the next renewal.
 ECHO_GRACE_SECONDS = 4.0
-# Time for which grants outlast the lease without a permission, in seconds. A successor
-# echoes 4 to 5 s after the last renewal.
+# Time for which grants may outlast the lease without a permission, in seconds. Lease
+# and this time together last until a successor echoes, 4 to 5 s after the last renewal.
 HANDOVER_SECONDS = 2.5
 # Validity of a permission to echo, counted from the clock reading of the permitted
 # entry that it carries, in seconds: two heartbeats, one of them late.
@@ -77,17 +77,17 @@
 
 
 def get_last_unpermitted_echo_time(renewed_at, duration):
-    """Return when an entry without permissions sent its last echo, in effect.
+    """Return when an entry without permissions has certainly sent its last echo.
 
-    Grants that end with the lease are shorter than others, as if the last echo had been
-    sent earlier. Until its last renewal, the entry may have given whole ones: the row
+    A grant that ends with the lease is shortened, and counts like a whole one that was
+    given earlier. Until its last renewal, the entry may have given whole ones: the row
     before may have named other entries.
 
     :param renewed_at: Any time after its last renewal was stored, in seconds.
     :param duration: Duration of a renewal grant, in seconds.
     """
-    lasts = max(0.0, LEASE_SECONDS + HANDOVER_SECONDS - duration)
-    return renewed_at + lasts * (1.0 + 3 * DRIFT_SHARE)
+    seconds = max(0.0, LEASE_SECONDS + HANDOVER_SECONDS - duration)
+    return renewed_at + seconds * (1.0 + 3 * DRIFT_SHARE)
 
 
 def get_last_permitted_echo_time(permitted_at):
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -33,6 +33,8 @@
 LEADER_ROW = RowId("leader", "", "scheduler")
 # Name and incarnation that stand for all processes of earlier terms that are not known.
 UNKNOWN = ("", "")
+# Name that stands for an entry that has resigned: the row doesn't keep its own.
+RESIGNED_NAME = "(resigned)"
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +49,8 @@
         clocks of nodes, which grants renewals of worker leases.
     :param earlier: Name and incarnation of each process of an earlier term that may
         still echo; empty if they are not known.
-    :param permitting: Names of the entries without whose permission the holder doesn't
-        echo after its lease; None in rows of holders that ask for none.
+    :param required_permissions: Names of the entries without whose permission the
+        holder doesn't echo after its lease; None in rows of holders that ask for none.
     :param awaited: Until when the processes of earlier terms may echo; None in rows of
         former builds.
     """
@@ -59,7 +61,7 @@
     epoch: int
     is_alone: bool = False
     earlier: tuple[tuple[str, str], ...] = ()
-    permitting: tuple[str, ...] | None = None
+    required_permissions: tuple[str, ...] | None = None
     awaited: tuple[EarlierProcess, ...] | None = None
 
     def is_same_term(self, other):
@@ -173,7 +175,7 @@
         if self._free_since is None:
             self._free_since = now
         delay = self._candidacy_delay
-        if not self._is_free() and self._is_passed_over():
+        if not self._is_free() and self._is_unnamed():
             delay += CANDIDACY_DELAY_SECONDS
         if self._can_schedule() and now - self._free_since >= delay:
             # Each term begins with a write, so the number of a term in a row that can't
@@ -182,13 +184,13 @@
             # Messages that arrive meanwhile are judged by the time of this claim.
             self._acquired_at = now
             if not self._is_own_row():
-                self._reckon_with_predecessors(version, now)
+                self._bound_predecessors(version, now)
             return self._write(epoch, version, "free" if self._is_free() else "lapsed")
         return True
 
-    def _is_passed_over(self):
+    def _is_unnamed(self):
         """Return whether the row names other entries that need not wait for echoes."""
-        named = self.row.permitting if self.row is not None else None
+        named = self.row.required_permissions if self.row is not None else None
         return bool(named) and self.name not in named
 
     def _is_own_row(self):
@@ -202,7 +204,7 @@
     def last_echo_at(self):
         """Return when all processes of earlier terms have stopped echoing, in seconds.
 
-        It is the time of the last echo that grants a whole renewal.
+        A shortened grant counts like a whole one that was given earlier.
         """
         with self._lock:
             return max(
@@ -216,7 +218,7 @@
         )
         return self._bound_by_process[process].get_until(self.name, permitted_at)
 
-    def _reckon_with_predecessors(self, version, now):
+    def _bound_predecessors(self, version, now):
         """Find out which processes of earlier terms may still echo, and until when.
 
         :param version: Version of the row; 0 if there is none.
@@ -230,10 +232,11 @@
             # A holder that resigned has written the row after its last echo.
             if row.name:
                 bound_by_process[row.name, row.incarnation] = bound_holder(
-                    read_at, self._grant_seconds, row.permitting
+                    read_at, self._grant_seconds, row.required_permissions
                 )
             else:
-                bound_by_process["", row.incarnation] = EchoBound(read_at, read_at)
+                resigned = (RESIGNED_NAME, row.incarnation)
+                bound_by_process[resigned] = EchoBound(read_at, read_at)
         with self._lock:
             self._bound_by_process = {
                 process: bound.end_at(self._get_ended_at(process))
@@ -325,6 +328,9 @@
     def get_echo(self, reading, received_at):
         """Return the clock reading of a node to echo to it, or None for no echo.
 
+        A grant lasts from the reading that is echoed, so an earlier reading than the
+        one that was received lets it end with the lease.
+
         :param reading: Last clock reading received, in seconds; 0 for none.
         :param received_at: When it was received, in seconds.
         """
@@ -335,8 +341,8 @@
             return reading
         if not self.lease.is_valid(now):
             return None
-        granted = self.lease.valid_until + HANDOVER_SECONDS - received_at
-        return max(0.0, reading - max(0.0, self._grant_seconds - granted))
+        granted_seconds = self.lease.valid_until + HANDOVER_SECONDS - received_at
+        return max(0.0, reading - max(0.0, self._grant_seconds - granted_seconds))
 
     def _note_ended(self, name, incarnation, echo, superseded_epoch):
         """Note a process that has ended, or knows that its term has."""
@@ -391,7 +397,7 @@
             self._address,
             epoch,
             *self._describe_earlier_terms(sent_at),
-            permitting=self._permissions.begin_request(),
+            required_permissions=self._permissions.add_required(),
             awaited=self._list_awaited(sent_at),
         )
         outcome = self._store.transact(
@@ -436,7 +442,8 @@
             case Success(stored) if (
                 row.is_same_term(self.row) and stored.version != version
             ):
-                # It was sent no earlier than the first one without an answer.
+                # The stored renewal was sent no earlier than the first one that got no
+                # answer.
                 since = self._unanswered[1] if self._unanswered[0] == version else 0.0
                 self._version = stored.version
                 self._record_term(self.row, stored.version, since, reason)
@@ -458,7 +465,7 @@
             self._log.write("term-taken", self.name, epoch=row.epoch, reason=reason)
         self._version = version
         self.row = row
-        self._permissions.set_required(row.permitting)
+        self._permissions.set_required(row.required_permissions)
         self.lease.extend(row.epoch, sent_at)
 
     def stand_back(self, seconds):
--- a/src/bergamotshore/entry/permissions.py
+++ b/src/bergamotshore/entry/permissions.py
@@ -70,7 +70,7 @@
         with self._lock:
             return self._given_at_by_process.get((name, incarnation), 0.0)
 
-    def begin_request(self):
+    def add_required(self):
         """Return the names of the entries to ask, which are required from now on.
 
         Those required before stay so until ``set_required``: the row that names them
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -427,19 +427,19 @@
     def build_heartbeat(self, stream):
         """Return the heartbeat for a stream.
 
-        The clock reading to echo is read before the lease is checked: a successor
-        relies on no later reading being echoed.
+        The clock reading to echo is read before the lease is checked, so that a pause
+        in between makes a grant shorter. Entries get no grants, but the reading itself.
         """
-        reading = stream.peer_clock
-        echo = self.election.get_echo(reading, stream.peer_clock_received_at)
-        epoch = self.dispatcher.epoch if echo is not None else 0
+        echo = stream.peer_clock
+        granting_echo = self.election.get_echo(echo, stream.peer_clock_received_at)
         is_entry = stream.peer is not None and stream.peer.role == "entry"
-        # Echoes among entries grant nothing, and their age matters.
+        if granting_echo is not None and not is_entry:
+            echo = granting_echo
         return Heartbeat(
             sent_at=self.clock.now(),
-            echo=reading if is_entry or echo is None else echo,
+            echo=echo,
             config_version=self.follower.state.configuration.version,
-            epoch=epoch,
+            epoch=self.dispatcher.epoch if granting_echo is not None else 0,
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
--- a/src/bergamotshore/transport/stream.py
+++ b/src/bergamotshore/transport/stream.py
@@ -161,7 +161,8 @@
             case Heartbeat():
                 now = self.loop.clock.now()
                 self._silence.record_heartbeat(now)
-                # Other threads read them in reverse order: the time is never too early.
+                # Set before the reading, which other threads take first: the time that
+                # they find is never earlier than that of their reading.
                 self.peer_clock_received_at = now
                 self.peer_clock = message.sent_at
                 self.handler.on_message(self, message)
--- a/tests/site/test_echo_bounds.py
+++ b/tests/site/test_echo_bounds.py
@@ -95,7 +95,7 @@
     other = entries.build("other")
     entries.exchange(other)
     entries.holder.step()
-    assert entries.holder.row.permitting == ("other",)
+    assert entries.holder.row.required_permissions == ("other",)
     other.step()
     return other
 
@@ -173,12 +173,12 @@
     other = entries.build("other")
     for _ in range(4):
         entries.holder.step()
-        assert entries.holder.row.permitting == ()
+        assert entries.holder.row.required_permissions == ()
         other.step()
         entries.run(RENEW_SECONDS)
     entries.echo()
     entries.exchange(other)
     entries.holder.step()
-    assert entries.holder.row.permitting == ("other",)
+    assert entries.holder.row.required_permissions == ("other",)
     entries.take_over(other)
     assert other.last_echo_at >= entries.last_echo_at
--- a/tests/site/test_echo_permissions.py
+++ b/tests/site/test_echo_permissions.py
@@ -333,7 +333,7 @@
     build("a").step()
     (row,) = store.row_by_id.values()
     content = msgspec.msgpack.decode(row.value)
-    for field in ("earlier", "permitting", "awaited"):
+    for field in ("earlier", "required_permissions", "awaited"):
         content.pop(field)
     content["is_alone"] = False
     store.transact([], [Put(LEADER_ROW, msgspec.msgpack.encode(content))], [])
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -370,7 +370,7 @@
     build("a").step()
     (row,) = store.row_by_id.values()
     content = msgspec.msgpack.decode(row.value)
-    for field in ("earlier", "permitting", "awaited"):
+    for field in ("earlier", "required_permissions", "awaited"):
         content.pop(field)
     content["is_alone"] = False
     store.transact([], [Put(LEADER_ROW, msgspec.msgpack.encode(content))], [])
