Read the row of the lease as soon as the lease has expired

Entries read the row each 0.8 s, so that a takeover came up to 0.8 s after the lease had expired, while the grants of the former scheduling entry ran out. The test fails before.

--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -171,7 +171,11 @@
         if version != self.version:
             self.version = version
             self.first_seen = now
-        return now - self.first_seen > self.lifetime * (1.0 + 2 * DRIFT_SHARE)
+        return self.get_remaining(now) <= 0.0
+
+    def get_remaining(self, now):
+        """Return the time until an unchanged row has certainly expired, in seconds."""
+        return self.first_seen + self.lifetime * (1.0 + 2 * DRIFT_SHARE) - now
 
 
 @dataclass(slots=True)
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -31,6 +31,8 @@
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 LEADER_ROW = RowId("leader", "", "scheduler")
+# Time after the expiry of a lease at which its row is read, in seconds.
+EXPIRY_MARGIN_SECONDS = 0.01
 # Name and incarnation that stand for all processes of earlier terms that are not known.
 UNKNOWN = ("", "")
 # Name that stands for an entry that has resigned: the row doesn't keep its own.
@@ -149,7 +151,10 @@
         """
         if not self.lease.epoch:
             self._observe()
-            return RENEW_SECONDS
+            remaining = self._observation.get_remaining(self._clock.now())
+            if remaining <= 0.0:
+                return RENEW_SECONDS
+            return min(RENEW_SECONDS, remaining + EXPIRY_MARGIN_SECONDS)
         started_at = self._clock.now()
         pause = RENEW_SECONDS if self._renew() else 0.0
         elapsed = self._clock.now() - started_at
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -6,6 +6,7 @@
 
 from bergamotshore.core.work.leases import (
     CANDIDACY_DELAY_SECONDS,
+    DRIFT_SHARE,
     ECHO_GRACE_SECONDS,
     LEASE_SECONDS,
     RENEW_RETRY_SECONDS,
@@ -73,6 +74,25 @@
     assert first.lease.epoch == 0
 
 
+# Guards against a takeover that is late by the interval between two reads of the row,
+# while the grants of the former scheduling entry run out.
+@pytest.mark.parametrize("age", [0.0, 0.3, 0.7])
+def test_lapsed_lease_is_read_as_soon_as_it_has_expired(build, clock, age):
+    first, second = build("a"), build("b")
+    first.step()
+    clock.advance(age)
+    second.step()
+    read_at = clock.now()
+    for _ in range(8):
+        pause = second.step()
+        if second.lease.epoch:
+            break
+        clock.advance(pause)
+    expired_at = read_at + LEASE_SECONDS * (1.0 + 2 * DRIFT_SHARE)
+    assert second.lease.epoch == 2
+    assert clock.now() == pytest.approx(expired_at, abs=0.05)
+
+
 def test_a_restarted_process_reacquires_its_own_lease_without_waiting(build, clock):
     build("a").step()
     restarted = build("a", incarnation=2)
