Echo the clocks of nodes from the claim of the lease on, not from the end of the takeover

A successor that holds the lease echoed only once it had read the open jobs. The holder of the lease is the only one who may grant renewals, so it echoes at once, and tells the nodes at once that it holds it.

--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -439,7 +439,7 @@
             sent_at=self.clock.now(),
             echo=echo,
             config_version=self.follower.state.configuration.version,
-            epoch=self.dispatcher.epoch if granting_echo is not None else 0,
+            epoch=self.election.lease.epoch if granting_echo is not None else 0,
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
@@ -491,7 +491,12 @@
                 seconds=self.stall.seconds,
             )
             self.election.resign()
-        return self.election.step()
+        former_epoch = self.election.lease.epoch
+        pause = self.election.step()
+        if self.election.lease.epoch > former_epoch:
+            # Nodes keep their runs while this entry reads the open jobs.
+            self.directory.send_heartbeats()
+        return pause
 
     @contextlib.contextmanager
     def _surviving(self, service):
--- a/tests/site/test_power_loss.py
+++ b/tests/site/test_power_loss.py
@@ -3,6 +3,8 @@
 import pytest
 
 from bergamotshore.core.work.model import Step
+from bergamotshore.entry import dispatcher
+from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs
 from bergamotshore.generated.messages import Heartbeat
 from tests.fakes import FakeStream
 from tests.site import simulation
@@ -124,3 +126,26 @@
     assert [message.echo for message in stream.sent] == [5.0]
     entry.on_message(stream, Heartbeat(sent_at=5.5, echo=1.0))
     assert len(stream.sent) == 1
+
+
+# Guards against tasks that end while a successor, which holds the lease, reads the open
+# jobs from a store that is slow or loses answers.
+@pytest.mark.parametrize("seconds", [1.5, 3.0, 5.0])
+def test_tasks_go_on_while_a_successor_reads_the_open_jobs(loss, monkeypatch, seconds):
+    site = loss.simulation
+    starts = len(site.ledger.starts)
+    claimed_at = []
+
+    def read_slowly(store, parallel_map):
+        claimed_at.append(site.clock.now())
+        if site.clock.now() - claimed_at[0] < seconds:
+            raise TakeoverFailed("no answer")
+        return read_open_jobs(store, parallel_map)
+
+    monkeypatch.setattr(dispatcher, "read_open_jobs", read_slowly)
+    loss.lose_entry()
+    loss.run(JUDGED_SECONDS)
+    assert site.clock.now() - claimed_at[0] > seconds
+    assert site.leader is not None
+    assert len(site.ledger.starts) == starts
+    assert site.ledger.problems == []
