--- a/tests/site/test_drifting_rounds.py
+++ b/tests/site/test_drifting_rounds.py
@@ -220,7 +220,8 @@
 
 # Guards against grants that outlast what a successor waits for, and against waits that
 # are longer than needed: no task runs twice, and long-running ones run again in time.
-@pytest.mark.parametrize("seed", range(6))
+# The later seeds noticed guards that were taken out.
+@pytest.mark.parametrize("seed", [*range(6), 7, 8, 14, 34])
 def test_no_task_is_doubled_or_lost_while_clocks_drift(clock, seed):
     rounds = play(clock, seed)
     assert rounds.simulation.ledger.problems == []
