--- a/tests/site/test_leaving_rounds.py
+++ b/tests/site/test_leaving_rounds.py
@@ -72,7 +72,7 @@
 # long-running job has to run again in time, whenever workers, nodes and entries left.
 # In the later seeds, workers lose power with their nodes about when the scheduling
 # entry ends.
-@pytest.mark.parametrize("seed", [*range(12), 105, 133, 145, 156, 171])
+@pytest.mark.parametrize("seed", [*range(12), 105, 133, 145, 156, 171, 3498])
 def test_long_running_tasks_run_again_in_time_after_each_round(clock, seed):
     rounds = LeavingRounds(clock, seed)
     rounds.run(3.0)
