--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -46,7 +46,8 @@
 DRIFT_SHARE = 0.02
 # Part of the longest worker lease reserved for the latency of a call, in seconds.
 CALL_MARGIN_SECONDS = 0.5
-MAX_GRANT_SECONDS = 6.0
+# Longest renewal grant. A longer one could outlast those that follow the next renewal.
+MAX_GRANT_SECONDS = LEASE_SECONDS + HANDOVER_SECONDS
 
 
 def get_grant_seconds(longest_hold):
@@ -79,12 +80,13 @@
     """Return when an entry without permissions sent its last echo, in effect.
 
     Grants that end with the lease are shorter than others, as if the last echo had been
-    sent earlier.
+    sent earlier. Until its last renewal, the entry may have given whole ones: the row
+    before may have named other entries.
 
     :param renewed_at: Any time after its last renewal was stored, in seconds.
     :param duration: Duration of a renewal grant, in seconds.
     """
-    lasts = LEASE_SECONDS + HANDOVER_SECONDS - duration
+    lasts = max(0.0, LEASE_SECONDS + HANDOVER_SECONDS - duration)
     return renewed_at + lasts * (1.0 + 3 * DRIFT_SHARE)
 
 
@@ -99,6 +101,7 @@
 # Resources that scheduling needs: a whole core, and four times the 4 Mbit/s that the
 # reports of 70 nodes use. Smaller entries wait before they claim a free lease, so that
 # larger ones can get it first: ``CANDIDACY_DELAY_SECONDS`` for each resource they lack.
+# So do entries that the row of a lapsed lease doesn't name, which wait for more echoes.
 SUFFICIENT_CORES = 1.0
 SUFFICIENT_MBPS = 16.0
 CANDIDACY_DELAY_SECONDS = 1.2
