Use that an earlier process has been replaced, heard before the row was read

An entry that restarts and claims its own lease again waited up to 1 s for the echoes of a process of an earlier term, although it had heard of the process that has replaced it since its start: messages that arrive before the first read of the row were dropped. The row of a former process of the same entry was written before this one started, so such a message is a proof.

--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -116,6 +116,7 @@
         self._bound_by_process = {}
         self._started_at = clock.now()
         self._lock = threading.Lock()
+        self._heard_by_name = {}
         self._read_at_by_process = {}
         self._ended_at_by_process = {}
         self._superseded_from_by_process = {}
@@ -290,6 +291,21 @@
                 # A process that holds another term may echo again.
                 and former.get(process, 0) >= epoch_by_process[process]
             }
+            if row is not None and row.name == self.name and not self._is_own_row():
+                self._note_ended_before_start()
+
+    def _note_ended_before_start(self):
+        """Note the processes in a row of a former process that have been replaced.
+
+        They were there before this process started, so another process of their name
+        that has answered this one since proves their end.
+        """
+        for process in self._read_at_by_process:
+            incarnation, echo, heard_at = self._heard_by_name.get(
+                process[0], (process[1], 0.0, 0.0)
+            )
+            if incarnation != process[1] and echo >= self._started_at:
+                self._ended_at_by_process.setdefault(process, heard_at)
 
     def record_entry(
         self, name, incarnation, echo, superseded_epoch=0, permits_echo=False
@@ -310,6 +326,7 @@
         self._note_ended(name, incarnation, echo, superseded_epoch)
         now = self._clock.now()
         with self._lock:
+            self._heard_by_name[name] = (incarnation, echo, now)
             ended = {
                 process: bound.end_at(now)
                 for process, bound in self._bound_by_process.items()
--- a/tests/site/test_election.py
+++ b/tests/site/test_election.py
@@ -558,6 +558,30 @@
     assert second.last_echo_at > clock.now()
 
 
+# Guards against a restarted entry that claims its own lease again and waits for a
+# process of an earlier term until the next heartbeat of the one that has replaced it.
+@pytest.mark.parametrize(
+    ("incarnation", "is_early"), [(2, False), (2, True), (1, False)]
+)
+def test_restarted_entry_uses_what_it_heard_before_it_read_the_row(
+    build, clock, incarnation, is_early
+):
+    build("a").step()
+    former = build("b")
+    former.step()
+    clock.advance(LEASE_SECONDS * 1.1)
+    former.step()
+    assert former.lease.epoch == 2
+    clock.advance(0.1)
+    restarted = build("b", incarnation=2)
+    echo = clock.now() - 0.1 * is_early
+    restarted.record_entry("a", f"a-{incarnation}", echo)
+    restarted.step()
+    assert restarted.lease.epoch == 3
+    is_proof = incarnation == 2 and not is_early
+    assert (restarted.last_echo_at <= clock.now()) == is_proof
+
+
 # Guards against the same if the entry holds a further term after the message.
 def test_an_entry_that_holds_a_further_term_is_waited_for_again(build, clock):
     first, second, third = build("a"), build("b"), build("c")
