--- a/src/bergamotshore/core/work/leases.py
+++ b/src/bergamotshore/core/work/leases.py
@@ -11,8 +11,8 @@
 An entry that cannot renew its lease makes no further decisions. So that tasks survive
 an outage of the store, it may still echo for ``ECHO_GRACE_SECONDS``, and its grants
 last their whole duration, while each of the entries named in the row of its lease
-permits it. An entry gives this permission only while it does not reach the store
-itself, and knows when it gave the last one.
+permits it. An entry gives this permission only while the store does not answer its
+own reads or its claim of the lease, and knows when it gave the last one.
 
 The entry reads the clock value to echo before it checks lease and permissions, so that
 a pause in between makes the grant shorter, not longer.
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -171,6 +171,8 @@
                 return False
         version = stored.version if stored is not None else 0
         now = self._clock.now()
+        if version != self._observation.version:
+            self._permissions.record_claim(is_open=False)
         has_lapsed = self._observation.observe(version, now)
         self._note_processes(now)
         if not (has_lapsed or self._is_free()):
@@ -422,6 +424,8 @@
             required_permissions=self._permissions.add_required(),
             awaited=self._list_awaited(sent_at),
         )
+        if not self.lease.epoch:
+            self._permissions.record_claim(is_open=True)
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
             [Put(LEADER_ROW, msgspec.msgpack.encode(row))],
@@ -430,6 +434,7 @@
         )
         match outcome:
             case Success(new_version):
+                self._permissions.record_claim(is_open=False)
                 self._record_term(row, new_version, sent_at, reason)
                 return True
             case Failure(RowsConflict()):
--- a/src/bergamotshore/entry/permissions.py
+++ b/src/bergamotshore/entry/permissions.py
@@ -12,10 +12,10 @@
 class EchoPermissions:
     """Track the permissions that this entry gives, and those that it holds.
 
-    An entry gives them with its heartbeats while it does not reach the store, to each
-    entry that it hears of. The scheduling entry names in the row of its lease whose
-    permission it needs, so that a successor that is named there and has given none
-    knows that there were no echoes in the grace period.
+    An entry gives them with its heartbeats while the store does not answer its reads or
+    its claim of the lease, to each entry that it hears of. The scheduling entry names
+    in the row of its lease whose permission it needs, so that a successor that is named
+    there and has given none knows that there were no echoes in the grace period.
 
     :param clock: ``Clock``.
     """
@@ -24,6 +24,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._is_store_lost = False
+        self._is_claim_open = False
         self._heard_at_by_process = {}
         self._given_at_by_process = {}
         self._held_from_by_name = {}
@@ -37,6 +38,14 @@
         with self._lock:
             self._is_store_lost = has_failed
 
+    def record_claim(self, is_open):
+        """Record that a claim of the lease is sent, or that its outcome is known.
+
+        :param is_open: Whether it has no answer: the store may take no writes.
+        """
+        with self._lock:
+            self._is_claim_open = is_open
+
     def record_message(self, name, incarnation, echo, permits_echo):
         """Record a message from another entry.
 
@@ -57,7 +66,7 @@
         process = (name, incarnation)
         with self._lock:
             heard_at = self._heard_at_by_process.get(process)
-            if not self._is_store_lost or heard_at is None:
+            if not (self._is_store_lost or self._is_claim_open) or heard_at is None:
                 return False
             if now - heard_at > ENTRY_HEARD_SECONDS:
                 return False
--- a/tests/site/test_echo_permissions.py
+++ b/tests/site/test_echo_permissions.py
@@ -398,3 +398,29 @@
     simulation.advance(LEASE_SECONDS + ECHO_GRACE_SECONDS + 2 * GRANT_SECONDS)
     assert len(simulation.ledger.starts) > 2
     assert simulation.ledger.problems == []
+
+
+# Guards against tasks that end although the scheduling entry is there, while the store
+# answers reads and carries out writes late.
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_permission_ends_with_the_outcome_of_the_claim(
+    holder, other, store, clock, is_stored
+):
+    for _ in range(3):
+        clock.advance(RENEW_SECONDS)
+        other.step()
+        assert not exchange(clock, other, holder)
+    clock.advance(RENEW_SECONDS)
+    store.faults = ["late"]
+    other.step()
+    assert other.lease.epoch == 0
+    assert exchange(clock, other, holder)
+    permitted_at = clock.now()
+    assert get_grant_end(holder, clock) == permitted_at + GRANT_SECONDS
+    other.step()
+    if is_stored:
+        store.run_late()
+        other.step()
+    assert other.lease.epoch in (2, 3)
+    assert other.last_echo_at == get_last_permitted_echo_time(permitted_at)
+    assert not exchange(clock, other, holder)
