--- a/src/bergamotshore/entry/directory.py
+++ b/src/bergamotshore/entry/directory.py
@@ -102,7 +102,7 @@
                     )
                     view.inventory_at = self.clock.now()
 
-    def add_required(self, node, request_id):
+    def begin_request(self, node, request_id):
         """Record that a request is in flight at a node."""
         with self._lock:
             view = self._view_by_node.get(node)
--- a/src/bergamotshore/entry/router.py
+++ b/src/bergamotshore/entry/router.py
@@ -215,7 +215,7 @@
         )
         with self._lock:
             self._pending_by_id[request_id] = pending
-        self.directory.add_required(node, request_id)
+        self.directory.begin_request(node, request_id)
         self.recorder.record("request-sent", request_id, node)
         if not view.stream.send(message):
             self._remove_pending(pending)
