--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -9,8 +9,8 @@
 # Nodes send a heartbeat every 0.5 s. One that was silent for longer was away, in
 # seconds.
 MAX_SILENCE_SECONDS = 1.3
-# Longest absence of a node whose process alone may have ended, in seconds. Machines
-# without power are away for 3 s and longer in the days that are played.
+# Longest absence of a node whose process alone may have ended, in seconds. A machine
+# that loses power stays away for longer.
 MAX_RESTART_SECONDS = 2.0
 # Streams of nodes that lose power together are lost within this time of each other, in
 # seconds: two passes of the scheduling entry.
