--- a/tests/site/test_outage_endings.py
+++ b/tests/site/test_outage_endings.py
@@ -1,4 +1,4 @@
-"""Outages of the store in which an entry ends that doesn't schedule."""
+"""Outages of the store in which an entry ends."""
 
 import pytest
 
@@ -35,3 +35,25 @@
     simulation.advance(3.0)
     assert len(simulation.ledger.starts) == starts
     assert len(simulation.running) == LASTING[0].tasks
+
+
+# Guards against an outage in which all long-running tasks end because the scheduling
+# entry is killed at its begin, before others permit whole grants.
+@pytest.mark.parametrize("phase", [0.0, 0.2, 0.4, 0.6])
+def test_tasks_survive_an_outage_in_which_the_scheduling_entry_restarts(clock, phase):
+    simulation = Simulation(clock, entries=3, nodes=4)
+    simulation.advance(3.0)
+    simulation.submit("job", LASTING)
+    simulation.advance(5.0 + phase)
+    starts = len(simulation.ledger.starts)
+    leader = simulation.leader.name
+    simulation.store.is_down = True
+    simulation.advance(1.0)
+    simulation.kill_entry(leader)
+    simulation.advance(1.0)
+    simulation.start_entry(leader)
+    simulation.advance(OUTAGE_SECONDS - 2.0)
+    simulation.store.is_down = False
+    simulation.advance(8.0)
+    assert len(simulation.ledger.starts) == starts
+    assert len(simulation.running) == LASTING[0].tasks
