--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -8,6 +8,7 @@
 import os
 import re
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -129,9 +130,11 @@
         self.service = options.get("service", SERVICE)
         self.cpu = options.get("cpu", 16_000)
         self.mem = options.get("mem", 64_000)
+        self.kind = options.get("kind", "a")
         self.port = port
         self.control = node_control
         self.is_racked = True
+        self.is_leaving = False
         self.process = None
         self.life = 0
         self.id = ""
@@ -153,6 +156,7 @@
             "zone": self.zone,
             "rack": self.rack,
             "machine": self.machine,
+            "kind": self.kind,
             "events": str(self.deployment.events_path),
             "port": self.port,
             "cpu": self.cpu,
@@ -165,6 +169,21 @@
             command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL
         )
 
+    def replace(self, pause=0.5):
+        """Let the worker leave as planned; a new life follows on its machine."""
+        self.is_leaving = True
+        self.deployment.record("release", worker=self.name)
+        self.process.send_signal(signal.SIGUSR2)
+        try:
+            self.process.wait(timeout=20.0)
+        except subprocess.TimeoutExpired:
+            return
+        self.is_leaving = False
+        if not self.deployment.machines.is_in_upkeep(self.machine):
+            time.sleep(pause)
+            self.start()
+            self.deployment.record("released", worker=self.name)
+
     def kill(self):
         """Crash the worker: its process is gone, and connections are refused."""
         if self.is_up:
--- a/review/stand/machines.py
+++ b/review/stand/machines.py
@@ -32,6 +32,10 @@
         """Return how many machines are down for their upkeep in a wave."""
         return sum(number == wave for number in self._wave_by_machine.values())
 
+    def is_in_upkeep(self, machine):
+        """Return whether a machine is down for its upkeep."""
+        return machine in self._wave_by_machine
+
     def answer(self, method, path, headers, body):
         """Answer one call."""
         import json
@@ -53,7 +57,7 @@
                     "pool": worker.service,
                     "state": self._get_state(worker),
                     "zone": worker.zone,
-                    "labels": ["a", worker.rack],
+                    "labels": [worker.kind, worker.rack],
                     "capacity": {"cpu": worker.cpu, "mem_mb": worker.mem, "gpu": 0},
                     "id": worker.id if self._get_state(worker) == "up" else None,
                 }
@@ -83,7 +87,7 @@
                 return 409, {"reason": "wave"}
             if (wave, name) in self.done:
                 return 200, {}
-            if self._get_state(worker) != "up":
+            if self._get_state(worker) != "up" or worker.is_leaving:
                 return 409, {"reason": "busy"}
             down = self.count_down(wave)
             self.done.add((wave, name))
--- a/review/stand/worker.py
+++ b/review/stand/worker.py
@@ -4,11 +4,13 @@
 work, with percent 100, after ``ms``, and never end by themselves.
 
 SIGUSR1 crashes the worker: it runs nothing any more, and is silent (it takes
-connections, and answers nothing) for good.
+connections, and answers nothing) for good. SIGUSR2 lets it leave as planned: it reports
+that it drains, serves for some seconds after the acknowledgement, and ends.
 """
 
 import argparse
 import json
+import os
 import signal
 import threading
 import time
@@ -32,8 +34,11 @@
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.is_dark = False
+        self.is_draining = False
+        self.leaves_at = float("inf")
         self.fence = 0
         self.lease_end_ms = 0
+        self.is_lapsed = False
         self.run_by_task = {}
         self.refused_number_by_task = {}
         self.ends = []
@@ -160,6 +165,10 @@
         """Lose everything and answer nothing from now on."""
         self.is_dark = True
 
+    def leave(self, *_):
+        """Report that the worker drains, then end."""
+        self.is_draining = True
+
     def run(self):
         """End tasks when they are due and send reports, until the process is killed."""
         threading.Thread(target=self._send_reports, daemon=True).start()
@@ -178,6 +187,9 @@
     def _end_due(self):
         now = time.monotonic()
         is_over = self.clock_ms >= self.lease_end_ms
+        if is_over and not self.is_lapsed and self.lease_end_ms:
+            self.record("lease-lapsed")
+        self.is_lapsed = is_over
         for task, run in list(self.run_by_task.items()):
             if is_over:
                 self._end(task, "lapsed")
@@ -196,18 +208,42 @@
                 "zone": options.zone,
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": "draining" if self.is_draining else "ready",
                 "warmup_left_ms": 0,
                 "capacity": {"cpu": options.cpu, "mem_mb": options.mem, "gpu": 0},
-                "labels": ["a", options.rack],
+                "labels": [options.kind, options.rack],
                 "machine": options.machine,
                 "clock_ms": self.clock_ms,
                 "seq": sequence,
                 "born": self.born,
             }
+            if self.is_draining:
+                left = min(self.leaves_at - time.monotonic(), options.drain_seconds)
+                report["remaining_ms"] = max(0, int(left * 1000))
             path = f"/instances/{options.id}"
             status, _ = call(options.control, "PUT", path, report, timeout=1.0)
-            time.sleep(BEAT_SECONDS if status == 200 else 0.3)
+            if status == 200 and report["state"] == "draining":
+                self._acknowledge_leaving(path)
+            self._pause(BEAT_SECONDS if status == 200 else 0.3, report["state"])
+
+    def _acknowledge_leaving(self, path):
+        """Note the first acknowledgement; end when the time is over."""
+        now = time.monotonic()
+        if self.leaves_at == float("inf"):
+            self.record("leaving-acknowledged")
+            self.leaves_at = now + self.options.drain_seconds
+        elif now >= self.leaves_at:
+            call(self.options.control, "DELETE", path, timeout=1.0)
+            self.record("left")
+            os._exit(0)
+
+    def _pause(self, seconds, state):
+        """Wait until the next report, less if the worker begins to drain."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < min(deadline, self.leaves_at):
+            time.sleep(0.02)
+            if self.is_draining and state == "ready":
+                return
 
 
 def _get_percent(run, now):
@@ -224,9 +260,12 @@
     parser.add_argument("--events", required=True)
     for name, default in (("port", 0), ("cpu", 16000), ("mem", 64000)):
         parser.add_argument(f"--{name}", type=int, default=default)
+    parser.add_argument("--kind", default="a")
+    parser.add_argument("--drain-seconds", type=float, default=4.0)
     parser.add_argument("--max-hold-ms", type=int, default=10_000)
     worker = Worker(parser.parse_args())
     signal.signal(signal.SIGUSR1, worker.crash_silently)
+    signal.signal(signal.SIGUSR2, worker.leave)
     worker.run()
 
 
