--- a/review/stand/wire.py
+++ b/review/stand/wire.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import socket
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -86,7 +87,7 @@
 
 def find_ports(count):
     """Return free ports of loopback outside the range of outgoing connections."""
-    ports, port = [], 21_000 + (hash(find_ports) // 64) % 4_000
+    ports, port = [], 20_000 + os.getpid() % 120 * 100
     while len(ports) < count:
         port += 1
         with socket.socket() as sock:
