--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -198,10 +198,21 @@
     :param folder: Folder of the case; ``record.txt`` is written there.
     :param entries: Number of entries.
     :param workers: Number of workers, each with a node.
-    :param routes: Further fields of the route, or None.
+    :param route: Further fields of the route, or None.
+    :param worker_options: Options of workers by number, or None.
+    :param choose_limits: Function of the names and control addresses of the entries
+        that returns the ``limits`` of each; all are alike if None.
     """
 
-    def __init__(self, folder, entries=3, workers=11, route=None, worker_options=None):
+    def __init__(
+        self,
+        folder,
+        entries=3,
+        workers=11,
+        route=None,
+        worker_options=None,
+        choose_limits=None,
+    ):
         self.case_folder = Path(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.events_path = self.folder / "events.jsonl"
@@ -236,11 +247,16 @@
             "seeds": self.seeds,
             "ip": HOST,
         }
+        names = [f"edge-{ZONES[n % len(ZONES)]}-{n}" for n in range(entries)]
+        addresses = [f"{HOST}:{item[0]}" for item in entry_ports]
+        limits = [{"cpu_share": 0.537, "cores": 2, "link_mbps": 1000.0}] * entries
+        if choose_limits is not None:
+            limits = choose_limits(names, addresses)
         for number, (control, front, ready, first, second) in enumerate(entry_ports):
             zone = ZONES[number % len(ZONES)]
             values = {
                 **common,
-                "node": f"edge-{zone}-{number}",
+                "node": names[number],
                 "zone": zone,
                 "listen": {
                     "front": f"{HOST}:{front}",
@@ -248,7 +264,7 @@
                     "control": f"{HOST}:{control}",
                 },
                 "port_range": [first, second],
-                "limits": {"cpu_share": 0.537, "cores": 2, "link_mbps": 1000.0},
+                "limits": limits[number],
             }
             self.entries.append(Program(self, "entry", values))
         for number in range(workers):
--- a/review/stand/worker.py
+++ b/review/stand/worker.py
@@ -5,7 +5,8 @@
 
 SIGUSR1 crashes the worker: it runs nothing any more, and is silent (it takes
 connections, and answers nothing) for good. SIGUSR2 lets it leave as planned: it reports
-that it drains, serves for some seconds after the acknowledgement, and ends.
+that it drains, serves for some seconds after the acknowledgement, and ends. SIGWINCH
+makes it unhealthy, so that it rejects each start with 503, and sound again.
 """
 
 import argparse
@@ -34,6 +35,7 @@
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.is_dark = False
+        self.is_unhealthy = False
         self.is_draining = False
         self.leaves_at = float("inf")
         self.fence = 0
@@ -75,6 +77,9 @@
         if method != "POST":
             return 200, {}
         request = json.loads(body)
+        if self.is_unhealthy and path == "/run-start":
+            self.record("rejected", task=request["task"], run=request["run"])
+            return 503, self._common()
         with self.changed:
             if request.get("fence", 0) < self.fence:
                 return 409, {**self._common(), "reason": "fence"}
@@ -165,6 +170,10 @@
         """Lose everything and answer nothing from now on."""
         self.is_dark = True
 
+    def turn_unhealthy(self, *_):
+        """Reject each start from now on, or no longer."""
+        self.is_unhealthy = not self.is_unhealthy
+
     def leave(self, *_):
         """Report that the worker drains, then end."""
         self.is_draining = True
@@ -266,6 +275,7 @@
     worker = Worker(parser.parse_args())
     signal.signal(signal.SIGUSR1, worker.crash_silently)
     signal.signal(signal.SIGUSR2, worker.leave)
+    signal.signal(signal.SIGWINCH, worker.turn_unhealthy)
     worker.run()
 
 
