--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -440,6 +440,7 @@
         returns a list of breaches.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     deployment = Deployment(folder, **options)
     breaches, code = [], 2
     try:
