--- a/review/stand-2/stand_in_worker.py
+++ b/review/stand-2/stand_in_worker.py
@@ -194,14 +194,17 @@
             return [task for task, _ in self._life.running]
 
     def serve(self, method, path, body, headers):
-        """Answer a call of the node."""
-        call = json.loads(body)
-        life = self._life
+        """Answer a call of the node; while the worker hangs, none is answered."""
+        answer = (0, {}) if self.is_hanging else self._carry_out(path, body, headers)
         if self.is_hanging:
-            # The call is neither carried out nor answered.
+            answer = (0, {})
             while self.is_hanging and not self._is_closed:
                 time.sleep(TICK_SECONDS)
-            return 0, {}
+        return answer
+
+    def _carry_out(self, path, body, headers):
+        call = json.loads(body)
+        life = self._life
         with self._changed:
             expected = headers.get("X-Expect-Instance")
             if not self.is_up or life is not self._life:
@@ -270,7 +273,7 @@
         deadline = time.monotonic() + call.get("wait_ms", 0) / 1000
         while not life.ends and time.monotonic() < deadline:
             self._changed.wait(deadline - time.monotonic())
-            if not self.is_up or life is not self._life or self.is_hanging:
+            if not self.is_up or life is not self._life:
                 return 0, {}
         running = [
             [task, number, "", self._get_percent(run), 0.1]
