--- a/review/stand-2/deployment.py
+++ b/review/stand-2/deployment.py
@@ -10,6 +10,7 @@
 import time
 from pathlib import Path
 
+from stand_in_advice import AdviceService
 from stand_in_store import HOST, Store
 from stand_in_worker import Record, Worker
 
@@ -86,9 +87,13 @@
     :param get_work: See ``Worker``.
     :param retries: Failed runs of a task after which its job has failed.
     :param zone: Name of the zone, which is part of the names of machines.
+    :param advice: Policy of the queue's advice: ``decide_ms``, ``period_ms`` and
+        ``valid_ms``; None for a queue without advice.
     """
 
-    def __init__(self, entries, nodes, get_work, retries=4, zone="zone-a"):
+    def __init__(
+        self, entries, nodes, get_work, retries=4, zone="zone-a", advice=None
+    ):
         self.zone = zone
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.record = Record()
@@ -97,6 +102,9 @@
         self.entries = []
         self.nodes = []
         self.workers = []
+        self.advice = None
+        if advice is not None:
+            self.advice = AdviceService(self.record, **advice)
         route = {
             "name": QUEUE,
             "host": HOST_NAME,
@@ -107,6 +115,8 @@
             "extension": 1.5,
             "slo_ms": 1000,
         }
+        if self.advice is not None:
+            route["advice"] = self.advice.policy
         self.store.put(
             "op",
             "config",
@@ -139,6 +149,7 @@
             "site": {
                 "ready": f"{HOST}:{ready}",
                 "metrics": f"{HOST}:{metrics}",
+                "advice": self.advice.address if self.advice is not None else "",
                 "state_kept": 120,
                 "config_within_ms": 2000,
                 "cancel_within_ms": 3000,
@@ -158,6 +169,7 @@
     def _add_node(self, index, peers, get_work):
         worker = Worker(f"i-7f3a91c{index}", self.record, get_work)
         worker.zone = self.zone
+        worker.advice = self.advice
         worker.rack = f"r{index // 3}"
         control, metrics = find_port(), find_port()
         worker.control = f"{HOST}:{control}"
@@ -247,6 +259,8 @@
             program.kill()
         for worker in self.workers:
             worker.close()
+        if self.advice is not None:
+            self.advice.close()
         self.store.close()
 
     def save(self, folder, with_logs=False):
--- a/review/stand-2/stand_in_worker.py
+++ b/review/stand-2/stand_in_worker.py
@@ -138,6 +138,7 @@
         self.service = "books"
         self.is_up = True
         self.is_hanging = False
+        self.advice = None
         self._record = record
         self._get_work = get_work
         self._cpu = cpu
@@ -246,6 +247,10 @@
             return 200, self._say({})
         if number <= life.last_run.get(task, 0):
             return 409, self._say({"reason": "old"})
+        if self.advice is not None and not self.advice.is_valid(
+            task, self.name, call.get("ticket", "")
+        ):
+            return 409, self._say({"reason": "ticket"})
         if life.lease_ms <= life.clock_ms():
             return 409, self._say({"reason": "late"})
         run = Run(
