--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 shopt -s nullglob
 cd "$(dirname "$0")"
-python3 - stand-2/*.py [6-9]/case.py 10/case.py <<'P'
+python3 - stand-2/*.py [6-9]/case.py 1[0]/case.py <<'P'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/stand-2/deployment.py
+++ b/review/stand-2/deployment.py
@@ -91,9 +91,7 @@
         ``valid_ms``; None for a queue without advice.
     """
 
-    def __init__(
-        self, entries, nodes, get_work, retries=4, zone="zone-a", advice=None
-    ):
+    def __init__(self, entries, nodes, get_work, retries=4, zone="zone-a", advice=None):
         self.zone = zone
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.record = Record()
