--- a/review/stand-2/stand_in_worker.py
+++ b/review/stand-2/stand_in_worker.py
@@ -14,6 +14,9 @@
 MAX_LISTED_ENDS = 500
 HEARTBEAT_SECONDS = 1.1
 TICK_SECONDS = 0.01
+# Tasks of this much work last, and are at work after their startup.
+LASTING_SECONDS = 3600.0
+STARTUP_SECONDS = 0.4
 
 
 @dataclass
@@ -292,7 +295,10 @@
 
     def _get_percent(self, run):
         seconds, _ = self._get_work(run.task, run.number)
-        return min(99, int(100 * (self._record.now() - run.started) / seconds))
+        worked = self._record.now() - run.started
+        if seconds >= LASTING_SECONDS:
+            return 100 if worked >= STARTUP_SECONDS else 50
+        return min(99, int(100 * worked / seconds))
 
     def _finish(self, life, run, how):
         run.ended, run.how = self._record.now(), how
