--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,11 @@
 """Many users come at once, and jobs that need advice never start any more."""
 
 import os
+import signal
 import sys
 import threading
 import time
+import traceback
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -101,12 +103,18 @@
 
 def main():
     """Run the case."""
-    site = Deployment(entries=3, nodes=WORKERS, get_work=get_work, advice=ADVICE)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    site = None
+    result = 2
     try:
+        site = Deployment(entries=3, nodes=WORKERS, get_work=get_work, advice=ADVICE)
         result = run(site)
+    except Exception:
+        traceback.print_exc()
     finally:
-        site.close()
-        site.save(HERE, os.environ.get("LOGS"))
+        if site is not None:
+            site.close()
+            site.save(HERE, os.environ.get("LOGS"))
     return result
 
 
