Settings and view of the decisions under load, and what estimates durations

Five parts are built side by side for two customers with hard load. They share the section site.scheduling of the settings (each part off by default), the view of a planning pass that carries it, and DurationEstimates, which tells the declared duration until something is learned. No behaviour changes.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -11,6 +11,7 @@
 
 from bergamotshore.core.work.advice import AdviceTracker
 from bergamotshore.core.work.containment import changes_state
+from bergamotshore.core.work.durations import DurationEstimates
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.progress import JobProgress
@@ -75,6 +76,7 @@
         self.interference = Interference()
         self.advice = AdviceTracker()
         self.step_durations = StepDurations()
+        self.durations = DurationEstimates()
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, replace
 
 from bergamotshore.core.work.containment import ErrorCollector
+from bergamotshore.generated.settings import Scheduling
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,7 @@
     :param is_urgent_by_draining_node: Whether the drain is urgent, by node that is
         being drained for maintenance.
     :param slow_keys: Keys of runs that would finish earlier on another worker.
+    :param scheduling: ``Scheduling``: the decisions under load that are switched on.
     :param collector: ``ErrorCollector`` of the errors that are contained in the pass;
         the default raises them.
     """
@@ -29,6 +31,7 @@
     is_excluded: object
     is_urgent_by_draining_node: dict = field(default_factory=dict)
     slow_keys: frozenset = frozenset()
+    scheduling: Scheduling = Scheduling()
     collector: ErrorCollector = field(
         default_factory=lambda: ErrorCollector(is_strict=True)
     )
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -44,6 +44,7 @@
 from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs, write_fences
 from bergamotshore.exceptions import DecodingError, StateError
 from bergamotshore.generated.messages import RunReport, RunResults
+from bergamotshore.generated.settings import Scheduling
 from bergamotshore.utils.eventlog import describe_error
 
 # Longest wait for an event before the next scheduling pass, in seconds.
@@ -68,6 +69,7 @@
 # An entry whose term ended by an unexpected error leaves the next one to others for
 # this time, in seconds.
 STAND_BACK_SECONDS = 4.0
+NO_DECISIONS_UNDER_LOAD = Scheduling()
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
     :param advice_calls: Executor that runs its calls one at a time.
     :param machines: ``MachineService``; None without one.
     :param machine_calls: Executor that runs its calls one at a time.
+    :param scheduling: ``Scheduling``: the decisions under load that are switched on.
     """
 
     def __init__(
@@ -158,7 +161,9 @@
         advice_calls=None,
         machines=None,
         machine_calls=None,
+        scheduling=NO_DECISIONS_UNDER_LOAD,
     ):
+        self.scheduling = scheduling
         self.machines = machines
         self.machine_calls = machine_calls
         self.store = store
@@ -603,6 +608,7 @@
             with self.collector.containing("outcomes", completion.node):
                 self.suspicion.record_fact(completion)
                 self.cluster.step_durations.record_fact(completion)
+                self.cluster.durations.record_outcome(completion)
                 self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
@@ -631,6 +637,7 @@
                 self.cluster, now
             ),
             slow_keys=self._slow_keys,
+            scheduling=self.scheduling,
             collector=ErrorCollector(left_out=self._list_left_out(now)),
         )
         orders_by_node = {}
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -228,6 +228,7 @@
             if self.site.machines
             else None,
             self.machine_executor,
+            scheduling=self.site.scheduling,
         )
 
     def _build_small_server(self, app, address):
