Take absence from a cut-off list of ends for no proof

Each list and report now says whether it is complete, and ReportedRuns answers for a run only what the report proves. Orders without an answer stay undecided until a complete list, and runs of an earlier life are kept until then. Ends before the cut are acknowledged as ever, so that the next list shows the rest.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -271,8 +271,7 @@
         restarted unnoticed just before an order reached it, so runs that the current
         incarnation has, or may have, are moved to it.
 
-        :param present: Keys of runs that are running, have an unresolved order or have
-            ended without being acknowledged.
+        :param present: ``ReportedRuns``.
         """
         if (
             worker.incarnation is not None
@@ -281,9 +280,11 @@
             worker.incarnation = incarnation
             return
         for allocation in list(worker.allocation_by_key.values()):
-            if allocation.born != incarnation.started_ms and allocation.key in present:
+            if allocation.born == incarnation.started_ms:
+                continue
+            if present.may_include(allocation.key):
                 self._rebind(allocation, incarnation)
-            elif allocation.born != incarnation.started_ms:
+            else:
                 self.release(worker, allocation, "life-over", now)
         if worker.incarnation is not None:
             worker.last_recorded_sequence = 0
@@ -372,13 +373,12 @@
     def release_absent(self, worker, present, stream, now):
         """Release the runs that a report proves to be absent.
 
-        :param present: Keys of runs that are running, have an unresolved order or have
-            ended without being acknowledged.
+        :param present: ``ReportedRuns``.
         :param stream: Stream of the report; each order sent on it gets its own answer,
             so its runs are not released here before they have started.
         """
         for allocation in list(worker.allocation_by_key.values()):
-            if allocation.key in present or allocation.sent_at == 0.0:
+            if present.may_include(allocation.key) or allocation.sent_at == 0.0:
                 continue
             has_pending_start = (
                 allocation.stream is stream and not allocation.is_started
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -19,6 +19,7 @@
 from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.core.work.outlasting import OutlastingRunTracker
+from bergamotshore.core.work.presence import get_reported_runs
 from bergamotshore.core.work.progress import JobProgress, restore_crashes
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
@@ -489,14 +490,12 @@
         restart = self.directory.get_restart(worker.node)
         if restart is None or not report.has_missed_end or worker.is_draining:
             return {}
-        present = {(task, number) for task, number, *_ in report.running}
-        present.update((task, number) for _, task, number, *_ in report.ended)
-        present.update(report.doubtful)
+        present = get_reported_runs(report)
         runs = [
             run
             for run in worker.allocation_by_key.values()
             if run.born != report.born
-            and run.key not in present
+            and not present.may_include(run.key)
             and run.sent_at
             and not run.is_crash_recorded
         ]
--- a/src/bergamotshore/entry/reports.py
+++ b/src/bergamotshore/entry/reports.py
@@ -2,6 +2,7 @@
 
 from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.model import build_worker_size
+from bergamotshore.core.work.presence import get_reported_runs
 from bergamotshore.ports.runner import ListedCompletion, ListedRun, WorkerIncarnation
 
 
@@ -19,8 +20,7 @@
     worker.has_failed_report = True
     running = [ListedRun(*row) for row in report.running]
     ended = [ListedCompletion(*row) for row in report.ended]
-    present = {(item.task, item.number) for item in (*running, *ended)}
-    present.update(report.doubtful)
+    present = get_reported_runs(report)
     cluster.record_incarnation(
         worker, WorkerIncarnation(report.worker, report.born), present, now
     )
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -87,6 +87,7 @@
         self.is_answering = False
         self.running = []
         self.ended = []
+        self._is_list_complete = True
         self._acknowledgement = Acknowledgement()
         self._fence = int(clock.wall() * 1_000_000)
         self._lock = threading.Lock()
@@ -466,16 +467,18 @@
             self._started_at_by_key = {
                 key: at
                 for key, at in self._started_at_by_key.items()
-                if key not in listed_keys and at > sent_at
+                if key not in listed_keys and (at > sent_at or not listing.is_complete)
             }
             for key, order in list(self._unresolved_by_key.items()):
-                if not order.is_in_flight and order.fence < fence:
+                is_decided = key in listed_keys or listing.is_complete
+                if not order.is_in_flight and order.fence < fence and is_decided:
                     del self._unresolved_by_key[key]
                     outcomes.append(
                         (*key, "started" if key in listed_keys else "not-run")
                     )
             self.running = listing.running
             self.ended = listing.ended
+            self._is_list_complete = listing.is_complete
             running_keys = {(run.task, run.number) for run in listing.running}
             self._lost_runs.record_present(
                 {*running_keys, *self._started_at_by_key}, now
@@ -621,6 +624,7 @@
             doubtful=list(self._unresolved_by_key),
             is_gone=self._is_worker_down,
             has_missed_end=self._has_missed_end,
+            is_complete=self._is_list_complete,
             lost=self._lost_runs.list_recent(now),
         )
 
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -25,6 +25,8 @@
 REASON_BY_STATUS = {400: "invalid", 421: "other-life", 429: "busy", 503: "busy"}
 STATE_DRAINING = "draining"
 WORKER_STATES = {"ready", STATE_DRAINING}
+# A worker lists at most this many ends at a time.
+MAX_LISTED_ENDS = 500
 
 
 class WireAnswer(msgspec.Struct, frozen=True):
@@ -230,7 +232,8 @@
 def _decode_listing(answer):
     running = [_decode_run(row) for row in answer.running]
     ended = [ListedCompletion(*row) for row in answer.finished]
-    return WorkerListing(answer.clock_ms, answer.born, running, ended)
+    is_complete = len(ended) < MAX_LISTED_ENDS
+    return WorkerListing(answer.clock_ms, answer.born, running, ended, is_complete)
 
 
 def _decode_run(row):
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -82,12 +82,14 @@
         not reported.
     :param running: List of ``ListedRun``.
     :param ended: List of ``ListedCompletion``.
+    :param is_complete: Whether ``ended`` names all unacknowledged completions.
     """
 
     clock_ms: int
     started_ms: int
     running: list
     ended: list
+    is_complete: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/site.py
+++ b/standins/site.py
@@ -27,6 +27,8 @@
     WorkerReport,
 )
 
+# A worker lists at most this many ends at a time.
+MAX_LISTED_ENDS = 500
 SERVICE = "books"
 LONGEST_HOLD_SECONDS = 6.0
 # The worker's clock runs this much slower than true time by default.
@@ -464,8 +466,10 @@
             ListedRun(task, number, self._save(task, number), self.percent, self.usage)
             for task, number in self.run_by_task.items()
         ]
+        ends = self.ends[:MAX_LISTED_ENDS]
+        is_complete = len(ends) < MAX_LISTED_ENDS
         return Success(
-            WorkerListing(self.clock_ms, self.born, running, list(self.ends))
+            WorkerListing(self.clock_ms, self.born, running, ends, is_complete)
         )
 
     @property
