Ask the advice service only while it is free, for the most urgent step

The planner now asks one question at a time, for the first step in scheduling order that needs one at that moment, so that none waits behind others; steps that have ended or need nothing any more are not asked about. Validity counts from the call.

The new tests, at 0.5 to 4 times the rate of the service in virtual time, fail at 1, 2 and 4 before.

--- a/src/bergamotshore/core/work/advice.py
+++ b/src/bergamotshore/core/work/advice.py
@@ -30,23 +30,27 @@
 class StepAdvice:
     """Answers of the advice service for one step.
 
-    :param is_query_in_flight: Whether a query is in flight.
     :param retry_at: Earliest time of the next query after a failure, in seconds.
     :param ticket_by_incarnation: Ticket and its expiry time, by worker incarnation.
     :param refused_workers: Names of workers that may not run the step.
     """
 
-    is_query_in_flight: bool = False
     retry_at: float = 0.0
     ticket_by_incarnation: dict = field(default_factory=dict)
     refused_workers: set = field(default_factory=set)
 
 
 class AdviceTracker:
-    """Store tickets and build queries for missing ones."""
+    """Store tickets and build queries for missing ones.
+
+    The service answers one query at a time, and tickets expire soon after it was asked.
+    So there is one query at a time, for the first step in scheduling order that needs
+    one at that moment; no query waits for another one.
+    """
 
     def __init__(self):
         self._advice_by_step = {}
+        self._query_in_flight = None
 
     def get_ticket(self, step, incarnation, now):
         """Return a valid ticket of a step for a worker incarnation, or an empty string.
@@ -64,11 +68,15 @@
     def plan_query(self, step, name, workers, now):
         """Return the ``AdviceQuery`` to send for a waiting step, or None.
 
+        Has to be called in scheduling order.
+
         :param workers: Workers with free capacity for a task of the step, the best
             first.
         """
+        if self._query_in_flight is not None:
+            return None
         advice = self._advice_by_step.setdefault(step, StepAdvice())
-        if advice.is_query_in_flight or now < advice.retry_at:
+        if now < advice.retry_at:
             return None
         incarnation_by_node = {}
         for worker in workers:
@@ -80,8 +88,8 @@
                 break
         if not incarnation_by_node:
             return None
-        advice.is_query_in_flight = True
-        return AdviceQuery(step, name, incarnation_by_node)
+        self._query_in_flight = AdviceQuery(step, name, incarnation_by_node)
+        return self._query_in_flight
 
     def record_answer(self, query, ticket_by_worker, expires_at):
         """Store the answer to a query.
@@ -89,8 +97,8 @@
         :param ticket_by_worker: Ticket by name of the workers that may run the step.
         :param expires_at: Time at which the tickets expire, in seconds.
         """
+        self._query_in_flight = None
         advice = self._advice_by_step.setdefault(query.step, StepAdvice())
-        advice.is_query_in_flight = False
         for incarnation in query.incarnation_by_node.values():
             ticket = ticket_by_worker.get(incarnation.worker)
             if ticket is None:
@@ -105,8 +113,8 @@
 
     def record_failure(self, query, now):
         """Record that a query failed, and delay the next one."""
+        self._query_in_flight = None
         advice = self._advice_by_step.setdefault(query.step, StepAdvice())
-        advice.is_query_in_flight = False
         advice.retry_at = now + RETRY_SECONDS
 
     def prune(self, open_jobs):
--- a/src/bergamotshore/entry/advice.py
+++ b/src/bergamotshore/entry/advice.py
@@ -13,7 +13,7 @@
 
     :param epoch: Term in which it was sent.
     :param question: ``AdviceQuery``.
-    :param requested_at: Time of the request, in seconds.
+    :param requested_at: When the service was called, in seconds.
     :param outcome: ``Result`` of ticket by worker and validity in seconds.
     """
 
@@ -45,9 +45,12 @@
         if self.advisor is None:
             cluster.advice.record_failure(question, now)
             return
-        self.calls.submit(self._run, question, epoch, now)
+        self.calls.submit(self._run, question, epoch)
 
-    def _run(self, question, epoch, requested_at):
+    def _run(self, question, epoch):
+        # A call of the term before may still occupy the executor, so the time counts
+        # from here.
+        requested_at = self._clock.now()
         workers = [life.worker for life in question.incarnation_by_node.values()]
         outcome = run_background_call(
             lambda: self.advisor.ask(question.name, workers), question.name, self._log
--- a/tests/site/test_advice.py
+++ b/tests/site/test_advice.py
@@ -5,11 +5,16 @@
 import pytest
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import AdvicePolicy, SiteConfiguration
 from bergamotshore.exceptions import PlatformUnavailable
 from tests.site.simulation import InlineExecutor, Simulation
 
 TICKET_SECONDS = 3.0
+# Time that the advice service takes for an answer, in seconds.
+ADVICE_SECONDS = 0.24
+LOAD_SECONDS = 6.0
+STEP_SECONDS = 0.06
 
 
 class FakeAdvisor:
@@ -79,3 +84,61 @@
     simulation.advance(0.5)
     assert len(simulation.advisor.queries) > queries
     assert len(simulation.running) == 2
+
+
+class SlowService:
+    """Executor and advice service in one: answers one call after the other.
+
+    :param clock: ``Clock``.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._calls = []
+        self._free_at = 0.0
+        self.answers = 0
+
+    def submit(self, function, *arguments):
+        """Queue a call; it is answered by ``run_due``."""
+        self._calls.append((function, arguments))
+        self._free_at = max(self._free_at, self._clock.now() + ADVICE_SECONDS)
+
+    def run_due(self):
+        """Answer the first call once the service has worked on it."""
+        now = self._clock.now()
+        if self._calls and now >= self._free_at:
+            self._free_at = now + ADVICE_SECONDS
+            function, arguments = self._calls.pop(0)
+            function(*arguments)
+
+    def ask(self, step, workers):
+        """Return tickets for all workers; some of their time has passed."""
+        self.answers += 1
+        tickets = {worker: f"ticket of {worker}" for worker in workers}
+        return Success((tickets, TICKET_SECONDS - ADVICE_SECONDS))
+
+
+# Guards against tickets that have expired when they arrive, because their question had
+# waited behind others: once that happened, no task of the queue ever started again.
+@pytest.mark.parametrize("load", [0.5, 1.0, 2.0, 4.0])
+def test_all_jobs_end_after_a_load_of_several_times_what_the_advice_service_answers(
+    simulation, clock, load
+):
+    dispatcher = simulation.entry_by_name["entry-0"].dispatcher
+    service = SlowService(clock)
+    dispatcher.questions.advisor = dispatcher.questions.calls = service
+    interval = ADVICE_SECONDS / load
+    jobs = round(LOAD_SECONDS / interval)
+    submitted = 0
+    started_at = clock.now()
+    for _ in range(round((1.2 * LOAD_SECONDS * max(1.0, load) + 5.0) / STEP_SECONDS)):
+        if submitted < jobs and submitted * interval <= clock.now() - started_at:
+            simulation.submit(f"job{submitted}", [Step(tasks=1, cpu=1, memory=1)])
+            submitted += 1
+        service.run_due()
+        simulation.advance(STEP_SECONDS)
+        simulation.finish_all()
+    states = [simulation.get_state(f"job{number}") for number in range(jobs)]
+    assert states == ["done"] * jobs
+    assert service.answers <= 1.1 * jobs
+    assert simulation.ledger.problems == []
