Decide about VMs of a wave only by machine lists requested since

MaintenanceView carries when the list was requested. A wave isn't advanced by a list requested before this entry knew its VMs, and a new worker proves maintenance only in a list requested after the order was answered.

--- a/src/bergamotshore/core/work/upkeep.py
+++ b/src/bergamotshore/core/work/upkeep.py
@@ -3,8 +3,9 @@
 Each VM of a wave passes through these stages. While it waits, nothing changes. While it
 is clearing (drained), it gets no new work, and its runs finish or are moved. Its
 maintenance order is then claimed in a stored row and sent to the machine service. It is
-back when the machine list shows it up with another worker. From the claim on it counts
-as down, because an order without an answer may have been carried out.
+back when a machine list that was requested after the answer to the order shows it up
+with another worker. From the claim on it counts as down, because an order without an
+answer may have been carried out.
 """
 
 from dataclasses import dataclass, field
@@ -55,6 +56,8 @@
 
     :param wave: ``Wave``.
     :param began_at: Time at which the wave was first seen, in seconds.
+    :param requested_at: Time at which this entry learned which VMs it names, in
+        seconds.
     :param maintenance_by_machine: ``MachineMaintenance`` by VM.
     :param is_announced: Whether its status was published in this term.
     :param is_complete: Whether its completion was published.
@@ -62,6 +65,7 @@
 
     wave: Wave
     began_at: float
+    requested_at: float
     maintenance_by_machine: dict = field(default_factory=dict)
     is_announced: bool = False
     is_complete: bool = False
@@ -89,11 +93,13 @@
     """Snapshot of VMs and workers on which a wave is advanced.
 
     :param machine_by_name: ``Machine`` by name, from the latest machine list.
+    :param listed_at: When that list was requested, in seconds.
     :param worker_by_machine: ``WorkerState`` by VM.
     :param now: Current time, in seconds.
     """
 
     machine_by_name: dict
+    listed_at: float
     worker_by_machine: dict
     now: float
 
@@ -101,9 +107,13 @@
 def advance_wave(progress, view):
     """Update the stages of all VMs of a wave, and start clearing further VMs.
 
+    A list that was requested before the wave may lack VMs that were added since.
+
     :param progress: ``WaveProgress``; modified.
     :param view: ``MaintenanceView``.
     """
+    if view.listed_at < progress.requested_at:
+        return
     for name in progress.wave.machines:
         maintenance = progress.maintenance_by_machine.get(name)
         machine = view.machine_by_name.get(name)
@@ -118,7 +128,9 @@
     has_new_worker = (
         machine.is_up and machine.worker and machine.worker != maintenance.worker
     )
-    if maintenance.stage == ORDERED and has_new_worker:
+    # An earlier list may show a worker that was replaced before the order.
+    is_listed_since = view.listed_at >= maintenance.since
+    if maintenance.stage == ORDERED and has_new_worker and is_listed_since:
         maintenance.stage, maintenance.since = BACK, view.now
     if maintenance.stage == CLEARING and is_cleared(
         progress, maintenance, machine, view
--- a/src/bergamotshore/entry/maintenance.py
+++ b/src/bergamotshore/entry/maintenance.py
@@ -167,10 +167,12 @@
         progress = self._progress_by_number.get(wave.number)
         if progress is None:
             row = self._row_by_number.get(wave.number)
-            progress = WaveProgress(wave, now)
+            progress = WaveProgress(wave, now, now)
             if row is not None:
                 self._restore_progress(progress, row, now)
             self._progress_by_number[wave.number] = progress
+        if set(wave.machines) - set(progress.wave.machines):
+            progress.requested_at = now
         progress.wave = wave
         return progress
 
@@ -197,7 +199,9 @@
             for worker in cluster.worker_by_node.values()
             if worker.machine
         }
-        view = MaintenanceView(self._machine_by_name, worker_by_machine, now)
+        view = MaintenanceView(
+            self._machine_by_name, self._listed_at, worker_by_machine, now
+        )
         advance_wave(progress, view)
         for name, maintenance in progress.maintenance_by_machine.items():
             if before.get(name) != maintenance.stage:
