Count jobs whose starts were rejected as waiting

Counts now ask whether a task is known to have run, by a confirmed start, a report or a trace in its stored state.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -306,6 +306,7 @@
             worker.unknown_runs.add((reported.task, reported.number))
             return
         if not allocation.is_started or allocation.started_at == 0.0:
+            self._record_start(allocation.ref)
             allocation.is_started = True
             allocation.started_at = now
             allocation.progressed_at = now
@@ -334,6 +335,8 @@
             return
         allocation = worker.free((reported.task, reported.number))
         progress, ref = self._find_task(reported.task)
+        if progress is not None:
+            progress.record_start()
         pending[reported.sequence] = self._apply_completion(progress, ref, reported)
         worker.last_recorded_sequence = max(
             worker.last_recorded_sequence, reported.sequence
@@ -343,6 +346,11 @@
         elif progress is not None:
             self._unclaimed_completions.append((worker.node, reported))
 
+    def _record_start(self, ref):
+        progress = self.job_by_key.get(ref.job)
+        if progress is not None:
+            progress.record_start()
+
     def pop_unclaimed_completions(self):
         """Return node and completion of runs that had already been released.
 
@@ -393,6 +401,7 @@
         if allocation is None:
             return
         if outcome == STARTED:
+            self._record_start(allocation.ref)
             allocation.is_started = True
             allocation.started_at = allocation.progressed_at = now
             worker.is_throttle_stale = True
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -79,6 +79,7 @@
         self.finished_occurrences = 0
         self.tasks_by_occurrence = {}
         self._open_steps = {}
+        self._has_run = False
 
     @property
     def key(self):
@@ -152,6 +153,26 @@
             for task in tasks
         )
 
+    def record_start(self):
+        """Record that a run of a task has really started."""
+        self._has_run = True
+
+    def has_run(self):
+        """Return whether any task is known to have run; a claim alone is no run.
+
+        A term that begins with what is stored knows only of runs that left a trace.
+        """
+        return (
+            self._has_run
+            or self.finished_occurrences > 0
+            or any(
+                task.is_done or task.failures or task.checkpoint
+                for steps in self.tasks_by_occurrence.values()
+                for tasks in steps
+                for task in tasks
+            )
+        )
+
     def list_runs(self):
         """Yield pairs of reference and ``Run`` for all runs that may be active."""
         for occurrence, steps in self.tasks_by_occurrence.items():
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -822,7 +822,8 @@
         )
         counts = {}
         for progress in self.cluster.job_by_key.values():
-            if not progress.spec.repeats and progress.state == "pending":
+            is_open = not (progress.outcome or progress.is_cancelled)
+            if is_open and not progress.spec.repeats and not progress.has_run():
                 name = progress.spec.queue
                 counts[name] = counts.get(name, 0) + 1
         self._counts_row.put(msgspec.msgpack.encode(counts))
--- a/tests/site/test_counts.py
+++ b/tests/site/test_counts.py
@@ -5,7 +5,8 @@
 
 from bergamotshore.core.work.model import Step
 from bergamotshore.entry.jobrows import COUNTS_ROW
-from bergamotshore.exceptions import PlatformUncertain
+from bergamotshore.exceptions import PlatformUncertain, WorkerFailure
+from bergamotshore.ports.runner import RunRejected
 
 # Largest accepted age of the published number, in seconds.
 MAX_COUNT_AGE_SECONDS = 2.0
@@ -80,3 +81,43 @@
     version = simulation.store.row_by_id[COUNTS_ROW].version
     simulation.advance(5.0)
     assert simulation.store.row_by_id[COUNTS_ROW].version == version
+
+
+def reject_starts(simulation, reason):
+    """Let all workers reject each start, and answer all other calls."""
+    for runner in simulation.runner_by_node.values():
+        runner.start = lambda *arguments: Failure(RunRejected(reason))
+
+
+# Guards against jobs that vanish from the count once their tasks were claimed, although
+# none of them was started.
+@pytest.mark.parametrize("reason", ["busy", "room", "ticket"])
+def test_job_whose_starts_are_rejected_counts_as_waiting(simulation, reason):
+    reject_starts(simulation, reason)
+    simulation.submit("job1")
+    simulation.advance(MAX_COUNT_AGE_SECONDS)
+    assert get_published_count(simulation) == 1
+
+
+# Guards against the same while a worker that hangs doesn't answer the order.
+def test_job_whose_start_is_not_answered_counts_as_waiting(simulation):
+    for runner in simulation.runner_by_node.values():
+        runner.start = lambda *arguments: Failure(
+            WorkerFailure("timed out", is_certain=False)
+        )
+    simulation.submit("job1")
+    simulation.advance(MAX_COUNT_AGE_SECONDS)
+    assert get_published_count(simulation) == 1
+
+
+@pytest.mark.parametrize("outcome", ["", "done", "failed"])
+def test_job_that_has_started_does_not_count_after_a_takeover(simulation, outcome):
+    simulation.submit("job1", (Step(tasks=2, cpu=100), Step(tasks=1, after=(0,))))
+    simulation.advance(1.0)
+    assert get_published_count(simulation) == 0
+    if outcome:
+        simulation.finish_all(outcome)
+        simulation.advance(0.5)
+    simulation.kill_entry(simulation.leader.name)
+    simulation.advance(6.0)
+    assert get_published_count(simulation) == 0
