Spread the state of large jobs over rows, and isolate a job that the store refuses

Jobs of over 100 tasks are stored in groups of 30 tasks, each a row; a change rewrites only the groups it touches, in several transactions if need be, each of which also writes the row of the job, so that one executed late conflicts. Starts wait for the last of them. Rows of finished occurrences and closed jobs are deleted afterwards, by a successor as well. A job in one row is moved; that row keeps its content until then. The row of a large job has another form, which earlier revisions leave out as unreadable.

A transaction that the store refuses as invalid names its jobs as suspects: they are written alone, the culprit again after 10 s, with a log line. A job that can't be stored at all is refused at submission with 400.

The store's stand-in now keeps the limits of values, keys and entries.

--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -1,7 +1,7 @@
 """Job progress: state of tasks and runs, and which steps are ready to run."""
 
 from dataclasses import dataclass, field
-from typing import Annotated, Literal
+from typing import Annotated, Literal, NamedTuple
 
 import msgspec
 
@@ -11,6 +11,12 @@
 
 # Stored numbers are bounded, so that they can be sent in messages.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# A job of more tasks is stored in groups of tasks. A row holds at most 64 kB: up to
+# 45 bytes for a claimed task with usual names, and ten times as many with the longest.
+MAX_TASKS_IN_ROW = 100
+GROUP_TASKS = 30
+# Crashes are stored for this many tasks of a job at most, those with the most first.
+MAX_STORED_CRASHES = 1000
 
 
 @dataclass(slots=True)
@@ -63,6 +69,21 @@
     failed_run: Count = 0
 
 
+class EncodedJob(NamedTuple):
+    """Stored state of a job, as an array from whose end fields may be missing.
+
+    :param finished: Number of finished occurrences.
+    :param outcome: Outcome of the job; empty while it is open.
+    :param occurrences: Tasks of each step by open occurrence.
+    :param group_tasks: Tasks in a group; 0 if the tasks are in this row.
+    """
+
+    finished: Count
+    outcome: str
+    occurrences: dict[Count, list[list[EncodedTask]]]
+    group_tasks: Count = 0
+
+
 class JobProgress:
     """State of one job, changed only through its methods.
 
@@ -80,6 +101,9 @@
         self.tasks_by_occurrence = {}
         self._open_steps = {}
         self._has_run = False
+        tasks = sum(step.tasks for step in spec.steps) * self.occurrences
+        self.is_grouped = tasks > MAX_TASKS_IN_ROW
+        self.revision_by_group = {}
 
     @property
     def key(self):
@@ -110,9 +134,7 @@
         while next_occurrence < self.occurrences:
             if self.spec.repeats and wall < self.spec.get_due_time(next_occurrence):
                 return
-            self.tasks_by_occurrence[next_occurrence] = [
-                [Task() for _ in range(step.tasks)] for step in self.spec.steps
-            ]
+            self._open_next_occurrence()
             next_occurrence += 1
 
     def get_next_due_time(self):
@@ -173,6 +195,12 @@
             )
         )
 
+    def record_moved(self):
+        """Count all tasks of a large job as changed: they were in one row so far."""
+        for occurrence in self.tasks_by_occurrence:
+            for step in range(len(self.spec.steps)):
+                self._record_step_change(TaskRef(self.key, occurrence, step, 0))
+
     def list_runs(self):
         """Yield pairs of reference and ``Run`` for all runs that may be active."""
         for occurrence, steps in self.tasks_by_occurrence.items():
@@ -181,6 +209,50 @@
                     for run in task.runs:
                         yield TaskRef(self.key, occurrence, step, index), run
 
+    def _record_change(self, ref):
+        """Count a change of one task."""
+        self.revision += 1
+        if self.is_grouped:
+            group = (ref.occurrence, ref.step, ref.index // GROUP_TASKS)
+            self.revision_by_group[group] = self.revision
+
+    def _record_step_change(self, ref):
+        """Count a change of several tasks of a step."""
+        self.revision += 1
+        if self.is_grouped:
+            groups = -(-self.spec.steps[ref.step].tasks // GROUP_TASKS)
+            for number in range(groups):
+                group = (ref.occurrence, ref.step, number)
+                self.revision_by_group[group] = self.revision
+
+    def list_group(self, group):
+        """Return the ``Task`` objects of a group; none if its occurrence is over."""
+        occurrence, step, number = group
+        steps = self.tasks_by_occurrence.get(occurrence)
+        if steps is None:
+            return []
+        return steps[step][number * GROUP_TASKS : (number + 1) * GROUP_TASKS]
+
+    def replace_group(self, group, tasks):
+        """Replace the tasks of a group; return False if the job has no such group."""
+        occurrence, step, number = group
+        if not self.finished_occurrences <= occurrence < self.occurrences:
+            return occurrence < self.finished_occurrences
+        while occurrence >= self.finished_occurrences + len(self.tasks_by_occurrence):
+            self._open_next_occurrence()
+        if step >= len(self.spec.steps) or len(self.list_group(group)) != len(tasks):
+            return False
+        start = number * GROUP_TASKS
+        steps = self.tasks_by_occurrence[occurrence]
+        steps[step][start : start + len(tasks)] = tasks
+        return True
+
+    def _open_next_occurrence(self):
+        number = self.finished_occurrences + len(self.tasks_by_occurrence)
+        self.tasks_by_occurrence[number] = [
+            [Task() for _ in range(step.tasks)] for step in self.spec.steps
+        ]
+
     def claim(self, ref, node, incarnation, number=0):
         """Record a new run that is about to start.
 
@@ -192,7 +264,7 @@
         task.last_run = number or task.last_run + 1
         run = Run(task.last_run, node, incarnation.worker, incarnation.started_ms)
         task.runs.append(run)
-        self.revision += 1
+        self._record_change(ref)
         return run
 
     def get_next_gang_run_number(self, occurrence, step):
@@ -216,7 +288,7 @@
         for run in task.runs if task is not None else ():
             if run.number == number:
                 run.worker, run.born = incarnation.worker, incarnation.started_ms
-                self.revision += 1
+                self._record_change(ref)
 
     def release(self, ref, number):
         """Remove a run that is not running and never will be.
@@ -227,7 +299,7 @@
         if task is None or not any(run.number == number for run in task.runs):
             return False
         task.runs = [run for run in task.runs if run.number != number]
-        self.revision += 1
+        self._record_change(ref)
         return True
 
     def record_checkpoint(self, ref, number, checkpoint):
@@ -273,6 +345,7 @@
             if member.failed_run < number:
                 member.failed_run = number
                 member.failures += 1
+        self._record_step_change(ref)
 
     def _fail_if_retries_exhausted(self, step, task, retries):
         if task.failures >= retries and not step.is_lasting and not task.is_done:
@@ -311,7 +384,10 @@
         members = steps[ref.step] if step.is_gang else [steps[ref.step][ref.index]]
         for task in members:
             task.is_done = True
-        self.revision += 1
+        if step.is_gang:
+            self._record_step_change(ref)
+        else:
+            self._record_change(ref)
         self._close_occurrences()
 
     def _close_occurrences(self):
@@ -348,9 +424,17 @@
 
 
 def encode_progress(progress):
-    """Encode the state of a job; tasks that were never claimed are left empty."""
+    """Encode the state of a job; tasks that were never claimed are left empty.
+
+    That of a large job tells only where it is; its tasks have rows of their own. It has
+    another form, so that earlier revisions don't take it for a job that never ran.
+    """
+    if progress.is_grouped:
+        return msgspec.msgpack.encode(
+            [progress.finished_occurrences, progress.outcome, {}, GROUP_TASKS]
+        )
     occurrences = {
-        occurrence: [[_encode_task(task) for task in tasks] for tasks in steps]
+        occurrence: [[encode_task(task) for task in tasks] for tasks in steps]
         for occurrence, steps in progress.tasks_by_occurrence.items()
     }
     return msgspec.msgpack.encode(
@@ -361,13 +445,15 @@
 def restore_progress(progress, content):
     """Load an encoded state into a new ``JobProgress``.
 
+    :returns: Whether its tasks are in rows of their own, still to be loaded.
     :raises DecodingError: if the content is not an encoded state of the job.
     """
-    finished, outcome, occurrences = decode_msgpack(
-        content, tuple[Count, str, dict[Count, list[list[EncodedTask]]]]
-    )
+    finished, outcome, occurrences, group_tasks = decode_msgpack(content, EncodedJob)
+    is_other_layout = group_tasks not in (0, GROUP_TASKS)
+    if is_other_layout or (group_tasks and not progress.is_grouped):
+        raise DecodingError("state of a job in another layout")
     tasks_by_occurrence = {
-        occurrence: [[_decode_task(task) for task in tasks] for tasks in steps]
+        occurrence: [[decode_task(task) for task in tasks] for tasks in steps]
         for occurrence, steps in occurrences.items()
     }
     shape = [step.tasks for step in progress.spec.steps]
@@ -377,6 +463,9 @@
     progress.finished_occurrences = finished
     progress.outcome = outcome
     progress.tasks_by_occurrence = tasks_by_occurrence
+    if progress.is_grouped and not group_tasks:
+        progress.record_moved()
+    return group_tasks > 0
 
 
 def encode_crashes(progress):
@@ -388,6 +477,8 @@
         [ref.occurrence, ref.step, ref.index, progress.get_task(ref).crashes]
         for ref in progress.list_crashed()
     ]
+    if len(crashed) > MAX_STORED_CRASHES:
+        crashed = sorted(crashed, key=lambda row: -row[-1])[:MAX_STORED_CRASHES]
     return msgspec.msgpack.encode(crashed) if crashed else b""
 
 
@@ -403,7 +494,8 @@
             task.crashes = crashes
 
 
-def _encode_task(task):
+def encode_task(task):
+    """Return the stored form of a task."""
     if task.is_done and not task.runs:
         return [1]
     if not task.last_run:
@@ -413,7 +505,8 @@
     return [*content, task.failed_run] if task.failed_run else content
 
 
-def _decode_task(content):
+def decode_task(content):
+    """Return the ``Task`` of an ``EncodedTask``."""
     return Task(
         bool(content.is_done),
         content.failures,
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -42,8 +42,13 @@
 )
 from bergamotshore.entry.orders import OrderBatch, OrderSender
 from bergamotshore.entry.reports import apply_report
-from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs, write_fences
-from bergamotshore.exceptions import DecodingError, StateError
+from bergamotshore.entry.takeover import (
+    TakeoverFailed,
+    read_open_jobs,
+    restore_job,
+    write_fences,
+)
+from bergamotshore.exceptions import DecodingError, RowsRefused, StateError
 from bergamotshore.generated.messages import RunReport, RunResults
 from bergamotshore.generated.settings import Scheduling
 from bergamotshore.utils.eventlog import describe_error
@@ -366,18 +371,31 @@
         for key, version in open_jobs.unreadable:
             self._exclude_job(key, version, "unreadable")
         for spec in open_jobs.specs:
-            version, restore = open_jobs.progress_by_key.get(spec.key, (0, None))
+            version, row = open_jobs.progress_by_key.get(spec.key, (0, None))
             try:
-                self._restore_job(open_jobs, spec, version, restore, now)
+                self._restore_job(open_jobs, spec, version, row, now)
             except StateError:
                 raise
             except Exception as error:
                 self._exclude_job(spec.key, version, describe_error(error))
 
-    def _restore_job(self, open_jobs, spec, version, restore, now):
+        self._restore_groups(open_jobs)
+
+    def _restore_groups(self, open_jobs):
+        """Record the rows of groups of tasks; those of no open job are obsolete."""
+        stored_keys = {spec.key for spec in open_jobs.specs}
+        stored_keys.update(key for key, _ in open_jobs.unreadable)
+        for key, rows in open_jobs.group_rows_by_key.items():
+            if key in self.cluster.job_by_key or key not in stored_keys:
+                groups = [group for group, _ in rows]
+                self.writer.record_restored_groups(rows[0][1].id.part, key, groups)
+
+    def _restore_job(self, open_jobs, spec, version, row, now):
         progress = JobProgress(spec)
-        if restore is not None:
-            restore(progress)
+        if row is not None:
+            group_rows = open_jobs.group_rows_by_key.get(spec.key, ())
+            if restore_job(progress, row, group_rows):
+                self.writer.record_restored_in_one_row(spec.key, row.value)
             self.writer.record_restored(spec.key, version)
             self._restore_crashes(progress, open_jobs.crashes_by_key.get(spec.key))
         if spec.key in open_jobs.cancelled:
@@ -795,10 +813,18 @@
             case Failure(failure):
                 self._retry_at_by_part[written.part] = now + TAKEOVER_RETRY_SECONDS
                 self.log.write("write-failed", written.part, why=failure.code)
+                if isinstance(failure, RowsRefused):
+                    self._log_refused(written.batch, failure)
                 if self.writer.record_failed(written.batch, failure):
                     self.log.write("fenced", written.part, epoch=self.epoch)
                     self.election.lease.resign()
 
+    def _log_refused(self, batch, failure):
+        """Log the job whose changes the store refuses, once it is found."""
+        self.registry.count("writes_refused_total")
+        if culprit := self.writer.find_culprit(batch):
+            self.log.write("job-unwritable", culprit, why=failure.detail)
+
     def _find_blocking_reason(self, now):
         """Return why no order may be sent at present; empty if orders are allowed."""
         if not self.election.lease.is_valid(now):
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -17,17 +17,20 @@
     encode_spec,
     get_job_key,
 )
+from bergamotshore.core.work.taskgroups import get_group_key
 from bergamotshore.exceptions import (
     DecodingError,
     PlatformAnswerInvalid,
     PlatformUnavailable,
     PlatformUncertain,
+    RowsRefused,
 )
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
 
 JOBS, RUNS, CLOSED, FENCE = "jobs", "runs", "closed", "fence"
 CLOSED_STATES = ("done", "failed", "cancelled")
 CRASHES = "crashes"
+GROUPS = "taskgroups"
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 CANCEL_SUFFIX = "/cancel"
 # The store runs the transactions of a partition one at a time. While it is slow, each
@@ -86,6 +89,15 @@
     return RowId(JOBS, row_id.part, key + CANCEL_SUFFIX)
 
 
+def get_group_id(key, group):
+    """Return the id of the row of a group of tasks of a large job.
+
+    :param key: Key of the job.
+    :param group: ``TaskGroup``.
+    """
+    return RowId(GROUPS, get_part(key), get_group_key(key, group))
+
+
 def get_fence_id(part):
     """Return the id of the fence row of a partition."""
     return RowId(FENCE, part, "epoch")
@@ -139,7 +151,8 @@
         :param deadline: When to stop retrying, on this entry's clock.
         :returns: ``Result`` of True if the job was stored, False if it already existed.
             ``PlatformUnavailable`` means that it is not stored and never will be;
-            ``PlatformUncertain`` means that it may be stored.
+            ``PlatformUncertain`` means that it may be stored, ``RowsRefused`` that it
+            can't be.
         """
         job = get_row_id(JOBS, spec.key)
         expects = [Expect(job, 0), Expect(get_row_id(CLOSED, spec.key), 0)]
@@ -195,7 +208,7 @@
             outcome = self._store.transact(expects, puts, [], timeout)
             self._latency.record(self._clock.now() - sent_at, self._clock.now())
             match outcome:
-                case Success(_) | Failure(RowsConflict()):
+                case Success(_) | Failure(RowsConflict() | RowsRefused()):
                     return outcome
                 case Failure(PlatformUncertain()):
                     is_uncertain = True
--- a/src/bergamotshore/entry/jobwriter.py
+++ b/src/bergamotshore/entry/jobwriter.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bergamotshore.core.work.progress import encode_crashes, encode_progress
+from bergamotshore.core.work.taskgroups import encode_group
 from bergamotshore.entry.jobrows import (
     CLOSED,
     CRASHES,
@@ -13,9 +14,12 @@
     encode_closed,
     get_cancel_id,
     get_fence_id,
+    get_group_id,
     get_part,
     get_row_id,
 )
+from bergamotshore.entry.taskgrouprows import TaskGroupRows
+from bergamotshore.exceptions import RowsRefused
 from bergamotshore.ports.rows import Expect, Put, RowsConflict
 
 # The store accepts 100 entries per call; closing a job needs up to six.
@@ -23,6 +27,8 @@
 # The store accepts 1 MB per call, and encoding enlarges values by a third.
 MAX_BATCH_BYTES = 500_000
 MAX_CLOSED_KEYS = 20_000
+# A job whose changes the store refuses is written again after this time, in seconds.
+REFUSED_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +42,9 @@
     :param revision_by_key: Revision by job key, for jobs that stay open.
     :param closing: Keys of the jobs that it closes.
     :param crashes_by_key: Content of the rows of crashes that it changes, by job key.
+    :param groups_by_key: ``TaskGroup`` objects that it writes, by key of a large job.
+    :param finished_by_key: Finished occurrences that it writes, by key of a large job.
+    :param obsolete: Ids of rows of groups that it deletes.
     """
 
     epoch: int
@@ -45,6 +54,19 @@
     revision_by_key: dict
     closing: list
     crashes_by_key: dict = field(default_factory=dict)
+    groups_by_key: dict = field(default_factory=dict)
+    finished_by_key: dict = field(default_factory=dict)
+    obsolete: list = field(default_factory=list)
+
+    @property
+    def entries(self):
+        """Return the number of its entries."""
+        return len(self.expects) + len(self.puts) + len(self.deletes)
+
+    @property
+    def keys(self):
+        """Return the keys of the jobs that it writes."""
+        return {*self.revision_by_key, *self.groups_by_key, *self.closing}
 
 
 class JobWriter:
@@ -66,6 +88,11 @@
         self._written_revision_by_key = {}
         self._crashes_by_key = {}
         self._closed_keys = OrderedDict()
+        self._group_rows = TaskGroupRows()
+        self._moving_value_by_key = {}
+        # Jobs that are written alone, as one of them makes the store refuse the rest.
+        self._suspects = set()
+        self._refused_until_by_key = {}
 
     def set_fence(self, part, version):
         """Set the version of the fence row of a partition."""
@@ -75,6 +102,16 @@
         """Record the version of the row that a job was restored from."""
         self._row_version_by_key[key] = version
 
+    def record_restored_groups(self, part, key, groups):
+        """Record the groups of tasks that have rows, also those of a closed job."""
+        self._group_rows.record_restored(
+            part, key, groups, key in self._board.job_by_key
+        )
+
+    def record_restored_in_one_row(self, key, value):
+        """Record that all tasks of a large job are in one row, as they used to be."""
+        self._moving_value_by_key[key] = value
+
     def record_restored_crashes(self, key, content):
         """Record the content of a job's row of crashes."""
         self._crashes_by_key[key] = content
@@ -94,34 +131,76 @@
         """Return a ``Batch`` of the changes of a partition, None if there are none."""
         batch = Batch(self._epoch, [], [], [], {}, [])
         size = 0
-        for key, progress in self._board.job_by_key.items():
-            if not self._is_dirty(key, progress) or get_part(key) != part:
+        for key, progress in self._list_dirty(part):
+            is_alone = key in self._suspects
+            if is_alone and batch.expects:
                 continue
             with self._collector.containing("writing", key):
                 if progress.outcome or progress.is_cancelled:
                     self._add_closing(batch, key, progress)
                 else:
                     size += self._add_progress(batch, key, progress)
-            entries = len(batch.expects) + len(batch.puts) + len(batch.deletes)
-            if entries >= MAX_BATCH_ENTRIES or size >= MAX_BATCH_BYTES:
+            is_full = batch.entries >= MAX_BATCH_ENTRIES or size >= MAX_BATCH_BYTES
+            if is_full or is_alone:
                 break
-        if not batch.expects:
+        free = max(0, MAX_BATCH_ENTRIES - batch.entries)
+        batch.obsolete.extend(self._group_rows.list_obsolete(part, free))
+        batch.deletes.extend(batch.obsolete)
+        if not batch.entries:
             return None
         fence = get_fence_id(part)
         batch.expects.append(Expect(fence, self._fence_version_by_part[part]))
         return batch
 
+    def _list_dirty(self, part):
+        now = self._clock.now()
+        for key, progress in self._board.job_by_key.items():
+            if not self._is_dirty(key, progress) or get_part(key) != part:
+                continue
+            if now >= self._refused_until_by_key.get(key, 0.0):
+                yield key, progress
+
     def _is_dirty(self, key, progress):
         return progress.revision > self._written_revision_by_key.get(key, 0)
 
     def _add_progress(self, batch, key, progress):
         row_id = get_row_id(RUNS, key)
+        if progress.is_grouped:
+            return self._add_groups(batch, key, progress)
         value = encode_progress(progress)
         batch.expects.append(Expect(row_id, self._row_version_by_key.get(key, 0)))
         batch.puts.append(Put(row_id, value))
         batch.revision_by_key[key] = progress.revision
         return len(value) + self._add_crashes(batch, key, progress)
 
+    def _add_groups(self, batch, key, progress):
+        """Add rows of groups of a large job, as many as there is room for.
+
+        The row of the job is written with each of them, so that a transaction that the
+        store executes late conflicts. Until all groups of a job that was in one row are
+        written, that row keeps its content.
+
+        :returns: Size of the rows, in bytes.
+        """
+        row_id = get_row_id(RUNS, key)
+        free = max(1, MAX_BATCH_ENTRIES - batch.entries - 3)
+        groups, is_last = self._group_rows.begin(key, progress, free)
+        value = encode_progress(progress)
+        if not is_last:
+            value = self._moving_value_by_key.get(key, value)
+        batch.expects.append(Expect(row_id, self._row_version_by_key.get(key, 0)))
+        batch.puts.append(Put(row_id, value))
+        size = len(value)
+        for group in groups:
+            content = encode_group(progress, group)
+            batch.puts.append(Put(get_group_id(key, group), content))
+            size += len(content)
+        batch.groups_by_key[key] = groups
+        if is_last:
+            batch.finished_by_key[key] = progress.finished_occurrences
+            batch.revision_by_key[key] = self._group_rows.get_target(key)
+        return size + self._add_crashes(batch, key, progress)
+
     def _add_crashes(self, batch, key, progress):
         """Add the row of counted crashes if it changes; return its size."""
         content = encode_crashes(progress)
@@ -157,11 +236,23 @@
         for key, revision in batch.revision_by_key.items():
             self._row_version_by_key[key] = version
             self._written_revision_by_key[key] = revision
+        for key, groups in batch.groups_by_key.items():
+            self._row_version_by_key[key] = version
+            self._group_rows.record_written(key, groups)
+        for key, finished in batch.finished_by_key.items():
+            self._moving_value_by_key.pop(key, None)
+            self._group_rows.record_finished(get_part(key), key, finished)
+        for key in batch.keys:
+            self._refused_until_by_key.pop(key, None)
+            self._suspects.discard(key)
+        self._group_rows.record_deleted(batch.obsolete)
         self._crashes_by_key.update(batch.crashes_by_key)
         for key in batch.closing:
             self._crashes_by_key.pop(key, None)
             self._row_version_by_key.pop(key, None)
             self._written_revision_by_key.pop(key, None)
+            self._moving_value_by_key.pop(key, None)
+            self._group_rows.record_closed(get_part(key), key)
             self._closed_keys[key] = True
             self._board.remove_job(key)
         while len(self._closed_keys) > MAX_CLOSED_KEYS:
@@ -175,6 +266,8 @@
 
         :returns: True if another term has started.
         """
+        if isinstance(failure, RowsRefused):
+            self._record_refused(batch)
         if not isinstance(failure, RowsConflict):
             return False
         found_by_id = {row.id: row for row in failure.rows}
@@ -192,3 +285,18 @@
             if get_row_id(RUNS, key) not in found_by_id:
                 self._row_version_by_key.pop(key, None)
         return is_fenced
+
+    def _record_refused(self, batch):
+        """Find the job whose changes the store refuses, and keep it from the others."""
+        if len(batch.keys) > 1:
+            self._suspects |= batch.keys
+            return
+        for key in batch.keys:
+            self._refused_until_by_key[key] = self._clock.now() + REFUSED_SECONDS
+            self._suspects.add(key)
+
+    @staticmethod
+    def find_culprit(batch):
+        """Return the job that alone made the store refuse a batch; empty if unknown."""
+        keys = batch.keys
+        return next(iter(keys)) if len(keys) == 1 else ""
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -8,7 +8,7 @@
 
 from bergamotshore.core.work.model import get_job_key
 from bergamotshore.entry.wsgi import reply
-from bergamotshore.exceptions import PlatformUncertain
+from bergamotshore.exceptions import PlatformUncertain, RowsRefused
 from bergamotshore.platform.jobs import (
     decode_submission,
     encode_job_state,
@@ -187,6 +187,10 @@
                     new=is_new,
                 )
                 return 200, b"{}", ()
+            case Failure(RowsRefused(detail=detail)):
+                self._log.write("job-invalid", call.job_id, why=detail)
+                body = msgspec.json.encode({"detail": "the job can't be stored"})
+                return 400, body, ()
         return self._fail("job-not-accepted", call, outcome.failure())
 
     def _get_state(self, call):
--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -8,9 +8,11 @@
 
 from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.progress import restore_progress
+from bergamotshore.core.work.taskgroups import parse_group_key, restore_group
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
     CRASHES,
+    GROUPS,
     INTERFERENCE_ROW,
     JOBS,
     PARTS,
@@ -55,9 +57,9 @@
     :param specs: List of ``JobSpec``.
     :param unreadable: Key and row version of each job whose row can't be read.
     :param cancelled: Keys of cancelled jobs.
-    :param progress_by_key: Pair of row version and function that restores a
-        ``JobProgress``, by job key.
+    :param progress_by_key: Pair of row version and row of the state, by job key.
     :param crashes_by_key: Content of the row of counted crashes by job key.
+    :param group_rows_by_key: Pairs of ``TaskGroup`` and row by key of a large job.
     :param interference_state: Interference model of the predecessor; None if there is
         none.
     """
@@ -68,6 +70,7 @@
     cancelled: set = field(default_factory=set)
     progress_by_key: dict = field(default_factory=dict)
     crashes_by_key: dict = field(default_factory=dict)
+    group_rows_by_key: dict = field(default_factory=dict)
     interference_state: list | None = None
 
 
@@ -133,6 +136,7 @@
         open_jobs.cancelled |= partition.cancelled
         open_jobs.progress_by_key |= partition.progress_by_key
         open_jobs.crashes_by_key |= partition.crashes_by_key
+        open_jobs.group_rows_by_key |= partition.group_rows_by_key
     # Partitions are read at different versions; following the changes from the lowest
     # one misses none.
     open_jobs.version = min(partition.version for partition in partitions)
@@ -154,10 +158,12 @@
         else:
             open_jobs.unreadable.append((key, row.version))
     for row in _read_table(store, RUNS, part, open_jobs):
-        open_jobs.progress_by_key[row.id.key] = (
-            row.version,
-            _build_restore_function(row),
-        )
+        open_jobs.progress_by_key[row.id.key] = (row.version, row)
+    for row in _read_table(store, GROUPS, part, open_jobs):
+        match parse_group_key(row.id.key):
+            case (key, group):
+                rows = open_jobs.group_rows_by_key.setdefault(key, [])
+                rows.append((group, row))
     for row in _read_table(store, CRASHES, part, open_jobs):
         open_jobs.crashes_by_key[row.id.key] = row.value
     return open_jobs
@@ -188,8 +194,19 @@
     return Success(RowPage(rows, open_jobs.version))
 
 
-def _build_restore_function(row):
-    return lambda progress: restore_progress(progress, row.value)
+def restore_job(progress, row, group_rows):
+    """Load the stored state of a job into a new ``JobProgress``.
+
+    :param row: Row of the job.
+    :param group_rows: Pairs of ``TaskGroup`` and row.
+    :returns: Whether the tasks of a large job are still in one row.
+    :raises DecodingError: if a row is not a state of the job.
+    """
+    if not restore_progress(progress, row.value):
+        return progress.is_grouped
+    for group, group_row in group_rows:
+        restore_group(progress, group, group_row.value)
+    return False
 
 
 def _read_table(store, table, part, open_jobs):
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -145,6 +145,20 @@
     code: str = "platform-unavailable"
 
 
+@dataclass(frozen=True, slots=True)
+class RowsRefused:
+    """The store refused a transaction as invalid; it had no effect and never will.
+
+    :param detail: Description of the error.
+    """
+
+    detail: str
+    code: str = "rows-refused"
+
+    def __str__(self):
+        return self.detail
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformUncertain:
     """The response to a write was lost; the write may have taken effect.
--- a/src/bergamotshore/platform/store.py
+++ b/src/bergamotshore/platform/store.py
@@ -12,6 +12,7 @@
     PlatformAnswerInvalid,
     PlatformUnavailable,
     PlatformUncertain,
+    RowsRefused,
 )
 from bergamotshore.ports.rows import (
     HistoryLost,
@@ -143,6 +144,8 @@
             return Failure(PlatformUnavailable(f"status {status}"))
         case Success(HttpAnswer(status=status)) if status >= 500:
             return Failure(PlatformUncertain(f"status {status}"))
+        case Success(HttpAnswer(status=400 | 413 | 422 as status, body=body)):
+            return Failure(RowsRefused(f"status {status}: {body[:200]!r}"))
         case Success(HttpAnswer(status=status, body=body)):
             return Failure(PlatformAnswerInvalid(f"status {status}: {body[:200]!r}"))
         case Failure(HttpFailure(detail=detail, was_sent=True)):
--- a/standins/site.py
+++ b/standins/site.py
@@ -14,6 +14,7 @@
     PlatformAnswerInvalid,
     PlatformUnavailable,
     PlatformUncertain,
+    RowsRefused,
     WorkerFailure,
 )
 from bergamotshore.ports.rows import HistoryLost, RowPage, RowsConflict, StoredRow
@@ -27,6 +28,10 @@
     WorkerReport,
 )
 
+# Limits of a row, in bytes, and of a transaction.
+ROW_BYTES = 65_536
+MAX_KEY_BYTES = 200
+MAX_ENTRIES = 100
 # A worker lists at most this many ends at a time.
 MAX_LISTED_ENDS = 500
 SERVICE = "books"
@@ -64,6 +69,7 @@
     """
 
     def __init__(self):
+        self.largest_value = 0
         self.row_by_id = {}
         self.version = 0
         self.changes = []
@@ -103,6 +109,8 @@
         ids = [item.id for item in (*expects, *puts)] + list(deletes)
         if len({row_id.part for row_id in ids}) > 1:
             return Failure(PlatformAnswerInvalid("entries of several partitions"))
+        if problem := self._find_oversize(ids, puts):
+            return Failure(RowsRefused(problem))
         expected_rows = [self.row_by_id.get(item.id) for item in expects]
         for expect, row in zip(expects, expected_rows, strict=True):
             if expect.version != (row.version if row is not None else 0):
@@ -116,6 +124,17 @@
                 self.changes.append(StoredRow(row_id, self.version, b"", True))
         return Success(self.version)
 
+    def _find_oversize(self, ids, puts):
+        """Return which limit of the store a transaction exceeds; empty for none."""
+        self.largest_value = max(
+            [self.largest_value, *(len(put.value) for put in puts)]
+        )
+        if any(4 * -(-len(put.value) // 3) > ROW_BYTES for put in puts):
+            return "value too large"
+        if any(len(row_id.key.encode()) > MAX_KEY_BYTES for row_id in ids):
+            return "key too long"
+        return "too many entries" if len(ids) > MAX_ENTRIES else ""
+
     def read(self, table, part, first="", last="", limit=0, timeout=None):
         """Read a range of rows."""
         if self.is_down:
