Estimate durations of tasks from finished ones of their kind and job

Cause: declared durations are wrong by up to nine tenths either way, and nothing kept what tasks have really taken.

Switched on by site.scheduling.durations; otherwise the declared durations are returned as before.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -12,6 +12,7 @@
 from bergamotshore.core.work.advice import AdviceTracker
 from bergamotshore.core.work.containment import changes_state
 from bergamotshore.core.work.durations import DurationEstimates
+from bergamotshore.core.work.fullspeed import record_work
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.progress import JobProgress
@@ -319,6 +320,7 @@
             allocation.percent = reported.percent
             allocation.progressed_at = now
         allocation.usage = reported.usage
+        record_work(allocation, now)
         if reported.checkpoint and reported.checkpoint != allocation.checkpoint:
             allocation.checkpoint = reported.checkpoint
             progress = self.job_by_key.get(allocation.ref.job)
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -17,6 +17,8 @@
 from bergamotshore.core.work.crashes import LostRun, record_crash
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.downtime import DowntimeTracker
+from bergamotshore.core.work.durations import SampleAccepted
+from bergamotshore.core.work.fullspeed import UnusableDuration
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.presence import get_reported_runs
@@ -195,6 +197,7 @@
         self.cluster = ClusterState(
             lambda name: self.site.configuration.get_queue(name)
         )
+        self.cluster.durations.is_enabled = self.scheduling.durations
         self.suspicion = WorkerQuarantine()
         self.collector = ErrorCollector()
         self._left_out_until_by_subject = {}
@@ -607,7 +610,7 @@
             with self.collector.containing("outcomes", completion.node):
                 self.suspicion.record_fact(completion)
                 self.cluster.step_durations.record_fact(completion)
-                self.cluster.durations.record_outcome(completion)
+                self._record_duration(completion)
                 self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
@@ -753,6 +756,21 @@
                 seconds=run.seconds,
             )
 
+    def _record_duration(self, completion):
+        """Learn the duration of a finished task, and log figures that can't be used."""
+        match self.cluster.durations.record_outcome(completion):
+            case SampleAccepted(estimate=estimate) as sample:
+                self.registry.measure(
+                    "task_duration_error_seconds",
+                    sample.error_seconds,
+                    source=estimate.source,
+                )
+            case UnusableDuration(reason=reason):
+                self.registry.count("task_durations_unusable_total", reason=reason)
+                self.log.write(
+                    "duration-unusable", completion.allocation.name, why=reason
+                )
+
     def _log_completion(self, completion):
         self.registry.count("runs_ended_total", outcome=completion.outcome)
         self.log.write(
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -245,6 +245,9 @@
         self.registry.watch("calls_in_flight", lambda: self.app.in_flight)
         self.registry.watch("nodes", lambda: len(self.directory.list_streams()))
         self.registry.watch("epoch", lambda: self.dispatcher.epoch)
+        self.registry.watch(
+            "task_kinds", lambda: self.dispatcher.cluster.durations.kinds
+        )
         self.registry.watch("scheduler_stall", lambda: self.stall.seconds)
         self.registry.watch(
             "config_version", lambda: self.follower.state.configuration.version
