Start the longest tasks first, and copy runs past the high quantile of their kind

Cause: three tasks in a hundred take seven times as long. A run was copied only if its worker was silent, stood still or was slow compared with tasks of the same step; what is known to take long was not started first.

Change, switched on by site.scheduling.tails: within a step, tasks that take longest by an earlier run start first; of steps of one job, the one with the longest chain. A run that has worked past the high quantile of its kind is copied if its worker is slow by the runs of other jobs there, and not if these run as usual: then the task is long itself. Where too few tell, copies go on while enough of them win. Copies take only processors that no task waits for and no best-effort task uses. Durations from slow workers are not learned. The work of unneeded runs is counted.

Ruled out: copying by the high quantile alone; with tails of the tasks themselves each such copy takes as long.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -15,8 +15,10 @@
 from bergamotshore.core.work.fullspeed import record_work
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
+from bergamotshore.core.work.places import PlaceTracker
 from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.speed import StepDurations
+from bergamotshore.core.work.tails import TailTracker
 from bergamotshore.core.work.workers import Allocation, WorkerState
 
 STARTED = "started"
@@ -78,6 +80,8 @@
         self.advice = AdviceTracker()
         self.step_durations = StepDurations()
         self.durations = DurationEstimates()
+        self.places = PlaceTracker()
+        self.tails = TailTracker()
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
--- a/src/bergamotshore/core/work/copies.py
+++ b/src/bergamotshore/core/work/copies.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from bergamotshore.core.work.tails import PAST_HIGH, Lateness, find_lateness
 from bergamotshore.core.work.workers import Allocation, WorkerState
 
 # A run isn't copied in its first second: on a healthy site, orders and heartbeats take
@@ -29,12 +30,14 @@
     :param allocation: ``Allocation`` that is late.
     :param progress: ``JobProgress`` of its job.
     :param sign: Code of the sign by which it was found to be late.
+    :param lateness: ``Lateness`` of a run past the high quantile of its kind.
     """
 
     worker: WorkerState
     allocation: Allocation
     progress: object
     sign: str
+    lateness: Lateness | None = None
 
 
 def list_late_runs(view):
@@ -68,7 +71,12 @@
     if task.crashes:
         return None
     sign = find_late_sign(run, worker, view)
-    return LateRun(worker, run, progress, sign) if sign else None
+    if sign:
+        return LateRun(worker, run, progress, sign)
+    lateness = find_lateness(view, worker, run)
+    if lateness is not None:
+        return LateRun(worker, run, progress, PAST_HIGH, lateness)
+    return None
 
 
 def _allows_copies(step):
--- a/src/bergamotshore/core/work/durations.py
+++ b/src/bergamotshore/core/work/durations.py
@@ -19,6 +19,7 @@
     measure_finished,
 )
 from bergamotshore.core.work.kindsummary import DurationSample, summarize
+from bergamotshore.core.work.model import get_queue_name
 
 DECLARED = "declared"
 # Fewer jobs of a kind, each weighted by its age, say too little about the next one.
@@ -102,10 +103,12 @@
         """Return the number of kinds that samples are kept of."""
         return len(self._kind_by_key)
 
-    def record_outcome(self, outcome):
+    def record_outcome(self, outcome, is_slow_place=False):
         """Record how long a finished run has worked.
 
         :param outcome: ``RunOutcome``.
+        :param is_slow_place: Whether its worker is slow, so that the duration says
+            nothing about others and is only compared.
         :returns: ``SampleAccepted``; ``UnusableDuration`` if a figure is wrong; None
             for a run that tells no duration.
         """
@@ -117,7 +120,8 @@
         match measure_finished(run, outcome.at):
             case MeasuredDuration(seconds=seconds):
                 estimate = self.get_estimate(queue, run.step, run.ref.job)
-                self._add_sample(queue, run, seconds, outcome.at)
+                if not is_slow_place:
+                    self._add_sample(queue, run, seconds, outcome.at)
                 return SampleAccepted(seconds, estimate)
             case UnusableDuration() as unusable:
                 return unusable
@@ -199,11 +203,6 @@
         return (declared_log + median(ratios), len(ratios)) if ratios else None
 
 
-def get_queue_name(job_key):
-    """Return the name of the queue of a job from its key."""
-    return job_key.rpartition("/")[0]
-
-
 def _estimate_without_kind(own, step):
     """Return the ``DurationEstimate`` when no kind of a step is known."""
     if own is not None:
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -176,6 +176,11 @@
     return f"{queue}/{job_id}"
 
 
+def get_queue_name(key):
+    """Return the name of the queue of a job from its key."""
+    return key.rpartition("/")[0]
+
+
 def get_job_id(key):
     """Return the id of a job within its queue; ids hold no slash."""
     return key.rpartition("/")[2]
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -10,6 +10,7 @@
 from bergamotshore.core.work.gangs import place_gang
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.placing import choose_least_disturbed_worker, choose_worker
+from bergamotshore.core.work.tails import PAST_HIGH, order_tasks
 from bergamotshore.core.work.waiting import (
     WaitingStep,
     count_runs_by_node,
@@ -201,6 +202,8 @@
     """
     late = list_late_runs(view)
     workers_by_service = group_workers(view) if late else {}
+    if any(run.sign == PAST_HIGH for run in late):
+        late = _leave_room(view, late)
     claimed = []
     for run in late:
         with view.containing("copies", run.progress.key):
@@ -208,6 +211,24 @@
     return claimed
 
 
+def _leave_room(view, late):
+    """Return the late runs without those for whose service tasks wait.
+
+    A run past the high quantile of its kind still works, unlike other late ones, so
+    its copy can wait.
+    """
+    cluster = view.cluster
+    busy_services = {
+        cluster.get_service(item.progress.spec) for item in list_waiting(view)
+    }
+    return [
+        run
+        for run in late
+        if run.sign != PAST_HIGH
+        or cluster.get_service(run.progress.spec) not in busy_services
+    ]
+
+
 def _plan_copy(view, run, workers_by_service):
     """Claim a worker for the copy of a late run; return the triple in a list."""
     ref = run.allocation.ref
@@ -216,6 +237,10 @@
     if _needs_advice(item, view.cluster):
         workers = _list_permitted(view, item, workers)
     others = [worker for worker in workers if worker is not run.worker]
+    if run.sign == PAST_HIGH:
+        # Best-effort tasks don't give way to a copy of a run that works.
+        cpu = item.step.cpu
+        others = [worker for worker in others if worker.get_best_effort_cpu() >= cpu]
     counts = count_runs_by_node(item)
     worker = choose_worker(item.step, others, counts, view.cluster.interference)
     if worker is None:
@@ -223,6 +248,7 @@
     ticket = _get_ticket(view, item, worker)
     allocation = view.cluster.claim(ref, worker, view.now)
     allocation.ticket = ticket
+    view.cluster.tails.record_copy(ref, allocation.number, run.sign)
     return [(run, worker, allocation)]
 
 
@@ -270,7 +296,7 @@
     waited = view.now - view.cluster.get_waiting_since(item)
     has_waited = waited > MAX_TRIAL_WAIT_SECONDS
     is_short = False
-    for ref in item.refs:
+    for ref in order_tasks(view, item):
         if trials.has_to_be_tried(ref, has_waited):
             worker = trials.choose_worker(item, workers, counts, has_waited)
             if worker is None:
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, replace
 
 from bergamotshore.core.work.containment import ErrorCollector
+from bergamotshore.core.work.tails import order_chains
 from bergamotshore.generated.settings import Scheduling
 
 
@@ -90,7 +91,7 @@
         except Exception as error:
             view.collector.record("waiting", progress.key, error)
     waiting.sort(key=lambda item: item.rank)
-    return waiting
+    return order_chains(view, waiting)
 
 
 def _list_waiting_of_job(view, progress):
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -611,6 +611,7 @@
                 self.suspicion.record_fact(completion)
                 self.cluster.step_durations.record_fact(completion)
                 self._record_duration(completion)
+                self._record_tail(completion)
                 self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
@@ -715,6 +716,23 @@
                 first_node=straggler.worker.node,
                 why=straggler.sign,
             )
+            if straggler.lateness is not None:
+                self._log_lateness(straggler)
+
+    def _log_lateness(self, straggler):
+        lateness = straggler.lateness
+        self.log.write(
+            "run-past-high",
+            straggler.allocation.name,
+            run=straggler.allocation.number,
+            node=straggler.worker.node,
+            seconds=round(lateness.worked, 2),
+            remaining=round(lateness.remaining, 2),
+            expected=round(lateness.estimate.expected, 2),
+            high=round(lateness.estimate.high, 2),
+            basis=lateness.estimate.source,
+            place=round(lateness.place.ratio, 2),
+        )
 
     def _log_downtime(self, view):
         """Log the long-running tasks that have been down for long, or run again."""
@@ -758,17 +776,36 @@
 
     def _record_duration(self, completion):
         """Learn the duration of a finished task, and log figures that can't be used."""
-        match self.cluster.durations.record_outcome(completion):
+        run, places = completion.allocation, self.cluster.places
+        is_slow_place = places.is_slow(completion.node, completion.at)
+        match self.cluster.durations.record_outcome(completion, is_slow_place):
             case SampleAccepted(estimate=estimate) as sample:
                 self.registry.measure(
                     "task_duration_error_seconds",
                     sample.error_seconds,
                     source=estimate.source,
                 )
+                places.record_duration(
+                    completion.node, run.ref.job, completion.at, sample
+                )
             case UnusableDuration(reason=reason):
                 self.registry.count("task_durations_unusable_total", reason=reason)
+                self.log.write("duration-unusable", run.name, why=reason)
+
+    def _record_tail(self, completion):
+        """Count the work of a run that another run of its task made unneeded."""
+        match self.cluster.tails.record_outcome(completion):
+            case (sign, core_seconds):
+                run = completion.allocation
+                self.registry.count(
+                    "run_copies_unneeded_core_seconds_total", core_seconds, sign=sign
+                )
                 self.log.write(
-                    "duration-unusable", completion.allocation.name, why=reason
+                    "copy-unneeded",
+                    run.name,
+                    run=run.number,
+                    node=completion.node,
+                    core_seconds=round(core_seconds, 2),
                 )
 
     def _log_completion(self, completion):
--- a/tests/site/burst.py
+++ b/tests/site/burst.py
@@ -1,6 +1,7 @@
 """Simulation of a burst of jobs on a few workers, with the real planner, no network."""
 
 from bergamotshore.core.work.cluster import ClusterState
+from bergamotshore.core.work.durations import SampleAccepted
 from bergamotshore.core.work.leases import get_grant_seconds, get_lease_expiry_seconds
 from bergamotshore.core.work.model import JobSpec, Step, WorkerSize
 from bergamotshore.core.work.planner import plan_copies, plan_starts
@@ -8,9 +9,11 @@
 from bergamotshore.core.work.stops import plan_stops
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
+from bergamotshore.generated.settings import Scheduling
 from bergamotshore.ports.runner import ListedCompletion, ListedRun, WorkerIncarnation
 from tests.site.simulation import LONGEST_HOLD_SECONDS, SERVICE, build_configuration
 
+NO_DECISIONS_UNDER_LOAD = Scheduling()
 NODES = 4
 TASK_SECONDS = 1.3
 REPORT_INTERVAL_SECONDS = 0.4
@@ -26,8 +29,18 @@
     the start of the simulation, and the lease of its worker expires.
     """
 
-    def __init__(self, slowdown_by_node, is_speculative=False, silent_from_by_node=()):
+    def __init__(
+        self,
+        slowdown_by_node,
+        is_speculative=False,
+        silent_from_by_node=(),
+        scheduling=NO_DECISIONS_UNDER_LOAD,
+        get_size=lambda name: 1.0,
+    ):
         self.now = 100.0
+        self.scheduling = scheduling
+        self.get_size = get_size
+        self.unneeded_core_seconds = 0.0
         self.is_speculative = is_speculative
         self.silent_from_by_node = {
             node: self.now + seconds
@@ -51,6 +64,7 @@
             worker.is_reachable = worker.is_answering = worker.has_right = True
 
     def add_job(self, name, tasks=6):
+        """Submit a job of one step of short tasks."""
         step = Step(
             tasks=tasks,
             cpu=1600,
@@ -75,6 +89,7 @@
         for fact in self.cluster.pop_new_outcomes():
             self.quarantine.record_fact(fact)
             self.cluster.step_durations.record_fact(fact)
+            self._record_duration(fact)
         slow = self.cluster.step_durations.find_slow_workers(
             self.cluster.worker_by_node.values()
         )
@@ -88,6 +103,7 @@
             self.now,
             self.quarantine.is_quarantined,
             slow_keys=keys,
+            scheduling=self.scheduling,
         )
         for stop in plan_stops(view):
             self.stopped_nodes.append(stop.node)
@@ -99,6 +115,16 @@
             self.copy_signs.append(late.sign)
             self._start(worker, run)
 
+    def _record_duration(self, fact):
+        is_slow_place = self.cluster.places.is_slow(fact.node, fact.at)
+        match self.cluster.durations.record_outcome(fact, is_slow_place):
+            case SampleAccepted() as sample:
+                job = fact.allocation.ref.job
+                self.cluster.places.record_duration(fact.node, job, fact.at, sample)
+        match self.cluster.tails.record_outcome(fact):
+            case (_, core_seconds):
+                self.unneeded_core_seconds += core_seconds
+
     def _get_silence(self, node):
         return self.now - self.silent_from_by_node.get(node, self.now + 1.0)
 
@@ -113,7 +139,7 @@
         slowdown = self.slowdown_by_node.get(worker.node, 1.0)
         for run in list(worker.allocation_by_key.values()):
             progress = (self.now - self.started_at_by_key[run.key]) / (
-                TASK_SECONDS * slowdown
+                TASK_SECONDS * slowdown * self.get_size(run.name)
             )
             if progress >= 1.0:
                 self.finish_run(worker, run, "done")
