--- a/src/bergamotshore/core/work/durations.py
+++ b/src/bergamotshore/core/work/durations.py
@@ -29,6 +29,7 @@
 MAX_SAMPLES_PER_KIND = 128
 MAX_JOBS = 1000
 MAX_SAMPLES_PER_JOB = 32
+MAX_CACHED = 4096
 # A kind is summarized again after this share of its samples is new.
 NEW_SHARE = 0.125
 # Number of finished tasks of a job that say as much about the rest of it as all other
@@ -97,6 +98,8 @@
         self._kind_by_key = OrderedDict()
         self._samples_by_job = OrderedDict()
         self._latest_at = 0.0
+        # Valid until the next sample, so for at least one planning pass.
+        self._estimate_by_key = {}
 
     @property
     def kinds(self):
@@ -129,6 +132,7 @@
 
     def _add_sample(self, queue, run, seconds, at):
         self._latest_at = max(self._latest_at, at)
+        self._estimate_by_key.clear()
         sample = DurationSample(run.ref.job, at, log(seconds), _get_log(run.step))
         for _, key in _list_keys(queue, run.step):
             kind = self._kind_by_key.setdefault(key, Kind())
@@ -152,6 +156,16 @@
         """
         if not self.is_enabled or step.is_lasting:
             return DurationEstimate(step.estimate, inf)
+        key = (queue, job_key, step.image, step.cpu, step.estimate)
+        estimate = self._estimate_by_key.get(key)
+        if estimate is None:
+            if len(self._estimate_by_key) >= MAX_CACHED:
+                self._estimate_by_key.clear()
+            estimate = self._estimate(queue, step, job_key)
+            self._estimate_by_key[key] = estimate
+        return estimate
+
+    def _estimate(self, queue, step, job_key):
         declared_log = _get_log(step)
         source, kind = self._find_kind(queue, step)
         own = self._get_own_log(job_key, declared_log)
--- a/src/bergamotshore/core/work/tails.py
+++ b/src/bergamotshore/core/work/tails.py
@@ -271,14 +271,21 @@
     if not (isfinite(estimate.high) and is_usable(estimate.expected)):
         return None
     worked, remaining = total * share, total * (1.0 - share)
+    if not _is_late(worked, remaining, estimate, 1.0):
+        return None
     # If the whole job is larger than others of its kind, so are its other tasks.
-    scale = max(1.0, _get_sibling_seconds(view, worker, run) / estimate.expected)
-    is_late = worked > scale * estimate.high
-    if not is_late or remaining < scale * estimate.expected + MIN_GAIN_SECONDS:
+    scale = _get_sibling_seconds(view, worker, run) / estimate.expected
+    if scale > 1.0 and not _is_late(worked, remaining, estimate, scale):
         return None
     return Lateness(worked, remaining, estimate)
 
 
+def _is_late(worked, remaining, estimate, scale):
+    """Return whether a run is past the high quantile and a copy would end before it."""
+    fresh = scale * estimate.expected + MIN_GAIN_SECONDS
+    return worked > scale * estimate.high and remaining > fresh
+
+
 def _get_sibling_seconds(view, worker, run):
     """Return the median duration of a step's tasks on other workers; 0 if unknown."""
     progress = view.cluster.job_by_key[run.ref.job]
