--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -12,10 +12,13 @@
 from bergamotshore.core.work.advice import AdviceTracker
 from bergamotshore.core.work.containment import changes_state
 from bergamotshore.core.work.durations import DurationEstimates
+from bergamotshore.core.work.fullspeed import record_work
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
+from bergamotshore.core.work.places import PlaceTracker
 from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.speed import StepDurations
+from bergamotshore.core.work.tails import TailTracker
 from bergamotshore.core.work.workers import Allocation, WorkerState
 
 STARTED = "started"
@@ -77,6 +80,8 @@
         self.advice = AdviceTracker()
         self.step_durations = StepDurations()
         self.durations = DurationEstimates()
+        self.places = PlaceTracker()
+        self.tails = TailTracker()
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
@@ -319,6 +324,7 @@
             allocation.percent = reported.percent
             allocation.progressed_at = now
         allocation.usage = reported.usage
+        record_work(allocation, now)
         if reported.checkpoint and reported.checkpoint != allocation.checkpoint:
             allocation.checkpoint = reported.checkpoint
             progress = self.job_by_key.get(allocation.ref.job)
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -17,6 +17,8 @@
 from bergamotshore.core.work.crashes import LostRun, record_crash
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.downtime import DowntimeTracker
+from bergamotshore.core.work.durations import SampleAccepted
+from bergamotshore.core.work.fullspeed import UnusableDuration
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.presence import get_reported_runs
@@ -200,6 +202,7 @@
         self.cluster = ClusterState(
             lambda name: self.site.configuration.get_queue(name)
         )
+        self.cluster.durations.is_enabled = self.scheduling.durations
         self.suspicion = WorkerQuarantine()
         self.collector = ErrorCollector()
         self._left_out_until_by_subject = {}
@@ -625,7 +628,8 @@
             with self.collector.containing("outcomes", completion.node):
                 self.suspicion.record_fact(completion)
                 self.cluster.step_durations.record_fact(completion)
-                self.cluster.durations.record_outcome(completion)
+                self._record_duration(completion)
+                self._record_tail(completion)
                 self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
@@ -730,6 +734,23 @@
                 first_node=straggler.worker.node,
                 why=straggler.sign,
             )
+            if straggler.lateness is not None:
+                self._log_lateness(straggler)
+
+    def _log_lateness(self, straggler):
+        lateness = straggler.lateness
+        self.log.write(
+            "run-past-high",
+            straggler.allocation.name,
+            run=straggler.allocation.number,
+            node=straggler.worker.node,
+            seconds=round(lateness.worked, 2),
+            remaining=round(lateness.remaining, 2),
+            expected=round(lateness.estimate.expected, 2),
+            high=round(lateness.estimate.high, 2),
+            basis=lateness.estimate.source,
+            place=round(lateness.place.ratio, 2),
+        )
 
     def _log_downtime(self, view):
         """Log the long-running tasks that have been down for long, or run again."""
@@ -771,6 +792,40 @@
                 seconds=run.seconds,
             )
 
+    def _record_duration(self, completion):
+        """Learn the duration of a finished task, and log figures that can't be used."""
+        run, places = completion.allocation, self.cluster.places
+        is_slow_place = places.is_slow(completion.node, completion.at)
+        match self.cluster.durations.record_outcome(completion, is_slow_place):
+            case SampleAccepted(estimate=estimate) as sample:
+                self.registry.measure(
+                    "task_duration_error_seconds",
+                    sample.error_seconds,
+                    source=estimate.source,
+                )
+                places.record_duration(
+                    completion.node, run.ref.job, completion.at, sample
+                )
+            case UnusableDuration(reason=reason):
+                self.registry.count("task_durations_unusable_total", reason=reason)
+                self.log.write("duration-unusable", run.name, why=reason)
+
+    def _record_tail(self, completion):
+        """Count the work of a run that another run of its task made unneeded."""
+        match self.cluster.tails.record_outcome(completion):
+            case (sign, core_seconds):
+                run = completion.allocation
+                self.registry.count(
+                    "run_copies_unneeded_core_seconds_total", core_seconds, sign=sign
+                )
+                self.log.write(
+                    "copy-unneeded",
+                    run.name,
+                    run=run.number,
+                    node=completion.node,
+                    core_seconds=round(core_seconds, 2),
+                )
+
     def _log_completion(self, completion):
         self.registry.count("runs_ended_total", outcome=completion.outcome)
         self.log.write(
