Let tasks wait for places near their data as long as the wait pays

Cause: a task whose rack is full went elsewhere at once and took spread_factor times as long; a gang that is slower across racks was spread at once.

Change: with site.scheduling.patience and a spread factor in the settings, the planner weighs the time saved by a near place against the time until room is expected there. The entry's template passes spread_factor.

--- a/src/bergamotshore/core/work/gangs.py
+++ b/src/bergamotshore/core/work/gangs.py
@@ -5,9 +5,10 @@
 from bergamotshore.core.work.workers import Allocation
 
 
-def place_gang(view, item, workers):
+def place_gang(view, item, workers, waits):
     """Claim workers for all members of a gang, or for none.
 
+    :param waits: ``WaitDecisions`` for room in one rack.
     :returns: Pairs of worker and ``Allocation`` claimed.
     """
     tasks = item.progress.tasks_by_occurrence[item.occurrence][item.number]
@@ -16,6 +17,9 @@
     chosen = choose_gang_workers(view, item, workers)
     if chosen is None:
         return []
+    racks = _group_by_rack(workers)
+    if waits.holds_back_gang(item, chosen, racks, count_runs_by_node(item)):
+        return []
     number = item.progress.get_next_gang_run_number(item.occurrence, item.number)
     checkpoint = next((task.checkpoint for task in tasks if task.checkpoint), "")
     claimed = []
@@ -29,8 +33,7 @@
     """Return a worker for each member, or None when capacity is short for some.
 
     A gang that is slower across racks is placed in a single rack if one has the
-    capacity. Otherwise it is spread at once: the slowdown is a known factor, while the
-    wait for a rack is unbounded.
+    capacity.
     """
     if item.step.is_tight:
         for group in _group_by_rack(workers):
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -9,6 +9,7 @@
 from bergamotshore.core.work.crashes import MAX_TRIAL_WAIT_SECONDS, Trials
 from bergamotshore.core.work.gangs import place_gang
 from bergamotshore.core.work.model import Step
+from bergamotshore.core.work.patience import WaitDecisions
 from bergamotshore.core.work.placing import choose_least_disturbed_worker, choose_worker
 from bergamotshore.core.work.waiting import (
     WaitingStep,
@@ -41,13 +42,13 @@
     """
     waiting = list_waiting(view)
     view.cluster.record_waiting(waiting, view.now)
-    starts = StartPlan(group_workers(view), Trials(view))
+    starts = StartPlan(group_workers(view), Trials(view), WaitDecisions(view))
     for item in waiting:
         try:
             _plan_item(view, item, starts)
         except Exception as error:
             _leave_out(view, item, starts, error)
-    starts.claimed += _place_overdue_tasks(view, waiting, starts.trials)
+    starts.claimed += _place_overdue_tasks(view, waiting, starts)
     return starts.claimed, starts.questions
 
 
@@ -57,6 +58,7 @@
 
     :param workers_by_service: ``WorkerState`` objects by service.
     :param trials: ``Trials`` of suspects.
+    :param waits: ``WaitDecisions`` for near places.
     :param claimed: Pairs of worker and ``Allocation``.
     :param questions: ``AdviceQuery`` objects.
     :param unplaceable: ``UnplaceableSizes``.
@@ -64,6 +66,7 @@
 
     workers_by_service: dict
     trials: Trials
+    waits: WaitDecisions
     claimed: list = field(default_factory=list)
     questions: list = field(default_factory=list)
     unplaceable: object = field(default_factory=lambda: UnplaceableSizes())
@@ -81,11 +84,11 @@
     if not workers:
         return
     if item.step.is_gang:
-        placed = place_gang(view, item, workers)
+        placed = place_gang(view, item, workers, starts.waits)
         for worker, allocation in placed:
             allocation.ticket = _get_ticket(view, item, worker)
     else:
-        placed, is_short = _place_tasks(view, item, workers, starts.trials)
+        placed, is_short = _place_tasks(view, item, workers, starts)
         if is_short:
             starts.unplaceable.record(item, view.cluster)
     starts.claimed += placed
@@ -130,7 +133,7 @@
     return True
 
 
-def _place_overdue_tasks(view, waiting, trials):
+def _place_overdue_tasks(view, waiting, starts):
     """Claim workers in quarantine for long-running tasks that have waited too long."""
     overdue = [
         item
@@ -146,7 +149,7 @@
             workers = _list_open(view, item, workers_by_service)
             if _needs_advice(item, view.cluster):
                 workers = _list_permitted(view, item, workers)
-            claimed += _place_tasks(view, item.refresh(), workers, trials)[0]
+            claimed += _place_tasks(view, item.refresh(), workers, starts)[0]
     return claimed
 
 
@@ -259,13 +262,17 @@
     return view.cluster.advice.plan_query(item.key, name, fitting, view.now)
 
 
-def _place_tasks(view, item, workers, trials):
+def _place_tasks(view, item, workers, starts):
     """Claim workers for the tasks of a step.
 
+    Tasks that wait for a place near their data get none.
+
     :returns: Pair of a list of claims and whether no worker has capacity for more;
         workers that are closed because of a trial may have it.
     """
     claimed = []
+    trials = starts.trials
+    may_wait = not _needs_advice(item, view.cluster)
     counts = count_runs_by_node(item)
     waited = view.now - view.cluster.get_waiting_since(item)
     has_waited = waited > MAX_TRIAL_WAIT_SECONDS
@@ -280,6 +287,10 @@
             continue
         else:
             worker = _choose_worker(view, item, workers, counts, trials, has_waited)
+            if may_wait and worker is not None:
+                near = trials.list_open(workers)
+                if starts.waits.holds_back(item, ref, worker, near, counts):
+                    continue
         if worker is None:
             is_short = True
             continue
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -20,6 +20,8 @@
         being drained for maintenance.
     :param slow_keys: Keys of runs that would finish earlier on another worker.
     :param scheduling: ``Scheduling``: the decisions under load that are switched on.
+    :param spread_factor: Factor by which tasks take longer away from their data or
+        their group.
     :param collector: ``ErrorCollector`` of the errors that are contained in the pass;
         the default raises them.
     """
@@ -32,6 +34,7 @@
     is_urgent_by_draining_node: dict = field(default_factory=dict)
     slow_keys: frozenset = frozenset()
     scheduling: Scheduling = Scheduling()
+    spread_factor: float = 1.0
     collector: ErrorCollector = field(
         default_factory=lambda: ErrorCollector(is_strict=True)
     )
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -43,6 +43,7 @@
 from bergamotshore.entry.orders import OrderBatch, OrderSender
 from bergamotshore.entry.reports import apply_report
 from bergamotshore.entry.takeover import TakeoverFailed, read_open_jobs, write_fences
+from bergamotshore.entry.waitlog import log_place_waits
 from bergamotshore.exceptions import DecodingError, StateError
 from bergamotshore.generated.messages import RunReport, RunResults
 from bergamotshore.generated.settings import Scheduling
@@ -142,6 +143,8 @@
     :param machines: ``MachineService``; None without one.
     :param machine_calls: Executor that runs its calls one at a time.
     :param scheduling: ``Scheduling``: the decisions under load that are switched on.
+    :param spread_factor: Factor by which tasks take longer away from their data or
+        their group.
     """
 
     def __init__(
@@ -163,8 +166,10 @@
         machines=None,
         machine_calls=None,
         scheduling=NO_DECISIONS_UNDER_LOAD,
+        spread_factor=1.0,
     ):
         self.scheduling = scheduling
+        self.spread_factor = spread_factor
         self.machines = machines
         self.machine_calls = machine_calls
         self.store = store
@@ -637,6 +642,7 @@
             ),
             slow_keys=self._slow_keys,
             scheduling=self.scheduling,
+            spread_factor=self.spread_factor,
             collector=ErrorCollector(left_out=self._list_left_out(now)),
         )
         orders_by_node = {}
@@ -644,6 +650,7 @@
         plan = make_plan(view, may_start, is_check_due)
         self._record_errors(view.collector, now)
         self._log_plan(plan)
+        log_place_waits(self.cluster.place_waits, self.registry, self.log)
         self._log_downtime(view)
         for question in plan.questions:
             self.questions.ask(self.cluster, question, self.epoch, now)
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -229,6 +229,7 @@
             else None,
             self.machine_executor,
             scheduling=self.site.scheduling,
+            spread_factor=self.site.spread_factor,
         )
 
     def _build_small_server(self, app, address):
