--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -16,6 +16,7 @@
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.places import PlaceTracker
+from bergamotshore.core.work.placewaits import PlaceWaits
 from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.speed import StepDurations
 from bergamotshore.core.work.tails import TailTracker
@@ -82,6 +83,7 @@
         self.durations = DurationEstimates()
         self.places = PlaceTracker()
         self.tails = TailTracker()
+        self.place_waits = PlaceWaits()
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
