Admission by an estimate that every entry has: estimate, decision, switch

Under load that lasts all jobs were accepted, and nearly all ended when they were of no use. With scheduling.admission the scheduling entry estimates the work ahead by service, priority and due time, heartbeats between entries pass it on with its age, and each entry refuses a job on arrival that can't end while it is of use, unless it is stored. Off by default; without a recent estimate all jobs are accepted.

--- /dev/null
+++ b/src/bergamotshore/entry/admission.py
@@ -0,0 +1,205 @@
+"""Admission of jobs at one entry, by the newest estimate that it was told of."""
+
+import math
+import threading
+from collections import deque
+from dataclasses import replace
+
+import msgspec
+
+from bergamotshore.core.decoding import decode_msgpack
+from bergamotshore.core.work.admission import (
+    MAX_AGE_SECONDS,
+    find_refusal,
+    get_longest_wait,
+)
+from bergamotshore.core.work.backlog import (
+    DUES,
+    TIMES,
+    Backlog,
+    describe_arrival,
+    is_ahead,
+)
+from bergamotshore.core.work.model import MAX_NUMBER
+from bergamotshore.exceptions import DecodingError
+
+# Longest time between the clock reading that a heartbeat echoes and its arrival, in
+# seconds: two heartbeats of half a second and their transfer. A later one was held up,
+# so the age of what it tells isn't known.
+MAX_TRANSIT_SECONDS = 1.6
+# Jobs accepted since the estimate that are counted; a decision takes less than 0.1 ms.
+MAX_RECENT = 200
+# Shortest interval between two log lines about invalid estimates, in seconds.
+LOG_INTERVAL_SECONDS = 5.0
+
+
+class Admission:
+    """Decide about new jobs; the methods may be called from any thread.
+
+    :param is_enabled: Whether jobs are refused, and estimates passed on, at all.
+    :param name: Name of this entry.
+    :param clock: ``Clock``.
+    :param registry: ``Registry``.
+    :param log: ``EventLog``.
+    :param count_entries: Function that returns the number of entries.
+    """
+
+    def __init__(self, is_enabled, name, clock, registry, log, count_entries=lambda: 1):
+        self.is_enabled = is_enabled
+        self._name = name
+        self._clock = clock
+        self._registry = registry
+        self._log = log
+        self._count_entries = count_entries
+        self._lock = threading.Lock()
+        self._backlog = None
+        self._made_at = -math.inf
+        self._recent = deque(maxlen=MAX_RECENT)
+        self._fallback = ""
+        self._logged_at = -math.inf
+
+    def record(self, backlog):
+        """Record an estimate that was made or told just now.
+
+        :param backlog: ``Backlog``; one that is older than the held one is ignored.
+        """
+        now = self._clock.now()
+        made_at = now - backlog.age
+        with self._lock:
+            is_held = now - self._made_at < MAX_AGE_SECONDS
+            held_epoch = self._backlog.epoch if is_held else 0
+            if backlog.epoch >= held_epoch:
+                is_newer = backlog.epoch > held_epoch or made_at > self._made_at
+                if is_newer and backlog.age < MAX_AGE_SECONDS:
+                    self._backlog, self._made_at = backlog, made_at
+                return
+        self._report_invalid("former-term")
+
+    def record_told(self, content, echo):
+        """Record the estimate in a heartbeat of another entry.
+
+        :param content: Encoded estimate; empty for none.
+        :param echo: This entry's clock as the heartbeat echoes it, in seconds.
+        """
+        if not content or not self.is_enabled:
+            return
+        if not 0.0 <= self._clock.now() - echo <= MAX_TRANSIT_SECONDS:
+            # The first heartbeat of a stream echoes nothing yet.
+            if echo:
+                self._report_invalid("late")
+            return
+        try:
+            backlog = decode_backlog(content)
+        except DecodingError as error:
+            self._report_invalid("malformed", str(error))
+            return
+        self.record(backlog)
+
+    def encode(self):
+        """Return the estimate to pass on, with its age; empty without a recent one."""
+        now = self._clock.now()
+        with self._lock:
+            backlog, age = self._backlog, now - self._made_at
+        if backlog is None or not self.is_enabled or age >= MAX_AGE_SECONDS:
+            return b""
+        return encode_backlog(replace(backlog, age=age))
+
+    def find_refusal(self, spec, queue):
+        """Return the ``Refusal`` of a job; None to accept it.
+
+        Scheduled and long-running jobs are never refused for load.
+
+        :param spec: ``JobSpec``.
+        :param queue: ``Queue``.
+        """
+        if not self.is_enabled or spec.repeats or spec.is_lasting:
+            return None
+        started_at = now = self._clock.now()
+        with self._lock:
+            backlog, made_at = self._backlog, self._made_at
+            recent = [item for item in self._recent if item[0] > made_at]
+        age = now - made_at
+        if backlog is None or age >= MAX_AGE_SECONDS:
+            self._report_fallback("absent" if backlog is None else "old", age)
+            return None
+        self._report_resumed(backlog.epoch, age)
+        arrival = describe_arrival(spec, queue)
+        works = [
+            earlier.work
+            for _, due_at, earlier in recent
+            if _goes_before(earlier, due_at, arrival, now + arrival.due)
+        ]
+        limit = get_longest_wait(spec, queue)
+        entries = max(1, self._count_entries())
+        refusal = find_refusal(
+            backlog, age, arrival, limit, works, entries, spec.job_id
+        )
+        self._registry.measure("admission_seconds", self._clock.now() - started_at)
+        return refusal
+
+    def record_accepted(self, spec, queue):
+        """Record a job that was stored, for the decisions until the next estimate."""
+        if self.is_enabled and not spec.repeats and not spec.is_lasting:
+            now = self._clock.now()
+            arrival = describe_arrival(spec, queue)
+            with self._lock:
+                self._recent.append((now, now + arrival.due, arrival))
+
+    def _report_fallback(self, reason, age):
+        self._registry.count("admission_fallbacks_total", reason=reason)
+        if self._fallback != reason:
+            self._fallback = reason
+            told = round(age, 3) if math.isfinite(age) else -1
+            self._log.write("admission-fallback", self._name, why=reason, age=told)
+
+    def _report_resumed(self, epoch, age):
+        if self._fallback:
+            self._fallback = ""
+            self._log.write("admission-resumed", self._name, epoch=epoch, age=age)
+
+    def _report_invalid(self, reason, detail=""):
+        self._registry.count("estimates_invalid_total", reason=reason)
+        now = self._clock.now()
+        if now - self._logged_at >= LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            why = f"{reason}: {detail}" if detail else reason
+            self._log.write("estimate-invalid", self._name, why=why)
+
+
+def _goes_before(earlier, earlier_due_at, arrival, due_at):
+    """Return whether a job that was accepted before goes before a new one."""
+    if is_ahead(earlier, arrival):
+        return True
+    key = (arrival.service, arrival.priority, arrival.is_filling)
+    is_same = (earlier.service, earlier.priority, earlier.is_filling) == key
+    return is_same and earlier_due_at <= due_at
+
+
+def encode_backlog(backlog):
+    """Encode a ``Backlog`` as bytes."""
+    return msgspec.msgpack.encode(backlog)
+
+
+def decode_backlog(content):
+    """Decode a ``Backlog``.
+
+    :raises DecodingError: if the bytes are not one, or a figure can't be.
+    """
+    backlog = decode_msgpack(content, Backlog)
+    numbers = [backlog.age, *backlog.cores_by_service.values()]
+    numbers += backlog.drain_by_service.values()
+    for load in backlog.classes:
+        numbers += (load.priority, load.used)
+        for due, row in load.row_by_due.items():
+            numbers += row
+            if not 0 <= due <= len(DUES) or len(row) != len(TIMES):
+                raise DecodingError("a row of an estimate has another form")
+            if any(
+                later < earlier for earlier, later in zip(row, row[1:], strict=False)
+            ):
+                raise DecodingError("a row of an estimate decreases")
+    if not all(0 <= number <= MAX_NUMBER for number in numbers):
+        raise DecodingError("a figure of an estimate is out of range")
+    if not 1 <= backlog.epoch <= MAX_NUMBER:
+        raise DecodingError("the term of an estimate is out of range")
+    return backlog
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.backlog import BacklogTracker
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.crashes import LostRun, record_crash
@@ -62,6 +63,12 @@
 # Interval of the checks for slow workers and for steps that lack capacity, in seconds.
 # Workers list their progress every 0.4 s; checking twice as often misses no list.
 CHECK_INTERVAL_SECONDS = 0.2
+# Interval of the estimates of the work ahead of new jobs, in seconds: half of that of
+# the heartbeats that tell them.
+BACKLOG_INTERVAL_SECONDS = 0.25
+# Time from the begin of a term until it tells its first estimate, in seconds: nodes
+# report within two heartbeats, and workers that are not known yet look like lost ones.
+BACKLOG_DELAY_SECONDS = 2.0
 # Interval of the checks for long-running tasks without a run, in seconds.
 DOWNTIME_INTERVAL_SECONDS = 1.0
 # A job or worker that caused an unexpected error is left out of planning for this time,
@@ -142,6 +149,7 @@
     :param machines: ``MachineService``; None without one.
     :param machine_calls: Executor that runs its calls one at a time.
     :param scheduling: ``Scheduling``: the decisions under load that are switched on.
+    :param on_backlog: Called with each ``Backlog`` that this entry estimates.
     """
 
     def __init__(
@@ -163,8 +171,10 @@
         machines=None,
         machine_calls=None,
         scheduling=NO_DECISIONS_UNDER_LOAD,
+        on_backlog=lambda backlog: None,
     ):
         self.scheduling = scheduling
+        self._on_backlog = on_backlog
         self.machines = machines
         self.machine_calls = machine_calls
         self.store = store
@@ -215,6 +225,8 @@
         self._downtime = DowntimeTracker()
         self._downtime_checked_at = 0.0
         self._outlasting = OutlastingRunTracker()
+        self._backlog = BacklogTracker(self.epoch)
+        self._backlog_measured_at = 0.0
 
     def _build_row(self, row_id):
         return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
@@ -608,6 +620,7 @@
                 self.suspicion.record_fact(completion)
                 self.cluster.step_durations.record_fact(completion)
                 self.cluster.durations.record_outcome(completion)
+                self._record_drain(completion)
                 self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
@@ -645,6 +658,8 @@
         self._record_errors(view.collector, now)
         self._log_plan(plan)
         self._log_downtime(view)
+        with self.collector.containing("backlog", "estimate"):
+            self._measure_backlog(view)
         for question in plan.questions:
             self.questions.ask(self.cluster, question, self.epoch, now)
         for stop in plan.stops:
@@ -661,6 +676,29 @@
             if worker.stream is not None and (has_advanced or batch is not None):
                 self.sender.send(worker, batch or OrderBatch())
 
+    def _record_drain(self, completion):
+        if self.scheduling.admission:
+            service = self.cluster.get_worker(completion.node, "").service
+            self._backlog.record_outcome(completion, service, self.cluster.durations)
+
+    def _measure_backlog(self, view):
+        """Estimate the work ahead of new jobs, which all entries admit jobs by."""
+        now = view.now
+        if (
+            not self.scheduling.admission
+            or now - self.term_started_at < BACKLOG_DELAY_SECONDS
+            or now - self._backlog_measured_at < BACKLOG_INTERVAL_SECONDS
+        ):
+            return
+        self._backlog_measured_at = now
+        backlog = self._backlog.measure(view)
+        self._on_backlog(backlog)
+        for expected, real in self._backlog.compare_starts(view, backlog):
+            sign = "later" if real > expected else "sooner"
+            self.registry.measure(
+                "admission_error_seconds", abs(real - expected), sign=sign
+            )
+
     def _may_start(self, now):
         """Return whether the state that starts depend on is fresh; log changes."""
         is_fresh = self.freshness.is_fresh(now)
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -253,6 +253,23 @@
             )
         return self._get(get_row_id(CLOSED, key), deadline).bind(_decode_closed_state)
 
+    def has(self, key, deadline):
+        """Return a ``Result`` of whether a job is stored, open or closed.
+
+        The open row is read first: a job that is closed in between is found closed.
+
+        :param key: Key of the job.
+        :param deadline: When to stop retrying, on this entry's clock.
+        """
+        match self._get(get_row_id(JOBS, key), deadline):
+            case Success(None):
+                closed = self._get(get_row_id(CLOSED, key), deadline)
+                return closed.map(lambda row: row is not None)
+            case Success(_):
+                return Success(True)
+            case failure:
+                return failure
+
     def get_waiting_counts(self, deadline):
         """Return a ``Result`` of the number of waiting jobs by queue.
 
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -185,6 +185,8 @@
     :param on_heartbeat: Called with the peer and each heartbeat that it sends.
     :param describe_terms: Function that returns the fields of a heartbeat to a peer
         that tell of the terms of scheduling entries.
+    :param encode_backlog: Function that returns the estimate of the work ahead of new
+        jobs to pass on; empty for none.
     """
 
     def __init__(
@@ -200,7 +202,9 @@
         worker_ends,
         on_heartbeat,
         describe_terms,
+        encode_backlog=lambda: b"",
     ):
+        self._encode_backlog = encode_backlog
         self._cancellations = cancellations
         self._worker_ends = worker_ends
         self._on_heartbeat = on_heartbeat
@@ -341,6 +345,7 @@
             echo=stream.peer_clock,
             cancelled=self._cancellations.list_announced(),
             worker_ends=self._worker_ends.list_announced(),
+            backlog=self._encode_backlog(),
             **(self._describe_terms(stream.peer) if stream.peer is not None else {}),
         )
 
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -22,6 +22,7 @@
     get_grant_seconds,
 )
 from bergamotshore.core.work.stall import StallDetector
+from bergamotshore.entry.admission import Admission
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import (
     Dispatcher,
@@ -124,6 +125,14 @@
         self.machine_executor = ThreadPoolExecutor(1, "machines")
         self.relay_executor = ThreadPoolExecutor(RELAY_THREADS, "relay")
         self.cancellations = RecentCancellations(self.clock)
+        self.admission = Admission(
+            self.site.scheduling.admission,
+            settings.name,
+            self.clock,
+            self.registry,
+            self.log,
+            lambda: len(self.peers),
+        )
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
         self.relay, self.client = self._build_client()
         self.store = PlatformRowStore(self.client, self.registry, self.log)
@@ -168,6 +177,7 @@
             self.log,
             lambda: self.client.is_reachable,
             self.record_stored_cancellation,
+            self.admission,
         )
         self.caller_server = HttpServer(
             self.app,
@@ -198,6 +208,7 @@
             self.directory.ends,
             self._handle_entry_heartbeat,
             self._describe_terms,
+            self.admission.encode,
         )
         client = RelayedClient(
             direct, relay, timeout, self.clock, self.registry, self.log
@@ -229,6 +240,7 @@
             else None,
             self.machine_executor,
             scheduling=self.site.scheduling,
+            on_backlog=self.admission.record,
         )
 
     def _build_small_server(self, app, address):
@@ -400,6 +412,7 @@
             heartbeat.superseded_epoch,
             heartbeat.permits_echo,
         )
+        self.admission.record_told(heartbeat.backlog, heartbeat.echo)
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
         for end in heartbeat.worker_ends:
@@ -444,6 +457,7 @@
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
+            backlog=self.admission.encode() if is_entry else b"",
             **(self._describe_terms(stream.peer) if is_entry else {}),
         )
 
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -1,6 +1,7 @@
 """WSGI applications for callers: submit jobs, read their state and cancel them."""
 
 import threading
+from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
@@ -22,6 +23,14 @@
 DEFAULT_DEADLINE_SECONDS = 3.0
 RETRY_AFTER_SECONDS = 1
 COUNTS_CACHE_SECONDS = 0.5
+# Time for the store to tell that a job to be refused isn't stored, in seconds: a sound
+# store answers two reads in a few hundredths. A slower one may hold writes back too.
+PROOF_SECONDS = 0.3
+# Time for which a job whose write got no answer here isn't refused, in seconds: longer
+# than its caller goes on, and than the store holds a write back.
+UNCERTAIN_SECONDS = 15.0
+# Number of such jobs that are remembered; beyond it, the oldest are forgotten.
+MAX_UNCERTAIN = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +77,7 @@
     :param log: ``EventLog``.
     :param is_store_reachable: Returns whether the store currently accepts calls.
     :param on_cancelled: Called with the key of each job whose cancellation was stored.
+    :param admission: ``Admission``; None to refuse no job for load.
     """
 
     def __init__(
@@ -80,7 +90,10 @@
         log,
         is_store_reachable=lambda: True,
         on_cancelled=lambda key: None,
+        admission=None,
     ):
+        self._admission = admission
+        self._uncertain_until_by_key = OrderedDict()
         self._rows = rows
         self._site = site
         self._max_config_age = max_config_age
@@ -176,9 +189,19 @@
             case Failure(failure):
                 self._log.write("job-invalid", call.job_id, why=failure.detail)
                 return 400, msgspec.json.encode({"detail": failure.detail}), ()
+        refusal = self._find_refusal(spec, call)
+        if refusal is not None:
+            return self._refuse(refusal, call)
+        self._set_uncertain(spec.key, is_uncertain=True)
         outcome = self._rows.accept(spec, call.deadline)
+        if not isinstance(outcome, Failure) or not isinstance(
+            outcome.failure(), PlatformUncertain
+        ):
+            self._set_uncertain(spec.key, is_uncertain=False)
         match outcome:
             case Success(is_new):
+                if is_new and self._admission is not None:
+                    self._admission.record_accepted(spec, queue)
                 self._log_answer(
                     "job-accepted",
                     call.job_id,
@@ -189,6 +212,81 @@
                 return 200, b"{}", ()
         return self._fail("job-not-accepted", call, outcome.failure())
 
+    def _find_refusal(self, spec, call):
+        """Return the ``Refusal`` of a job that is provably not stored; None to accept.
+
+        A job that was accepted before must not be told that it never runs: its caller
+        may have got no answer and have sent it again.
+        """
+        if self._admission is None:
+            return None
+        refusal = self._admission.find_refusal(spec, call.queue)
+        if refusal is None:
+            return None
+        reason = self._find_doubt(spec.key, call)
+        if not reason:
+            return refusal
+        self._registry.count("refusals_withheld_total", reason=reason)
+        self._log.write(
+            "refusal-withheld",
+            call.job_id,
+            why=reason,
+            wait=round(refusal.wait, 2),
+            limit=round(refusal.limit, 2),
+        )
+        return None
+
+    def _find_doubt(self, key, call):
+        """Return why a job may be stored; empty if it provably isn't."""
+        now = self._clock.now()
+        with self._lock:
+            if now < self._uncertain_until_by_key.get(key, 0.0):
+                return "write-unanswered"
+        deadline = min(call.deadline, now + PROOF_SECONDS)
+        match self._rows.has(key, deadline):
+            case Success(False) if self._clock.now() <= deadline:
+                return ""
+            case Success(True):
+                return "stored"
+        return "store-slow"
+
+    def _set_uncertain(self, key, is_uncertain):
+        """Remember, or forget, that a write of a job may still be applied."""
+        if self._admission is None:
+            return
+        with self._lock:
+            self._uncertain_until_by_key.pop(key, None)
+            if is_uncertain:
+                until = self._clock.now() + UNCERTAIN_SECONDS
+                self._uncertain_until_by_key[key] = until
+            while len(self._uncertain_until_by_key) > MAX_UNCERTAIN:
+                self._uncertain_until_by_key.popitem(last=False)
+
+    def _refuse(self, refusal, call):
+        queue = call.queue
+        self._registry.count(
+            "jobs_refused_total",
+            reason="overload",
+            service=queue.service,
+            priority=queue.priority,
+        )
+        self._log.write(
+            "job-refused",
+            call.job_id,
+            why="overload",
+            queue=queue.name,
+            wait=round(refusal.wait, 2),
+            limit=round(refusal.limit, 2),
+            ahead=round(refusal.ahead, 1),
+            accepted=round(refusal.accepted, 1),
+            others=round(refusal.others, 1),
+            cores=round(refusal.cores, 1),
+            epoch=refusal.epoch,
+            age=round(refusal.age, 3),
+            retry=refusal.retry,
+        )
+        return 503, b"{}", (("Retry-After", str(refusal.retry)),)
+
     def _get_state(self, call):
         match self._rows.get_state(call.queue.name, call.job_id, call.deadline):
             case Success(None):
--- a/src/bergamotshore/timeline/explanation.py
+++ b/src/bergamotshore/timeline/explanation.py
@@ -43,7 +43,13 @@
     "worker-silent",
     "worker-slow",
 }
-REFUSAL_KINDS = {"call-refused", "job-not-accepted", "state-unknown", "cancel-failed"}
+REFUSAL_KINDS = {
+    "call-refused",
+    "job-not-accepted",
+    "job-refused",
+    "state-unknown",
+    "cancel-failed",
+}
 # Outcomes of runs that the job itself did not cause.
 CAUSE_BY_OUTCOME = {
     "absent": "the worker has no record of the run",
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -23,6 +23,7 @@
 from bergamotshore.core.work.model import JobSpec, Step, get_job_key
 from bergamotshore.core.work.site import Queue, ServicePool, SiteConfiguration
 from bergamotshore.core.work.stall import StallDetector
+from bergamotshore.entry.admission import Admission
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.dispatcher import Dispatcher
 from bergamotshore.entry.election import Election
@@ -35,7 +36,7 @@
     PlatformUnavailable,
 )
 from bergamotshore.generated.messages import Heartbeat, Hello
-from bergamotshore.generated.settings import Stream
+from bergamotshore.generated.settings import Scheduling, Stream
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
 from bergamotshore.node.site import HeartbeatApp, SiteNodeRole
@@ -77,6 +78,7 @@
 )
 # Largest difference of the clocks of two processes, in seconds.
 MAX_OFFSET_SECONDS = 1000.0
+NO_DECISIONS_UNDER_LOAD = Scheduling()
 # Lower than the priority of all other queues in the tests.
 BATCH_PRIORITY = 9
 
@@ -293,6 +295,14 @@
         )
         self.stall = StallDetector()
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
+        self.admission = Admission(
+            simulation.scheduling.admission,
+            name,
+            self.clock,
+            self.registry,
+            self.log,
+            lambda: len(simulation.entry_names),
+        )
         self.cancellations = RecentCancellations(self.clock)
         self.freshness = StateFreshness(
             self.follower.state,
@@ -316,6 +326,8 @@
             ),
             machines=simulation.machines,
             machine_calls=InlineExecutor(),
+            scheduling=simulation.scheduling,
+            on_backlog=self.admission.record,
         )
         self.dispatcher.events = NonBlockingQueue()
         self.streams = []
@@ -426,6 +438,7 @@
         tests set the state that entries have of them.
     :param is_drifting: Whether each process and worker has a clock of its own, whose
         rate differs from that of the others by up to ``DRIFT_SHARE``.
+    :param scheduling: ``Scheduling`` of all entries.
     """
 
     def __init__(
@@ -436,8 +449,10 @@
         seed=0,
         has_operator=False,
         is_drifting=False,
+        scheduling=NO_DECISIONS_UNDER_LOAD,
     ):
         self.clock = clock
+        self.scheduling = scheduling
         self.random = random.Random(seed)
         self._drift_random = random.Random(seed) if is_drifting else None
         self.lines = []
