--- a/src/bergamotshore/core/work/admission.py
+++ b/src/bergamotshore/core/work/admission.py
@@ -62,28 +62,28 @@
     return USE_MARGIN * USE_FACTOR * (queue.stretch * chain + queue.slack) - chain
 
 
-def guess_others(works, entries):
+def guess_others(count, work, entries):
     """Return the work that other entries have accepted meanwhile, in core-seconds.
 
     The balancer gives all entries about as many jobs. A few jobs here say little of the
     others: with n of them, as many as their square root may be chance.
 
-    :param works: Work of each job that this entry has accepted, in core-seconds.
+    :param count: Number of jobs that this entry has accepted.
+    :param work: Their work, in core-seconds.
     :param entries: Number of entries.
     """
-    count = len(works)
-    return (entries - 1) * sum(works) * (1.0 - count**-0.5) if count else 0.0
+    return (entries - 1) * work * (1.0 - count**-0.5) if count else 0.0
 
 
-def find_refusal(backlog, age, arrival, limit, works, entries, job_id):
+def find_refusal(backlog, age, arrival, limit, accepted, entries, job_id):
     """Return the ``Refusal`` of a job, None if it may be of use.
 
     :param backlog: ``Backlog``.
     :param age: Its age, in seconds.
     :param arrival: ``Arrival``.
     :param limit: See ``get_longest_wait``.
-    :param works: Work of each job ahead of it that this entry has accepted since the
-        estimate was made, in core-seconds.
+    :param accepted: Number of jobs ahead of it that this entry has accepted since the
+        estimate was made, and their work in core-seconds.
     :param entries: Number of entries.
     :param job_id: Identifier of the job, which spreads the times to come back.
     """
@@ -93,16 +93,17 @@
         return None
     ahead = get_work_ahead(backlog, arrival, limit)
     done = cores * age
-    accepted, others = sum(works), guess_others(works, entries)
-    wait = (ahead + accepted + others - done) / cores
-    if wait <= limit or ahead + accepted < MIN_KNOWN_SHARE * limit * cores:
+    count, own = accepted
+    others = guess_others(count, own, entries)
+    wait = (ahead + own + others - done) / cores
+    if wait <= limit or ahead + own < MIN_KNOWN_SHARE * limit * cores:
         return None
     full_wait = max(wait, get_work_ahead(backlog, arrival, MAX_RETRY_SECONDS) / cores)
     return Refusal(
         wait,
         limit,
         ahead,
-        accepted,
+        own,
         others,
         cores,
         backlog.epoch,
--- a/src/bergamotshore/entry/admission.py
+++ b/src/bergamotshore/entry/admission.py
@@ -3,7 +3,7 @@
 import math
 import threading
 from collections import deque
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -16,6 +16,7 @@
 from bergamotshore.core.work.backlog import (
     DUES,
     TIMES,
+    Arrival,
     Backlog,
     describe_arrival,
     is_ahead,
@@ -27,12 +28,28 @@
 # seconds: two heartbeats of half a second and their transfer. A later one was held up,
 # so the age of what it tells isn't known.
 MAX_TRANSIT_SECONDS = 1.6
-# Jobs accepted since the estimate that are counted; a decision takes less than 0.1 ms.
-MAX_RECENT = 200
+# Jobs accepted within the longest age of an estimate that are counted at most.
+MAX_RECENT = 2000
+# They are counted together if their objectives differ by less than a fifth: a decision
+# takes less than 0.1 ms. Steps of the times by factors of two.
+DUE_STEPS = 4
+MIN_DUE_SECONDS = 0.25
 # Shortest interval between two log lines about invalid estimates, in seconds.
 LOG_INTERVAL_SECONDS = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedJob:
+    """A job that this entry has accepted.
+
+    :param at: When it was stored, in seconds.
+    :param arrival: ``Arrival``.
+    """
+
+    at: float
+    arrival: Arrival
+
+
 class Admission:
     """Decide about new jobs; the methods may be called from any thread.
 
@@ -55,6 +72,8 @@
         self._backlog = None
         self._made_at = -math.inf
         self._recent = deque(maxlen=MAX_RECENT)
+        # Number and core-seconds of jobs accepted since the estimate, by class.
+        self._accepted_by_class = {}
         self._fallback = ""
         self._logged_at = -math.inf
 
@@ -72,6 +91,7 @@
                 is_newer = backlog.epoch > held_epoch or made_at > self._made_at
                 if is_newer and backlog.age < MAX_AGE_SECONDS:
                     self._backlog, self._made_at = backlog, made_at
+                    self._count_recent()
                 return
         self._report_invalid("former-term")
 
@@ -117,22 +137,20 @@
         started_at = now = self._clock.now()
         with self._lock:
             backlog, made_at = self._backlog, self._made_at
-            recent = [item for item in self._recent if item[0] > made_at]
+            accepted = list(self._accepted_by_class.items())
         age = now - made_at
         if backlog is None or age >= MAX_AGE_SECONDS:
             self._report_fallback("absent" if backlog is None else "old", age)
             return None
         self._report_resumed(backlog.epoch, age)
         arrival = describe_arrival(spec, queue)
-        works = [
-            earlier.work
-            for _, due_at, earlier in recent
-            if _goes_before(earlier, due_at, arrival, now + arrival.due)
-        ]
+        ahead = [total for key, total in accepted if _goes_before(key, arrival)]
+        count = sum(total[0] for total in ahead)
+        work = sum(total[1] for total in ahead)
         limit = get_longest_wait(spec, queue)
         entries = max(1, self._count_entries())
         refusal = find_refusal(
-            backlog, age, arrival, limit, works, entries, spec.job_id
+            backlog, age, arrival, limit, (count, work), entries, spec.job_id
         )
         self._registry.measure("admission_seconds", self._clock.now() - started_at)
         return refusal
@@ -140,10 +158,25 @@
     def record_accepted(self, spec, queue):
         """Record a job that was stored, for the decisions until the next estimate."""
         if self.is_enabled and not spec.repeats and not spec.is_lasting:
-            now = self._clock.now()
-            arrival = describe_arrival(spec, queue)
+            accepted = AcceptedJob(self._clock.now(), describe_arrival(spec, queue))
             with self._lock:
-                self._recent.append((now, now + arrival.due, arrival))
+                self._recent.append(accepted)
+                self._count(accepted)
+
+    def _count_recent(self):
+        """Count the jobs accepted since the estimate anew."""
+        while self._recent and self._recent[0].at <= self._made_at:
+            self._recent.popleft()
+        self._accepted_by_class = {}
+        for accepted in self._recent:
+            self._count(accepted)
+
+    def _count(self, accepted):
+        arrival = accepted.arrival
+        due = max(MIN_DUE_SECONDS, arrival.due)
+        key = replace(arrival, due=_round_due(due), work=0.0)
+        count, work = self._accepted_by_class.get(key, (0, 0.0))
+        self._accepted_by_class[key] = (count + 1, work + arrival.work)
 
     def _report_fallback(self, reason, age):
         self._registry.count("admission_fallbacks_total", reason=reason)
@@ -166,13 +199,18 @@
             self._log.write("estimate-invalid", self._name, why=why)
 
 
-def _goes_before(earlier, earlier_due_at, arrival, due_at):
-    """Return whether a job that was accepted before goes before a new one."""
+def _round_due(seconds):
+    """Return the largest of the times that objectives are counted by, in seconds."""
+    return 2.0 ** (math.floor(DUE_STEPS * math.log2(seconds)) / DUE_STEPS)
+
+
+def _goes_before(earlier, arrival):
+    """Return whether jobs that were accepted before go before a new one."""
     if is_ahead(earlier, arrival):
         return True
     key = (arrival.service, arrival.priority, arrival.is_filling)
     is_same = (earlier.service, earlier.priority, earlier.is_filling) == key
-    return is_same and earlier_due_at <= due_at
+    return is_same and earlier.due <= arrival.due
 
 
 def encode_backlog(backlog):
