--- a/tests/site/test_admission_load.py
+++ b/tests/site/test_admission_load.py
@@ -3,7 +3,9 @@
 import pytest
 
 from bergamotshore.core.work.admission import MAX_AGE_SECONDS
+from bergamotshore.core.work.model import JobSpec, Step, TaskRef
 from bergamotshore.core.work.site import Queue
+from bergamotshore.entry.admission import decode_backlog
 from bergamotshore.utils.eventlog import EventLog
 from tests.site.doorload import CORES_PER_WORKER, QUEUE, SERVICE, DoorLoad
 
@@ -102,15 +104,20 @@
     assert late == []
 
 
-# Guards against refusals of the burst that follows a short loss of contact.
+# Guards against refusals by a loss of contact that is over in a moment.
 def test_workers_that_are_away_for_a_moment_still_count(build_load):
-    load = build_load()
-    load.run(10.0, [(get_rate(load, 0.9), JOB)])
+    load = build_load(error=0.0)
+    for _ in range(20):
+        load.submit(**JOB)
+    load.run(0.5)
     workers = list(load.cluster.worker_by_node.values())
     for worker in workers[:9]:
         worker.is_reachable = False
-    load.run(1.3, [(get_rate(load, 0.9), JOB)])
+    load.run(1.3, [(get_rate(load, 0.5), JOB)])
     assert load.refused == []
+    # A loss that lasts is believed.
+    load.run(5.0, [(get_rate(load, 0.5), JOB)])
+    assert load.refused
 
 
 def test_lost_scheduling_entry_ends_refusals_once_the_estimate_is_old(
@@ -148,10 +155,11 @@
 
 def test_narrow_work_that_lasts_keeps_nobody_waiting(build_load):
     slow = Queue("slow", "h", "/s/", SERVICE, stretch=1.5, slack=1.0)
-    load = build_load(queues=(QUEUE, slow), error=0.0)
+    low = Queue("low", "h", "/l/", SERVICE, priority=2, stretch=1.5, slack=1.0)
+    load = build_load(queues=(slow, low), error=0.0)
     for _ in range(8):
         load.submit(tasks=4, seconds=100.0, queue="slow")
-    load.run(TRAFFIC_SECONDS, [(0.1 * get_rate(load, 1.0), JOB)])
+    load.run(TRAFFIC_SECONDS, [(get_rate(load, 0.1), {**JOB, "queue": "low"})])
     assert load.refused == []
 
 
@@ -165,8 +173,15 @@
 
 
 def test_capacity_of_long_running_tasks_is_not_counted(build_load):
-    load = build_load()
-    load.run(3.0, [(1.0, JOB)])
-    assert load.entries[0]._backlog.cores_by_service == {
-        SERVICE: 10 * CORES_PER_WORKER / 1000
-    }
+    load = build_load(error=0.0)
+    load.run(1.0)
+    worker = load.cluster.worker_by_node["node-0"]
+    spec = JobSpec(
+        "queue", "service", SERVICE, "", (Step(1, cpu=3000, is_lasting=True),)
+    )
+    load.cluster.add_job(spec).open_due_occurrences(0.0)
+    load.cluster.claim(TaskRef(spec.key, 0, 0, 0), worker, load.clock.now())
+    load.run(4.0)
+    content = decode_backlog(load.entries[0].encode())
+    whole = 10 * CORES_PER_WORKER / 1000
+    assert content.cores_by_service == {SERVICE: whole - 3.0}
