--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -182,10 +182,10 @@
         machine_calls=None,
         scheduling=NO_DECISIONS_UNDER_LOAD,
         spread_factor=1.0,
+        on_backlog=lambda backlog: None,
     ):
         self.scheduling = scheduling
         self.spread_factor = spread_factor
-        on_backlog = (lambda backlog: None,)
         self._on_backlog = on_backlog
         self.machines = machines
         self.machine_calls = machine_calls
@@ -647,7 +647,6 @@
                 self.cluster.step_durations.record_fact(completion)
                 self._record_duration(completion)
                 self._record_tail(completion)
-                self.cluster.durations.record_outcome(completion)
                 self._record_drain(completion)
                 self._log_completion(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
