--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -59,6 +59,7 @@
         self.program = program
         self.member_by_name = {}
         self.entry_settings = {}
+        self.intake = {}
         self.operators_by_entry = {}
         self.nodes_by_entry = {}
         self.advertised_by_entry = {}
@@ -166,7 +167,12 @@
             arguments = ("--listen", str(port), "--target", entry["nodes"])
             self._start_stand_in("wire", wire, *arguments)
         self.advertised_by_entry[name] = entry.get("nodes_advertised", entry["nodes"])
-        settings = {"name": name, "zone": self.site.zones[0], "entry": entry}
+        settings = {
+            "name": name,
+            "zone": self.site.zones[0],
+            "entry": entry,
+            "intake": self.intake,
+        }
         self.operators_by_entry[name] = entry["operators"]
         self.nodes_by_entry[name] = entry["nodes"]
         self._start_program("entry", settings, ports[0])
