Bound the memory of request bodies in flight for each process

Cause: waitress bounds the body of one request; nothing bounded all of them. Each request now accounts for what it holds, from its first byte until it was served: body twice (buffer and the application's copy), headers by size and number, fragments of chunks, a fixed part. An eighth of the VM's memory holds them, over all HTTP servers of the process; a quarter of that is kept for small requests. What doesn't fit is refused with 503, Retry-After and 'not-run' before it reaches the application; a body without progress for 'intake.body_stall' gives way, the largest first. Servers close the connections that have waited longest for a request beyond 'intake.connections' (256 where clients are few).

--- /dev/null
+++ b/src/bergamotshore/entry/intake.py
@@ -0,0 +1,189 @@
+"""Bounds of requests that are still arriving, shared by the HTTP servers of a process.
+
+The memory of waitress's buffers is bounded for each request only. Here, each request
+accounts for what it holds, from its first byte until it was served.
+"""
+
+import threading
+
+from waitress.parser import HTTPRequestParser
+
+from bergamotshore.core.bodybudget import RESERVED_SHARE, SMALL_BYTES, BodyBudget
+from bergamotshore.utils.problems import (
+    PROBLEM_TYPE,
+    build_problem,
+    format_retry_after,
+)
+
+# Share of the memory of the VM for requests in flight; the rest is for the program, its
+# state, decoded bodies and answers.
+MEMORY_SHARE = 1 / 8
+BYTES_PER_MB = 1_000_000
+# Cost of a request besides its content: channel, parser and buffers, in bytes.
+REQUEST_BYTES = 4096
+# A header is kept as received, as text and split into fields.
+HEADER_COPIES = 3
+HEADER_FIELD_BYTES = 256
+# A body is kept in a buffer and handed to the application as a copy.
+BODY_COPIES = 2
+RETRY_AFTER_SECONDS = 1
+# Connections of a server whose clients are few, such as balancer, worker and operators.
+MAX_SMALL_SERVER_CONNECTIONS = 256
+# Part of the connections that is closed at once beyond the limit.
+CLOSED_SHARE = 1 / 32
+
+
+class OverloadError:
+    """Answer to a request that doesn't fit beside the others; it has not run."""
+
+    def to_response(self, ident=None):
+        """Return status, headers and body, as waitress expects of its errors."""
+        body = build_problem(
+            503,
+            "bodies-full",
+            "too many request bodies are in flight",
+            outcome="not-run",
+            retry_after_ms=RETRY_AFTER_SECONDS * 1000,
+        )
+        headers = [
+            ("Content-Type", PROBLEM_TYPE),
+            ("Retry-After", format_retry_after(RETRY_AFTER_SECONDS)),
+            ("X-Request-Outcome", "not-run"),
+        ]
+        return "503 Service Unavailable", headers, body
+
+
+class Intake:
+    """Memory and connections of requests, over all HTTP servers of a process.
+
+    :param limits: ``settings.Intake``.
+    :param clock: ``Clock``.
+    :param registry: ``Registry``.
+    :param log: ``EventLog``.
+    """
+
+    def __init__(self, limits, clock, registry, log):
+        self.max_connections = limits.connections
+        self._budget = BodyBudget(
+            int(limits.memory_mb * BYTES_PER_MB * MEMORY_SHARE), limits.body_stall
+        )
+        self._lock = threading.Lock()
+        self._clock = clock
+        self._registry = registry
+        self._log = log
+        registry.watch("request_memory_bytes", lambda: self._budget.held)
+
+    def ensure_room(self, largest_body):
+        """Raise the limit to what a single request of a server may need.
+
+        :param largest_body: Largest body that the server accepts, in bytes.
+        """
+        needed = BODY_COPIES * largest_body + 2 * SMALL_BYTES
+        with self._lock:
+            self._budget.limit = max(
+                self._budget.limit, int(needed / (1 - RESERVED_SHARE))
+            )
+
+    def admit(self, request):
+        """Return whether a request may hold the memory that it holds by now.
+
+        :param request: ``BudgetedParser``.
+        """
+        cost = request.get_cost()
+        with self._lock:
+            admission = self._budget.charge(
+                request, cost, self._clock.now(), request.completed
+            )
+        if not admission.is_admitted:
+            self._record("no-room")
+        for victim in admission.evicted:
+            self._record("stalled")
+            victim.channel.drop(victim)
+        return admission.is_admitted
+
+    def release(self, request):
+        """Record that a request is over."""
+        with self._lock:
+            self._budget.release(request)
+
+    def limit_connections(self, server, newcomer):
+        """Close connections without a request when a server has too many.
+
+        Connections that never sent a whole request go first, in the order in which they
+        were opened; then those that have been idle for longest.
+
+        :param server: Server of waitress, with ``max_connections``.
+        :param newcomer: Channel that was just accepted.
+        """
+        excess = len(server.active_channels) - server.max_connections
+        if excess <= 0:
+            return
+        waiting = [
+            channel
+            for channel in server.active_channels.values()
+            if channel is not newcomer and channel.is_waiting()
+        ]
+        waiting.sort(key=_get_closing_rank)
+        closed = max(excess, int(server.max_connections * CLOSED_SHARE))
+        for channel in waiting[:closed]:
+            channel.will_close = True
+            self._record("connections")
+
+    def _record(self, reason):
+        self._registry.count("requests_dropped_total", reason=reason)
+        self._log.write("request-dropped", reason, held=self._budget.held)
+
+
+def _get_closing_rank(channel):
+    if channel.has_served:
+        return True, channel.last_activity
+    return False, channel.creation_time
+
+
+class BudgetedParser(HTTPRequestParser):
+    """Parser of one request, which accounts for the memory that the request holds.
+
+    :param adj: Adjustments of waitress.
+    :param channel: Channel of the request.
+    """
+
+    def __init__(self, adj, channel):
+        super().__init__(adj)
+        self.channel = channel
+
+    def received(self, data):
+        """Take received bytes; return how many of them belong to this request."""
+        consumed = super().received(data)
+        if self.error or self.empty or self.channel.server.intake.admit(self):
+            return consumed
+        self._refuse()
+        return len(data)
+
+    def get_cost(self):
+        """Return the memory that the request holds, in bytes."""
+        cost = (
+            REQUEST_BYTES
+            + HEADER_COPIES * self.header_bytes_received
+            + HEADER_FIELD_BYTES * len(self.headers)
+        )
+        receiver = self.body_rcv
+        if receiver is not None:
+            cost += BODY_COPIES * len(receiver)
+            if self.chunked:
+                cost += len(receiver.control_line) + len(receiver.trailer)
+        return cost
+
+    def close(self):
+        """Give the memory back."""
+        super().close()
+        self.channel.server.intake.release(self)
+
+    def _refuse(self):
+        self.close()
+        if not self.headers_finished:
+            # The task of the answer needs the fields of a parsed request.
+            self.parse_header(b"GET / HTTP/1.0\r\n")
+        self.header_plus = b""
+        self.body_rcv = None
+        self.error = OverloadError()
+        self.completed = True
--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -13,6 +13,7 @@
 from bergamotshore.entry.callers import CallerApp
 from bergamotshore.entry.configuration import ConfigurationStore
 from bergamotshore.entry.directory import NodeDirectory
+from bergamotshore.entry.intake import MAX_SMALL_SERVER_CONNECTIONS, Intake
 from bergamotshore.entry.jobstore import JobStore
 from bergamotshore.entry.keys import KeyStore
 from bergamotshore.entry.operators import OperatorApp
@@ -42,6 +43,7 @@
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
 from bergamotshore.utils.addresses import split_address
+from bergamotshore.utils.eventlog import EventLog
 from bergamotshore.utils.services import run_services
 
 SCHEDULE_INTERVAL_SECONDS = 0.1
@@ -91,12 +93,17 @@
         self.presence = self._build_presence()
         self.router = self._build_router()
         self.scheduler = self._build_scheduler()
+        self.intake = Intake(
+            settings.intake, self.clock, self.registry, EventLog(self.clock)
+        )
         self.caller_server = self._build_caller_server()
         self.operator_server = HttpServer(
             OperatorApp(self),
             split_address(entry.operators),
             OPERATOR_THREADS,
             MAX_OPERATOR_BODY_BYTES,
+            self.intake,
+            MAX_SMALL_SERVER_CONNECTIONS,
         )
         self._watch_gauges()
 
@@ -151,6 +158,7 @@
             split_address(self.entry.callers),
             self.entry.requests + EXTRA_THREADS,
             self.entry.largest_body,
+            self.intake,
         )
 
     def _watch_gauges(self):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -32,6 +32,7 @@
 )
 from bergamotshore.entry.election import Election
 from bergamotshore.entry.entrylist import EntryList
+from bergamotshore.entry.intake import MAX_SMALL_SERVER_CONNECTIONS, Intake
 from bergamotshore.entry.jobrows import JOBS, PARTS, JobRows
 from bergamotshore.entry.relay import (
     RelayedClient,
@@ -169,11 +170,13 @@
             lambda: self.client.is_reachable,
             self.record_stored_cancellation,
         )
+        self.intake = Intake(settings.intake, self.clock, self.registry, self.log)
         self.caller_server = HttpServer(
             self.app,
             split_address(self.entry.callers),
             CALLER_THREADS,
             self.entry.largest_body,
+            self.intake,
         )
         self.ready_server = self._build_small_server(
             ReadinessApp(self.is_ready), self.site.ready
@@ -237,6 +240,8 @@
             split_address(address),
             SMALL_SERVER_THREADS,
             self.entry.largest_body,
+            self.intake,
+            MAX_SMALL_SERVER_CONNECTIONS,
         )
 
     def _watch_gauges(self):
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -1,5 +1,6 @@
 """HTTP server for WSGI applications, on waitress, with graceful shutdown."""
 
+import functools
 import http
 import socket
 import threading
@@ -9,9 +10,19 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from bergamotshore.entry.intake import BudgetedParser, Intake
 from bergamotshore.exceptions import AddressInUseError
-
-MAX_CONNECTIONS = 4000
+from bergamotshore.generated.settings import Intake as IntakeSettings
+from bergamotshore.metrics.registry import Registry
+from bergamotshore.ports.clock import SystemClock
+from bergamotshore.utils.eventlog import EventLog
+
+# Beyond the limit of connections, a server still accepts some before those that it
+# closes are gone.
+SPARE_CONNECTIONS = 32
+# Receive buffer of the kernel for each connection: it counts as memory of the process,
+# too.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 IDLE_TIMEOUT_SECONDS = 60
 EXTRA_THREADS = 24
 POLL_SECONDS = 0.25
@@ -36,9 +47,44 @@
 
 
 class DrainableChannel(HTTPChannel):
-    """Channel of a server that supports draining."""
+    """Channel of a server that supports draining and bounds what requests hold."""
 
     task_class = DrainingTask
+    # Whether a whole request has been received.
+    has_served = False
+
+    def __init__(self, server, sock, addr, adj, map=None):
+        super().__init__(server, sock, addr, adj, map)
+        self.parser_class = functools.partial(BudgetedParser, channel=self)
+        server.intake.limit_connections(server, self)
+
+    def is_waiting(self):
+        """Return whether no whole request and no answer is in flight here."""
+        return not (self.requests or self.total_outbufs_len or self.will_close)
+
+    def drop(self, request):
+        """Close the connection of a request that is still arriving."""
+        # Whoever holds the lock changes the request, which is then charged anew.
+        if not self.requests_lock.acquire(blocking=False):
+            return
+        try:
+            if self.request is request and not self.requests:
+                self.will_close = True
+        finally:
+            self.requests_lock.release()
+        self.server.pull_trigger()
+
+    def service(self):
+        """Execute one request."""
+        self.has_served = True
+        super().service()
+
+    def handle_close(self):
+        """Close the connection and give back what its unfinished request holds."""
+        super().handle_close()
+        request, self.request = self.request, None
+        if request is not None:
+            request.close()
 
     def readable(self):
         """Return whether to read; no further request is read during the last answers.
@@ -58,30 +104,47 @@
     :param address: Pair of host and port.
     :param threads: Maximum number of requests served concurrently.
     :param largest_body: Maximum size of a request body, in bytes.
+    :param intake: ``Intake`` of the process.
+    :param max_connections: Maximum number of open connections; None for that of the
+        intake.
     """
 
-    def __init__(self, app, address, threads, largest_body):
+    def __init__(
+        self, app, address, threads, largest_body, intake=None, max_connections=None
+    ):
         host, port = address
         self._socket_map = {}
         self._is_stopped = threading.Event()
         self._has_ended = threading.Event()
         self._finish_deadline = 0.0
+        intake = intake or _build_intake()
+        intake.ensure_room(largest_body)
+        max_connections = min(
+            intake.max_connections, max_connections or intake.max_connections
+        )
         try:
-            self._server = self._create(app, host, port, threads, largest_body)
+            self._server = self._create(
+                app, host, port, threads, largest_body, max_connections
+            )
         except OSError as error:
             raise AddressInUseError(f"{host}:{port}", str(error)) from error
+        self._server.intake = intake
+        self._server.max_connections = max_connections
         self._server.is_draining = False
         self._server.is_finishing = False
         self._server.channel_class = DrainableChannel
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
 
-    def _create(self, app, host, port, threads, largest_body):
+    def _create(self, app, host, port, threads, largest_body, max_connections):
         return create_server(
             app,
             map=self._socket_map,
             host=host,
             port=port,
             threads=threads,
-            connection_limit=MAX_CONNECTIONS,
+            connection_limit=max_connections + SPARE_CONNECTIONS,
             channel_timeout=IDLE_TIMEOUT_SECONDS,
             max_request_header_size=MAX_HEADER_BYTES,
             max_request_body_size=largest_body,
@@ -172,4 +235,10 @@
     return [body]
 
 
+def _build_intake():
+    """Return the intake of a server that shares it with no other."""
+    clock = SystemClock()
+    return Intake(IntakeSettings(), clock, Registry(), EventLog(clock))
+
+
 _STANDARD_STATUSES = {item.value for item in http.HTTPStatus}
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -11,6 +11,7 @@
 from bergamotshore.conf.reload import SettingsWatcher
 from bergamotshore.core.work.leases import RenewalGrant, get_grant_seconds
 from bergamotshore.core.work.peers import choose_peers
+from bergamotshore.entry.intake import MAX_SMALL_SERVER_CONNECTIONS, Intake
 from bergamotshore.entry.wsgi import HttpServer, reply
 from bergamotshore.generated.messages import (
     Heartbeat,
@@ -100,6 +101,8 @@
             split_address(self.site.heartbeats),
             HEARTBEAT_THREADS,
             MAX_HEARTBEAT_BYTES,
+            Intake(settings.intake, self.clock, self.registry, self.log),
+            MAX_SMALL_SERVER_CONNECTIONS,
         )
         self.registry.watch("resident_bytes", read_resident_bytes)
         self.registry.watch("processor_seconds_total", read_processor_seconds)
--- /dev/null
+++ b/tests/entry/test_intake.py
@@ -0,0 +1,160 @@
+"""Refusals of requests that don't fit beside others, over loopback connections."""
+
+import http.client
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from bergamotshore.core.bodybudget import RESERVED_SHARE
+from bergamotshore.entry.intake import BODY_COPIES, Intake
+from bergamotshore.entry.wsgi import HttpServer, reply
+from bergamotshore.generated.settings import Intake as IntakeSettings
+from bergamotshore.ports.clock import SystemClock
+from bergamotshore.utils.eventlog import EventLog
+
+CALL_TIMEOUT_SECONDS = 10.0
+LARGEST_BODY = 990_000
+# Bodies of the largest size that fit into 64 MB of memory together.
+FITTING = int(64_000_000 / 8 * (1 - RESERVED_SHARE) / BODY_COPIES / LARGEST_BODY)
+
+
+class CountingApp:
+    """WSGI application that records the sizes of the bodies it was given."""
+
+    def __init__(self):
+        self.sizes = []
+
+    def __call__(self, environ, start_response):
+        self.sizes.append(len(environ["wsgi.input"].read()))
+        return reply(start_response, 200, "text/plain", b"served")
+
+
+@pytest.fixture
+def app():
+    return CountingApp()
+
+
+@pytest.fixture
+def intake(registry):
+    clock = SystemClock()
+    limits = IntakeSettings(memory_mb=64, connections=64)
+    return Intake(limits, clock, registry, EventLog(clock, lambda line: None))
+
+
+@pytest.fixture
+def server(app, intake):
+    server = HttpServer(app, ("127.0.0.1", 0), 2, LARGEST_BODY, intake)
+    thread = threading.Thread(target=server.run)
+    thread.start()
+    yield server
+    server.stop()
+    thread.join(CALL_TIMEOUT_SECONDS)
+    assert not thread.is_alive()
+
+
+@pytest.fixture
+def connect(server):
+    """Return a function that opens a connection, closed after the test."""
+    sockets = []
+
+    def open_connection():
+        address = ("127.0.0.1", server.port)
+        sockets.append(socket.create_connection(address, CALL_TIMEOUT_SECONDS))
+        return sockets[-1]
+
+    yield open_connection
+    for sock in sockets:
+        sock.close()
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + CALL_TIMEOUT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+def send_unfinished(sock, size=LARGEST_BODY - 1):
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+    sock.sendall(head + b"x" * (size - 1))
+
+
+def read_body(sock):
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    return answer.read()
+
+
+def fill(connect, registry):
+    """Let bodies that don't end hold all memory that large ones may use."""
+    sockets = [connect() for _ in range(FITTING)]
+    for sock in sockets:
+        send_unfinished(sock)
+    expected = FITTING * BODY_COPIES * (LARGEST_BODY - 2)
+    wait_until(lambda: read_held(registry) > expected)
+    return sockets
+
+
+def read_held(registry):
+    lines = registry.render().splitlines()
+    name = "bergamotshore_request_memory_bytes "
+    return float(next(line for line in lines if line.startswith(name)).split()[1])
+
+
+def test_body_without_room_is_refused_and_never_runs(app, connect, registry):
+    fill(connect, registry)
+    sock = connect()
+    send_unfinished(sock, 100_000)
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    assert answer.status == 503
+    assert answer.headers["Retry-After"] == "1"
+    assert answer.headers["X-Request-Outcome"] == "not-run"
+    assert json.loads(answer.read())["code"] == "bodies-full"
+    assert app.sizes == []
+    assert registry.get_count("requests_dropped_total", reason="no-room") == 1
+
+
+def test_ordinary_request_is_served_beside_bodies_that_do_not_end(
+    app, server, connect, registry
+):
+    fill(connect, registry)
+    call = http.client.HTTPConnection(
+        "127.0.0.1", server.port, timeout=CALL_TIMEOUT_SECONDS
+    )
+    call.request("POST", "/", b"x" * 4000)
+    assert call.getresponse().read() == b"served"
+
+
+def test_bodies_that_end_after_all_are_served_and_give_their_memory_back(
+    app, connect, registry
+):
+    sockets = fill(connect, registry)
+    for sock in sockets:
+        sock.sendall(b"x")
+        assert read_body(sock) == b"served"
+    wait_until(lambda: read_held(registry) == 0)
+    assert app.sizes == [LARGEST_BODY - 1] * FITTING
+
+
+def test_connections_that_end_give_their_memory_back(connect, registry):
+    for sock in fill(connect, registry):
+        sock.close()
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_connections_that_wait_longest_for_a_request_are_closed(
+    app, connect, intake, registry
+):
+    first = connect()
+    first.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert read_body(first) == b"served"
+    waiting = [connect() for _ in range(intake.max_connections)]
+    # The oldest that never sent a request is closed; the one that did is kept.
+    assert waiting[0].recv(4096) == b""
+    first.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert read_body(first) == b"served"
+    assert registry.get_count("requests_dropped_total", reason="connections") > 0
--- a/tests/test_bodies_in_flight.py
+++ b/tests/test_bodies_in_flight.py
@@ -95,7 +95,7 @@
             settings["intake"] = limits
             path.write_text(yaml.safe_dump(settings))
         site.start()
-        wait_for_answer(site)
+        wait_for_processes(site, tmp_path)
         return site
 
     yield start
@@ -127,9 +127,11 @@
     return False
 
 
-def wait_for_answer(site):
+def wait_for_processes(site, folder):
     address = site.callers_by_entry["entry-0"]
     assert repeat_until({410}, address, "GET", PREFIX + "absent")
+    address = find_target(site, folder, "heartbeats").address
+    assert repeat_until({200}, address, "GET", "/metrics")
 
 
 def answer_ordinary_request(target, listener):
