Refuse submissions of more steps than a row holds before they are decoded

Cause: a body of legal size, 1 MB of empty steps, takes some 200 times its size when it is decoded; one call took an entry to 336 MB (bound of the test: 96 MB). A step takes a byte or more of the job's row, which the store limits to 64 KiB, so jobs of more steps could never be stored; they are answered 400. Peak of the same test: 36 MB.

--- a/src/bergamotshore/platform/jobs.py
+++ b/src/bergamotshore/platform/jobs.py
@@ -8,6 +8,8 @@
 from bergamotshore.exceptions import SubmissionInvalid
 
 MAX_SPEC_BYTES = 4000
+# Each step takes a byte or more of a job's row, which the store limits to this size.
+MAX_STEPS = 65_536
 WIRE_STATE_BY_STATE = {
     "pending": "pending",
     "running": "active",
@@ -63,6 +65,10 @@
     :param queue: ``Queue`` that the job was submitted to.
     :param now: Current wall-clock time, in seconds.
     """
+    # Decoded steps take hundreds of times their size, so they are counted before. The
+    # text of ``spec`` may hold braces as well.
+    if body.count(b"{") > MAX_STEPS + MAX_SPEC_BYTES:
+        return Failure(SubmissionInvalid(f"more than {MAX_STEPS} steps"))
     match read_json(body, WireJob):
         case Success(job):
             pass
--- a/tests/test_bodies_in_flight.py
+++ b/tests/test_bodies_in_flight.py
@@ -340,3 +340,12 @@
         assert process.poll() is None
         assert read_peak_mb(process) < MEMORY_MB
         assert count_descriptors(process) < crowd.target.clients + OWN_DESCRIPTORS
+
+
+def test_body_of_countless_steps_leaves_memory_and_answers(start_site, tmp_path):
+    """A body of legal size took 200 times its size when it was decoded."""
+    site = start_site(memory_mb=MEMORY_MB)
+    target = find_target(site, tmp_path, "callers")
+    body = b'{"spec":"x","steps":[' + b"{}," * (target.body_bytes // 3 - 10) + b"{}]}"
+    assert call(target.address, "POST", PREFIX + "steps", body) in (400, 503)
+    check_process(site, target, "callers", 1)
