Refuse ids of jobs whose keys could be those of other rows

Cause: an id of a caller that held a slash, or was 'cancel', named the row that marks another job as cancelled, or a job of another queue; a job of the id 'cancel' was taken for a cancellation and never ran. A long id was accepted though its job could not be cancelled: that row's key exceeds what the store takes. Such ids are answered 400, and 410 when read or cancelled.

The same cause elsewhere: the state of a cancelled job was told as pending if enough ids that begin with its own came before the cancellation in its partition; the cancellation's row is then read by itself. One read more, only there.

--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -30,6 +30,8 @@
 CRASHES = "crashes"
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 CANCEL_SUFFIX = "/cancel"
+# Longest key that the store takes.
+MAX_KEY_BYTES = 200
 # The store runs the transactions of a partition one at a time. While it is slow, each
 # takes up to 0.8 s, so 9 submissions per second need 8 partitions; more would split the
 # changes of the scheduling entry into more calls. Rows are not moved, so the number can
@@ -86,6 +88,25 @@
     return RowId(JOBS, row_id.part, key + CANCEL_SUFFIX)
 
 
+def find_id_problem(queue, job_id):
+    """Return why an id can't name a job; empty if it can.
+
+    Keys of jobs end with their ids, and a cancellation's key with ``CANCEL_SUFFIX``. So
+    no key names two jobs, or a job and a cancellation, whatever the queues are called.
+
+    :param queue: Name of the queue.
+    :param job_id: Id that the caller chose.
+    """
+    if not job_id or "/" in job_id or f"/{job_id}" == CANCEL_SUFFIX:
+        return (
+            f"a job's id is not empty, holds no slash and is not {CANCEL_SUFFIX[1:]!r}"
+        )
+    key = get_job_key(queue, job_id) + CANCEL_SUFFIX
+    if len(key.encode()) > MAX_KEY_BYTES:
+        return f"the id takes the keys of the job beyond {MAX_KEY_BYTES} bytes"
+    return ""
+
+
 def get_fence_id(part):
     """Return the id of the fence row of a partition."""
     return RowId(FENCE, part, "epoch")
@@ -248,11 +269,26 @@
         if key + CANCEL_SUFFIX in keys:
             return Success("cancelled")
         if key in keys:
-            return self._get(get_row_id(RUNS, key), deadline).map(
-                lambda row: "pending" if row is None else "running"
-            )
+            if len(keys) > 1:
+                # Ids that begin with this one may come before the cancellation.
+                return self._get_open_state(key, deadline)
+            return self._get_run_state(key, deadline)
         return self._get(get_row_id(CLOSED, key), deadline).bind(_decode_closed_state)
 
+    def _get_open_state(self, key, deadline):
+        match self._get(get_cancel_id(key), deadline):
+            case Success(None):
+                return self._get_run_state(key, deadline)
+            case Success(_):
+                return Success("cancelled")
+            case failure:
+                return failure
+
+    def _get_run_state(self, key, deadline):
+        return self._get(get_row_id(RUNS, key), deadline).map(
+            lambda row: "pending" if row is None else "running"
+        )
+
     def get_waiting_counts(self, deadline):
         """Return a ``Result`` of the number of waiting jobs by queue.
 
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.model import get_job_key
+from bergamotshore.entry.jobrows import find_id_problem
 from bergamotshore.entry.wsgi import reply
 from bergamotshore.exceptions import PlatformUncertain
 from bergamotshore.platform.jobs import (
@@ -148,6 +149,12 @@
             self._log_answer("queue-unknown", path, applied)
             return 404, b"{}", ()
         job_id = path[len(queue.prefix) :].strip("/")
+        if job_id and (problem := find_id_problem(queue.name, job_id)):
+            self._log.write("job-invalid", job_id, why=problem)
+            if environ["REQUEST_METHOD"] == "POST":
+                return 400, msgspec.json.encode({"detail": problem}), ()
+            # No such job exists.
+            return 410, b"{}", ()
         if not self._is_store_reachable():
             # Nothing is sent to the store, so the job is certainly not accepted.
             self._log_answer(
