Take bodies of exactly the largest size

Cause: waitress refuses a body that reaches its limit, so a heartbeat of 4 MiB, which the platform allows, was answered 413. Seen failing before at the limit of a server.

--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -147,7 +147,8 @@
             connection_limit=max_connections + SPARE_CONNECTIONS,
             channel_timeout=IDLE_TIMEOUT_SECONDS,
             max_request_header_size=MAX_HEADER_BYTES,
-            max_request_body_size=largest_body,
+            # Waitress refuses bodies that reach its limit.
+            max_request_body_size=largest_body + 1,
             inbuf_overflow=MAX_BUFFER_BYTES,
             outbuf_overflow=MAX_BUFFER_BYTES,
             ident="bergamotshore",
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -158,3 +158,12 @@
     first.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
     assert read_body(first) == b"served"
     assert registry.get_count("requests_dropped_total", reason="connections") > 0
+
+
+def test_body_of_the_largest_size_is_served(app, server):
+    call = http.client.HTTPConnection(
+        "127.0.0.1", server.port, timeout=CALL_TIMEOUT_SECONDS
+    )
+    call.request("POST", "/", b"x" * LARGEST_BODY)
+    assert call.getresponse().status == 200
+    assert app.sizes == [LARGEST_BODY]
