--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -33,6 +33,7 @@
 )
 from bergamotshore.entry.election import Election
 from bergamotshore.entry.entrylist import EntryList
+from bergamotshore.entry.intake import MAX_SMALL_SERVER_CONNECTIONS, Intake
 from bergamotshore.entry.jobrows import JOBS, PARTS, JobRows
 from bergamotshore.entry.relay import (
     RelayedClient,
@@ -179,11 +180,13 @@
             self.record_stored_cancellation,
             self.admission,
         )
+        self.intake = Intake(settings.intake, self.clock, self.registry, self.log)
         self.caller_server = HttpServer(
             self.app,
             split_address(self.entry.callers),
             CALLER_THREADS,
             self.entry.largest_body,
+            self.intake,
         )
         self.ready_server = self._build_small_server(
             ReadinessApp(self.is_ready), self.site.ready
@@ -250,6 +253,8 @@
             split_address(address),
             SMALL_SERVER_THREADS,
             self.entry.largest_body,
+            self.intake,
+            MAX_SMALL_SERVER_CONNECTIONS,
         )
 
     def _watch_gauges(self):
