--- a/tests/site/test_patience.py
+++ b/tests/site/test_patience.py
@@ -434,3 +434,52 @@
     assert fields["result"] == "began" and fields["rack"] == "r0"
     assert fields["gain"] == 2.0 and 0.0 < fields["expected"] <= 1.0
     assert 'place_waits_total{result="began"} 1' in registry.render()
+
+
+@pytest.fixture
+def patient_site(simulation):
+    """Return a simulation of whole processes with one worker near the data."""
+    for node, rack in (("node-0", "r1"), ("node-1", "r2"), ("node-2", "r2")):
+        simulation.runner_by_node[node].rack = rack
+    for entry in simulation.entry_by_name.values():
+        entry.dispatcher.scheduling = Scheduling(patience=True)
+        entry.dispatcher.spread_factor = 3.0
+    simulation.advance(SETTLING_SECONDS + 1.0)
+    fields = {"cpu": 4000, "rack": "r1"}
+    simulation.submit("filler", (Step(4, estimate=5.0, **fields),))
+    simulation.advance(4.5)
+    assert len(simulation.runner_by_node["node-0"].run_by_task) == 4
+    simulation.submit("job", (Step(1, estimate=4.0, **fields),))
+    simulation.advance(0.3)
+    assert any(
+        line.startswith("event=place-wait ") and "result=began" in line
+        for line in simulation.lines
+    )
+    assert "job.0.0.0" not in {task for task, _, _ in simulation.ledger.starts}
+    return simulation
+
+
+def test_a_task_starts_near_its_data_when_room_frees(patient_site):
+    patient_site.finish_all()
+    patient_site.advance(0.5)
+    assert "job.0.0.0" in patient_site.runner_by_node["node-0"].run_by_task
+    assert any("result=near" in line for line in patient_site.lines)
+    assert patient_site.ledger.problems == []
+
+
+def test_a_wait_that_outlives_its_scheduling_entry_ends_with_one_start(patient_site):
+    patient_site.kill_entry(patient_site.leader.name)
+    patient_site.advance(6.0)
+    starts = [start for start in patient_site.ledger.starts if start[0] == "job.0.0.0"]
+    assert len(starts) == 1
+    assert patient_site.ledger.problems == []
+
+
+def test_a_wait_ends_by_its_bound_while_the_store_is_away(patient_site):
+    patient_site.store.is_down = True
+    patient_site.advance(MAX_WAIT_SECONDS + 0.5)
+    patient_site.store.is_down = False
+    patient_site.advance(2.0)
+    starts = [start for start in patient_site.ledger.starts if start[0] == "job.0.0.0"]
+    assert len(starts) == 1
+    assert patient_site.ledger.problems == []
