--- a/src/bergamotshore/core/work/patience.py
+++ b/src/bergamotshore/core/work/patience.py
@@ -1,11 +1,12 @@
-"""Whether a task waits for a worker near its data, or a gang for room in one rack.
+"""Whether a step waits for workers near its data, or a gang for room in one rack.
 
-A task takes a known multiple of its time elsewhere. It waits while the time that it is
-expected to wait is a small part of the time saved, within the bounds of
-``placewaits``.
+A task takes a known multiple of its time elsewhere, and a step ends with its last task.
+It waits while the time until all its tasks are expected to have room is a small part of
+the time saved, within the bounds of ``placewaits``.
 """
 
 import math
+from dataclasses import replace
 
 from bergamotshore.core.work.freeing import (
     CapacityForecast,
@@ -36,10 +37,7 @@
         self._waits = view.cluster.place_waits
         self._forecast = CapacityForecast(view)
         self._sizes_ahead_by_place = {}
-        self._slot_times_by_step = {}
-        self._near_by_step = {}
-        self._gain_by_step = {}
-        self._refused_steps = set()
+        self._is_held_by_step = {}
         self._full_share_by_place = {}
         factor = view.spread_factor
         self._extra_share = factor - 1.0 if 1.0 < factor <= MAX_SPREAD_FACTOR else 0.0
@@ -50,6 +48,8 @@
     def holds_back(self, item, ref, worker, workers, counts):
         """Return whether a task waits for a near place instead of starting elsewhere.
 
+        All tasks of a step that find no near place wait, or none.
+
         :param item: ``WaitingStep``.
         :param ref: ``TaskRef`` of the task.
         :param worker: ``WorkerState`` on which it could start now.
@@ -60,18 +60,29 @@
         if not self.is_active or not rack:
             return False
         is_near = rack in worker.labels
-        if ref not in self._waits.wait_by_ref:
+        is_waiting = get_first_ref(ref) in self._waits.wait_by_ref
+        if not is_waiting:
             self._record_demand(item, not is_near)
         if is_near:
-            self._waits.end(ref, "near", self._view.now)
+            if is_waiting and _count_left(item) == 1:
+                self._waits.end(get_first_ref(ref), "near", self._view.now)
             return False
         if not self._may_wait(item, ref):
             return False
-        near = self._near_by_step.get(item.key)
-        if near is None:
-            near = [other for other in workers if rack in other.labels]
-            self._near_by_step[item.key] = near
-        return self._judge(item, ref, [(rack, near)], counts, 1)
+        if item.key not in self._is_held_by_step:
+            self._is_held_by_step[item.key] = self._judge_step(
+                item, ref, workers, counts
+            )
+        return self._is_held_by_step[item.key]
+
+    def _judge_step(self, item, ref, workers, counts):
+        """Return whether the tasks of a step that are left wait for near places.
+
+        The step ends with its last task, so that a wait only pays if all get one.
+        """
+        rack = item.step.rack
+        near = [other for other in workers if rack in other.labels]
+        return self._judge(item, ref, [(rack, near)], counts, _count_left(item))
 
     def _record_demand(self, item, is_full):
         place = (self._view.cluster.get_service(item.progress.spec), item.step.rack)
@@ -96,7 +107,7 @@
         """
         if not self.is_active or not item.step.is_tight:
             return False
-        ref = item.refs[0]
+        ref = get_first_ref(item.refs[0])
         if len({worker.rack for worker in chosen}) == 1:
             self._waits.end(ref, "near", self._view.now)
             return False
@@ -116,22 +127,17 @@
             return False
         if item.progress.get_task(ref).checkpoint:
             return False
-        if ref in self._waits.wait_by_ref:
-            return True
-        # What was refused to one task isn't granted to a later one of the step.
-        is_refused = item.key in self._refused_steps
-        return not is_refused and self._waits.get_step_seconds(ref, now) > 0.0
+        is_waiting = get_first_ref(ref) in self._waits.wait_by_ref
+        return is_waiting or self._waits.get_step_seconds(ref, now) > 0.0
 
     def _judge(self, item, ref, places, counts, tasks):
+        ref = get_first_ref(ref)
         estimate = self._estimate(item, ref, places, counts, tasks)
         if estimate is None:
             self._waits.end(ref, "gave-up", self._view.now)
-            self._refused_steps.add(item.key)
             return False
         is_held = self._waits.judge(ref, estimate, self._view.now)
-        if not is_held:
-            self._refused_steps.add(item.key)
-        else:
+        if is_held:
             ahead = self._sizes_ahead_by_place.setdefault(estimate.place, [0, 0, 0])
             for index, size in enumerate(get_sizes(item.step)):
                 ahead[index] += size * tasks
@@ -139,10 +145,7 @@
 
     def _estimate(self, item, ref, places, counts, tasks):
         """Return the ``WaitEstimate`` for the place that is free first, or None."""
-        known = self._gain_by_step.get(item.key)
-        if known is None:
-            known = self._gain_by_step[item.key] = self._get_gain_and_spare(item, ref)
-        gain, spare = known
+        gain, spare = self._get_gain_and_spare(item, ref)
         if gain <= 0.0:
             return None
         service = self._view.cluster.get_service(item.progress.spec)
@@ -151,7 +154,7 @@
             place = (service, rack)
             ahead = self._count_ahead(place, item.step)
             needed = math.ceil(ahead) + tasks
-            seconds = self._estimate_wait(item, rack, workers, counts, needed)
+            seconds = self._estimate_wait(item, workers, counts, needed)
             if best is None or seconds < best[0]:
                 best = (seconds, place, ahead)
         if best is None:
@@ -196,25 +199,30 @@
         ]
         return max(shares, default=0.0)
 
-    def _estimate_wait(self, item, rack, workers, counts, needed):
+    def _estimate_wait(self, item, workers, counts, needed):
         """Return in how many seconds a number of tasks has room, or infinity."""
         if not workers:
             return math.inf
-        key = (item.key, rack)
-        known = self._slot_times_by_step.get(key)
-        if known is None:
-            times = self._forecast.list_slot_times(item.step, workers, counts)
-            known = (times, self._forecast.get_rate(item.step, workers))
-            self._slot_times_by_step[key] = known
-        times, rate = known
+        times = self._forecast.list_slot_times(item.step, workers, counts)
         if needed <= len(times):
             return times[needed - 1]
+        rate = self._forecast.get_rate(item.step, workers)
         if rate <= 0.0:
             return math.inf
         last = times[-1] if times else 0.0
         return last + (needed - len(times)) / rate
 
 
+def get_first_ref(ref):
+    """Return the ``TaskRef`` of the first task of a step, which stands for the step."""
+    return replace(ref, index=0)
+
+
+def _count_left(item):
+    """Return how many tasks of a step have no run, after the claims of this pass."""
+    return len(item.progress.list_waiting(item.occurrence, item.number))
+
+
 def estimate_path(view, spec, number):
     """Return the expected length of the longest chain of steps, in seconds.
 
--- a/src/bergamotshore/core/work/placewaits.py
+++ b/src/bergamotshore/core/work/placewaits.py
@@ -1,4 +1,4 @@
-"""Waits of tasks for near places: when they begin and end, and what they teach.
+"""Waits of steps for near places: when they begin and end, and what they teach.
 
 A wait that has begun is judged again in each planning pass. Differences between the
 expected and the real waits correct later estimates for the same place.
@@ -72,7 +72,7 @@
     """The begin or end of a wait, or an estimate that can't be used.
 
     :param result: 'began', 'near', 'gave-up' or 'unusable'.
-    :param ref: ``TaskRef`` of the task, or of the first member of a gang.
+    :param ref: ``TaskRef`` of the first task of the step.
     :param waited: How long it has waited, in seconds.
     :param estimate: ``WaitEstimate``; None when it can't be used.
     """
@@ -112,7 +112,7 @@
 
 
 class PlaceWaits:
-    """Waits of tasks for near places, and what earlier waits have taught.
+    """Waits of steps for near places, and what earlier waits have taught.
 
     It is not stored: a new term begins without waits.
     """
@@ -157,7 +157,11 @@
         return MAX_WAIT_SECONDS - (now - since)
 
     def judge(self, ref, estimate, now):
-        """Begin a wait, let it go on or end it; return whether the task waits."""
+        """Begin a wait, let it go on or end it; return whether the step waits.
+
+        :param ref: ``TaskRef`` of the first task of the step.
+        :param estimate: ``WaitEstimate``.
+        """
         wait = self.wait_by_ref.get(ref)
         if wait is not None:
             if may_go_on(wait, estimate, now):
@@ -167,6 +171,8 @@
             return False
         limit = get_wait_limit(estimate, self.get_step_seconds(ref, now))
         if len(self.wait_by_ref) >= MAX_WAITS or not may_begin(estimate, limit):
+            # Its tasks start elsewhere now, and the step ends with the last of them.
+            self._since_by_step[ref.step_key] = -math.inf
             return False
         self.wait_by_ref[ref] = PlaceWait(now, now + limit, estimate)
         self._since_by_step.setdefault(ref.step_key, now)
@@ -174,7 +180,10 @@
         return True
 
     def end(self, ref, result, now):
-        """End the wait of a task, if there is one, and learn from it."""
+        """End the wait of a step, if there is one, and learn from it.
+
+        :param ref: ``TaskRef`` of the first task of the step.
+        """
         wait = self.wait_by_ref.pop(ref, None)
         if wait is None:
             return
--- a/tests/site/test_patience.py
+++ b/tests/site/test_patience.py
@@ -225,6 +225,18 @@
     assert len(racks.starts) == 12 + 28
 
 
+@pytest.mark.parametrize(("tasks", "results"), [(12, ["began", "near"]), (13, [])])
+def test_a_step_waits_only_if_all_its_tasks_are_expected_near(racks, tasks, results):
+    racks.fill(seconds=2.0)
+    racks.advance(1.6)
+    racks.add_job("job", rack="r0", seconds=4.0, tasks=tasks)
+    racks.advance(1.0)
+    assert racks.list_results() == results
+    starts = [rack for ref, rack, _ in racks.starts if ref.job == "queue/job"]
+    assert len(starts) == tasks
+    assert (set(starts) == {"r0"}) == bool(results)
+
+
 @pytest.mark.parametrize("fault", ["lost", "draining", "disconnected"])
 def test_a_wait_ends_when_the_rack_goes_away(racks, fault):
     racks.fill(seconds=2.0)
