Measure resumed runs from the first report of their worker

Cause: nodes list a run that has just started with a progress of 0 until the worker lists it, so the duration of a resumed run was taken for that of the whole task. And a first run that was confirmed together with its first report was not measured.

Change: work is counted from the first report of the worker; a first run that this entry started counts from its start.

--- a/src/bergamotshore/core/work/fullspeed.py
+++ b/src/bergamotshore/core/work/fullspeed.py
@@ -17,6 +17,8 @@
 # the one, and no finite task runs for a month.
 MIN_SECONDS = 0.01
 MAX_SECONDS = 30 * 86400.0
+# A start is confirmed within this time unless messages were lost, in seconds.
+MAX_START_SECONDS = 1.0
 # Usage that exceeds the requested processors by more is no figure of this run.
 MAX_USAGE_RATIO = 4.0
 
@@ -61,14 +63,19 @@
 
 
 def record_work(run, now):
-    """Add the work since the last report of a run, whose usage has been updated.
+    """Add the work since the last report of a run, updated from this report.
 
     A figure that can't be believed makes the sum NaN for the rest of the run.
 
     :param run: ``Allocation``.
     """
-    if run.worked_until:
+    if run.worked_from:
         run.worked_seconds += get_speed(run) * (now - run.worked_until)
+    elif run.percent == 0 and run.number > 1:
+        # Its node tells this until the worker lists it; it may have resumed.
+        return
+    else:
+        run.worked_from, run.worked_from_percent = now, run.percent
     run.worked_until = now
 
 
@@ -82,7 +89,7 @@
     """
     if _is_observed_from_start(run):
         return _check_seconds(at - run.started_at)
-    if run.first_reported_at == 0.0:
+    if run.worked_from == 0.0:
         return None
     worked_seconds = run.worked_seconds + get_speed(run) * (at - run.worked_until)
     return _extrapolate(run, worked_seconds, FULL_PERCENT, at)
@@ -94,7 +101,7 @@
     :param run: ``Allocation``.
     :returns: As ``measure_finished``.
     """
-    if run.first_reported_at == 0.0:
+    if run.worked_from == 0.0:
         return None
     # The percentage is rounded down.
     return _extrapolate(run, run.worked_seconds, run.percent + 0.5, run.worked_until)
@@ -103,24 +110,26 @@
 def _is_observed_from_start(run):
     """Return whether the time since its start is that of the whole task.
 
-    A first run can't have resumed. One that an earlier scheduler started is known to
-    this one from its first report on.
+    A first run can't have resumed. One that an earlier scheduler started has no stream
+    and is known to this one from its first report on.
     """
-    has_seen_start = run.started_at > 0.0 and (
-        run.first_reported_at == 0.0 or run.started_at < run.first_reported_at
+    is_start_known = (
+        run.stream is not None
+        and run.started_at > 0.0
+        and run.started_at - run.sent_at <= MAX_START_SECONDS
     )
-    return run.number == 1 and has_seen_start and not run.step.is_filling
+    return run.number == 1 and is_start_known and not run.step.is_filling
 
 
 def _extrapolate(run, worked_seconds, percent, at):
-    if not 0 <= run.first_reported_percent <= percent <= FULL_PERCENT + 0.5:
+    if not 0 <= run.worked_from_percent <= percent <= FULL_PERCENT + 0.5:
         return UnusableDuration("percent")
-    if not 0.0 <= at - run.first_reported_at <= MAX_SECONDS:
+    if not 0.0 <= at - run.worked_from <= MAX_SECONDS:
         return UnusableDuration("clock")
     if math.isnan(worked_seconds):
         return UnusableDuration("usage")
-    share = (percent - run.first_reported_percent) / FULL_PERCENT
-    is_slow = worked_seconds < MIN_MEAN_SPEED * (at - run.first_reported_at)
+    share = (percent - run.worked_from_percent) / FULL_PERCENT
+    is_slow = worked_seconds < MIN_MEAN_SPEED * (at - run.worked_from)
     if share < MIN_OBSERVED_SHARE or is_slow:
         return None
     return _check_seconds(worked_seconds / share)
--- a/src/bergamotshore/core/work/tails.py
+++ b/src/bergamotshore/core/work/tails.py
@@ -125,7 +125,7 @@
         run = outcome.allocation
         if outcome.outcome == "done":
             self._earlier_by_ref.pop(run.ref, None)
-        elif not (run.step.is_lasting or run.step.is_gang) and run.first_reported_at:
+        elif not (run.step.is_lasting or run.step.is_gang) and run.worked_from:
             self._record_earlier(run)
         copied = self._copied_by_ref.get(run.ref)
         if copied is None:
@@ -262,8 +262,8 @@
 def _compare_with_kind(view, worker, run):
     """Return the ``Lateness`` of a run past the high quantile of its kind, or None."""
     share = (run.percent + 0.5) / FULL_PERCENT
-    observed_share = share - run.first_reported_percent / FULL_PERCENT
-    if run.first_reported_at == 0.0 or not 0.0 < observed_share <= share <= 1.0:
+    observed_share = share - run.worked_from_percent / FULL_PERCENT
+    if run.worked_from == 0.0 or not 0.0 < observed_share <= share <= 1.0:
         return None
     total = run.worked_seconds / observed_share
     queue = get_queue_name(run.ref.job)
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -33,9 +33,11 @@
         that resumed or that an earlier scheduler started.
     :param progressed_at: When the progress last changed, in seconds.
     :param usage: Last reported tail latency in ms, or processors in use.
-    :param worked_seconds: Time that its work since its first report takes at full
-        speed, in seconds; NaN when a report had no usable figure.
-    :param worked_until: Time of the last report counted therein, in seconds.
+    :param worked_from: Time of the first report of its work, in seconds; 0 before that.
+    :param worked_from_percent: Progress in that report.
+    :param worked_until: Time of the last report of its work, in seconds.
+    :param worked_seconds: Time that its work between these takes at full speed, in
+        seconds; NaN when a report had no usable figure.
     :param throttle_percent: Share of its full speed allowed by the last throttle
         order, in percent; None while it is unknown.
     :param stop_sent_at: When a stop order was last sent, in seconds; 0 for never.
@@ -60,8 +62,10 @@
     first_reported_percent: int = 0
     progressed_at: float = 0.0
     usage: float = 0.0
-    worked_seconds: float = 0.0
+    worked_from: float = 0.0
+    worked_from_percent: int = 0
     worked_until: float = 0.0
+    worked_seconds: float = 0.0
     throttle_percent: int | None = 100
     stop_sent_at: float = 0.0
     checkpoint: str = ""
--- a/tests/site/test_durations.py
+++ b/tests/site/test_durations.py
@@ -34,6 +34,7 @@
         number=number,
         step=step,
         born=1,
+        stream=object(),
         sent_at=started_at,
         is_started=True,
         started_at=started_at,
@@ -57,8 +58,6 @@
         run.percent = int(100 * worked / seconds)
         if run.step.is_filling:
             run.usage = speed * run.step.cpu
-        if run.first_reported_at == 0.0:
-            run.first_reported_at, run.first_reported_percent = now, run.percent
         record_work(run, now)
 
 
@@ -177,7 +176,7 @@
     estimates = DurationEstimates()
     step = Step(1, 500, image="check", estimate=1.0)
     run = build_run(step, started_at=started_at)
-    run.first_reported_at, run.first_reported_percent = started_at, 10
+    run.percent = 10
     record_work(run, started_at)
     outcome = RunOutcome("node-0", run, "done", 200.0)
     assert estimates.record_outcome(outcome) == UnusableDuration("clock")
@@ -210,6 +209,14 @@
     assert measured.seconds == pytest.approx(8.0, rel=0.1)
 
 
+def test_a_resumed_run_listed_by_its_node_before_its_worker_counts_for_its_share():
+    """Nodes list a run that has just started with a progress of 0."""
+    run = build_run(Step(1, 500), number=2)
+    record_work(run, run.started_at)
+    at = report_until_done(run, 8.0, done=0.5)
+    assert measure_finished(run, at).seconds == pytest.approx(8.0, rel=0.1)
+
+
 def test_a_task_too_short_for_a_report_is_measured_from_its_start():
     run = build_run(Step(1, 500))
     assert measure_finished(run, 100.2).seconds == pytest.approx(0.2)
@@ -218,7 +225,7 @@
 def test_a_run_found_at_a_takeover_counts_from_its_first_report():
     run = build_run(Step(1, 500))
     at = report_until_done(run, 8.0, done=0.5)
-    run.started_at = run.first_reported_at
+    run.stream = None
     assert measure_finished(run, at) == MeasuredDuration(pytest.approx(8.0, rel=0.1))
 
 
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -99,7 +99,7 @@
         cluster, site, 105.0, 105.0, lambda node, now: False, scheduling=scheduling
     )
     ((worker, run),) = plan_starts(view)[0]
-    run.sent_at = run.started_at = run.first_reported_at = 100.0
+    run.sent_at = run.started_at = run.worked_from = 100.0
     run.progressed_at = worker.reported_at = run.worked_until = 105.0
     run.is_started, run.worked_seconds, run.percent = True, 5.0, 25
     return view, worker, run
@@ -144,7 +144,7 @@
     """Place a run of another job that takes a number of seconds in all."""
     step = Step(tasks=1, cpu=100)
     run = place_run(worker, step, f"near{number}", job=f"queue/near{number}")
-    run.first_reported_at, run.worked_until = 100.0, 100.0 + seconds / 2
+    run.worked_from, run.worked_until = 100.0, 100.0 + seconds / 2
     run.worked_seconds, run.percent = seconds / 2, 50
     return run
 
@@ -219,7 +219,7 @@
     for worker in successor.worker_by_node.values():
         for run in worker.allocation_by_key.values():
             run.is_started, run.percent, run.worked_seconds = True, 25, 5.0
-            run.first_reported_at = 100.0
+            run.worked_from = 100.0
             worker.reported_at = run.progressed_at = run.worked_until = 105.0
     later = PlanView(
         successor, view.site, 105.0, 105.0, view.is_excluded, scheduling=TAILS
@@ -246,7 +246,7 @@
 def stop_run(view, worker, percent, seconds, checkpoint=""):
     """Start the next task, and stop it when it has done a share of its work."""
     ((_, run),) = plan_starts(view)[0]
-    run.first_reported_at, run.worked_until = 100.0, 105.0
+    run.worked_from, run.worked_until = 100.0, 105.0
     run.percent, run.worked_seconds = percent, seconds * percent / 100
     run.checkpoint = checkpoint
     view.cluster.release(worker, run, "stopped", 105.0)
@@ -306,7 +306,7 @@
 def test_state_of_tails_is_bounded(crowded):
     view, worker = crowded
     ((_, run),) = plan_starts(view)[0]
-    run.first_reported_at = 100.0
+    run.worked_from = 100.0
     tails = TailTracker()
     for number in range(2 * MAX_TASKS):
         run.ref = type(run.ref)(f"queue/job{number}", 0, 0, 0)
