Order waiting jobs by worth for the work left under overload

Cause: under lasting overload the earliest due time first is the worst order, as all jobs become late.

With the switch off nothing changes.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -14,6 +14,7 @@
 from bergamotshore.core.work.durations import DurationEstimates
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
+from bergamotshore.core.work.order import JobOrder
 from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.speed import StepDurations
 from bergamotshore.core.work.workers import Allocation, WorkerState
@@ -77,6 +78,7 @@
         self.advice = AdviceTracker()
         self.step_durations = StepDurations()
         self.durations = DurationEstimates()
+        self.job_order = JobOrder()
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -81,6 +81,8 @@
 
 def list_waiting(view):
     """Return all ``WaitingStep`` in scheduling order."""
+    if view.scheduling.order == "value":
+        view.cluster.job_order.refresh(view)
     waiting = []
     for progress in view.cluster.job_by_key.values():
         if progress.key in view.collector.left_out:
@@ -114,7 +116,17 @@
         critical_path if queue is None else queue.stretch * critical_path + queue.slack
     )
     is_lasting = spec.steps[number].is_lasting
-    return (priority, not is_lasting, due + time_limit, spec.key)
+    order = (due + time_limit,)
+    if view.scheduling.order == "value" and not is_lasting:
+        order = view.cluster.job_order.get_rank(spec.key, occurrence)
+    share_band = _get_share_band(view, spec.queue)
+    return (priority, not is_lasting, share_band, *order, spec.key)
+
+
+def _get_share_band(view, queue):
+    """Return the rank that a queue has by its share of the capacity."""
+    shares = getattr(view.cluster, "shares", None)
+    return 0 if shares is None else shares.get_band(queue)
 
 
 def get_critical_path_seconds(spec):
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -18,6 +18,7 @@
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
+from bergamotshore.core.work.order import Band
 from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.presence import get_reported_runs
 from bergamotshore.core.work.progress import JobProgress, restore_crashes
@@ -165,6 +166,7 @@
         scheduling=NO_DECISIONS_UNDER_LOAD,
     ):
         self.scheduling = scheduling
+        self._was_overloaded = False
         self.machines = machines
         self.machine_calls = machine_calls
         self.store = store
@@ -644,6 +646,7 @@
         plan = make_plan(view, may_start, is_check_due)
         self._record_errors(view.collector, now)
         self._log_plan(plan)
+        self._log_order()
         self._log_downtime(view)
         for question in plan.questions:
             self.questions.ask(self.cluster, question, self.epoch, now)
@@ -713,6 +716,21 @@
                 why=straggler.sign,
             )
 
+    def _log_order(self):
+        """Log when jobs begin to be late, or all can be in time again."""
+        order = self.cluster.job_order
+        if order.is_overloaded != self._was_overloaded:
+            self._was_overloaded = order.is_overloaded
+            timely, useful, rest = (order.jobs_by_band.get(band, 0) for band in Band)
+            self.log.write(
+                "jobs-ordered",
+                self.epoch,
+                timely=timely,
+                useful=useful,
+                rest=rest,
+                fallbacks=order.fallbacks,
+            )
+
     def _log_downtime(self, view):
         """Log the long-running tasks that have been down for long, or run again."""
         if view.now - self._downtime_checked_at < DOWNTIME_INTERVAL_SECONDS:
