--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -15,6 +15,7 @@
 from bergamotshore.core.work.fullspeed import record_work
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.model import TaskRef
+from bergamotshore.core.work.order import JobOrder
 from bergamotshore.core.work.places import PlaceTracker
 from bergamotshore.core.work.placewaits import PlaceWaits
 from bergamotshore.core.work.progress import JobProgress
@@ -84,6 +85,7 @@
         self.places = PlaceTracker()
         self.tails = TailTracker()
         self.place_waits = PlaceWaits()
+        self.job_order = JobOrder()
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -21,6 +21,7 @@
 from bergamotshore.core.work.durations import SampleAccepted
 from bergamotshore.core.work.fullspeed import UnusableDuration
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
+from bergamotshore.core.work.order import Band
 from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.presence import get_reported_runs
 from bergamotshore.core.work.progress import JobProgress, restore_crashes
@@ -187,6 +188,7 @@
         self.scheduling = scheduling
         self.spread_factor = spread_factor
         self._on_backlog = on_backlog
+        self._was_overloaded = False
         self.machines = machines
         self.machine_calls = machine_calls
         self.store = store
@@ -686,6 +688,7 @@
         self._record_errors(view.collector, now)
         self._log_plan(plan)
         log_place_waits(self.cluster.place_waits, self.registry, self.log)
+        self._log_order()
         self._log_downtime(view)
         with self.collector.containing("backlog", "estimate"):
             self._measure_backlog(view)
@@ -797,6 +800,21 @@
             place=round(lateness.place.ratio, 2),
         )
 
+    def _log_order(self):
+        """Log when jobs begin to be late, or all can be in time again."""
+        order = self.cluster.job_order
+        if order.is_overloaded != self._was_overloaded:
+            self._was_overloaded = order.is_overloaded
+            timely, useful, rest = (order.jobs_by_band.get(band, 0) for band in Band)
+            self.log.write(
+                "jobs-ordered",
+                self.epoch,
+                timely=timely,
+                useful=useful,
+                rest=rest,
+                fallbacks=order.fallbacks,
+            )
+
     def _log_downtime(self, view):
         """Log the long-running tasks that have been down for long, or run again."""
         if view.now - self._downtime_checked_at < DOWNTIME_INTERVAL_SECONDS:
