--- a/src/bergamotshore/timeline/explanation.py
+++ b/src/bergamotshore/timeline/explanation.py
@@ -181,6 +181,7 @@
 def _describe_refusal(line):
     why = line.value_by_field.get("why", "unknown")
     text = {
+        "overload": _describe_estimate(line.value_by_field),
         "store-away": "the store was unreachable; nothing was written",
         "platform-unavailable": "no write took effect; the job was not accepted",
         "platform-uncertain": "a write was not confirmed; send the request again",
@@ -188,6 +189,18 @@
     return f"{line.process} answered {line.kind} at {line.at}: {text}"
 
 
+def _describe_estimate(value_by_field):
+    """Return the parts of the estimate by which a job was refused."""
+    names = "wait limit ahead age epoch accepted others cores".split()
+    value = {name: value_by_field.get(name, "?") for name in names}
+    return (
+        f"expected to wait {value['wait']} s, of use up to {value['limit']} s; "
+        f"{value['ahead']} core-seconds ahead, told {value['age']} s before in term "
+        f"{value['epoch']}, {value['accepted']} accepted here since and "
+        f"{value['others']} elsewhere (a guess), on {value['cores']} cores"
+    )
+
+
 def _describe_loss(line, context):
     outcome = line.value_by_field["outcome"]
     node = line.value_by_field.get("node", "")
--- a/tests/timeline/test_explanation.py
+++ b/tests/timeline/test_explanation.py
@@ -78,3 +78,25 @@
     assert "the store was unreachable" in printed
     assert run_command(["explain", "unknown", str(LOG)]) == 1
     assert run_command(["explain", REFUSED_JOB, "no-such-file"]) == 1
+
+
+# Guards against a refusal of which callers can't be told why.
+def test_a_refusal_for_load_is_explained_by_the_parts_of_its_estimate():
+    line = parse_line(
+        "2026-04-11T14:21:48.338+00:00 INFO process=entry-1 event=job-refused "
+        "subject=00000000000000aa why=overload queue=q wait=24.420 limit=22.890 "
+        "ahead=22557.900 accepted=13.300 others=7.100 cores=836.500 epoch=3 "
+        "age=0.561 retry=9"
+    )
+    explanation = explain_subject([line], "00000000000000aa")
+    [cause] = [cause for cause in explanation.causes if "job-refused" in cause]
+    parts = (
+        "24.420 s",
+        "22.890 s",
+        "22557.900",
+        "0.561 s",
+        "term 3",
+        "13.300",
+        "7.100",
+    )
+    assert all(part in cause for part in (*parts, "836.500 cores"))
