--- a/src/bergamotshore/timeline/explanation.py
+++ b/src/bergamotshore/timeline/explanation.py
@@ -191,7 +191,7 @@
 
 def _describe_estimate(value_by_field):
     """Return the parts of the estimate by which a job was refused."""
-    names = "wait limit ahead age epoch accepted others cores".split()
+    names = ["wait", "limit", "ahead", "age", "epoch", "accepted", "others", "cores"]
     value = {name: value_by_field.get(name, "?") for name in names}
     return (
         f"expected to wait {value['wait']} s, of use up to {value['limit']} s; "
--- a/tests/site/test_admission.py
+++ b/tests/site/test_admission.py
@@ -352,3 +352,20 @@
     assert rows.has(key, clock.now() + CALL_SECONDS) == Success(False)
     rows.accept(build_spec(), clock.now() + CALL_SECONDS).unwrap()
     assert rows.has(key, clock.now() + CALL_SECONDS) == Success(True)
+
+
+# Guards against an error of the estimate that stops the scheduling of jobs.
+def test_error_of_the_estimate_ends_refusals_and_jobs_still_run(loaded):
+    def fail(view):
+        raise ZeroDivisionError
+
+    loaded.allows_errors = True
+    loaded.leader.dispatcher._backlog.measure = fail
+    loaded.advance(MAX_AGE_SECONDS + 0.5)
+    assert list_refusing(loaded) == []
+    before = len(loaded.running)
+    assert before
+    loaded.finish_all()
+    loaded.advance(2.0)
+    assert loaded.running
+    assert not any(line.startswith("event=term-abandoned ") for line in loaded.lines)
