Learn durations when tasks take longer everywhere

Cause: durations from slow places aren't learned, and a place counted as slow by the estimates alone. Once tasks take longer everywhere, all busy places looked slow, nothing was learned and nothing aged. A place that looked slow also got copies no matter how many of them had lost.

Change: a place is slow if it is 1.5 times as slow as the upper median of the places that can be judged, so never if half of them or more look slow. The median is derived again after 0.4 s. Copies from slow places are given up as others are.

--- a/src/bergamotshore/core/work/places.py
+++ b/src/bergamotshore/core/work/places.py
@@ -8,8 +8,8 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from enum import Enum
-from math import exp, isfinite, log, sqrt
-from statistics import median
+from math import exp, inf, isfinite, log, sqrt
+from statistics import median, median_high
 
 from bergamotshore.core.work.fullspeed import (
     MeasuredDuration,
@@ -28,6 +28,9 @@
 HIGH_DEVIATIONS = 1.645
 # Finished runs tell about the speed of their worker for this time, in seconds.
 WINDOW_SECONDS = 5.0
+# The median over all places is derived again after this time, in seconds: workers
+# report the ends of runs this often.
+MEDIAN_INTERVAL_SECONDS = 0.4
 # Bounds of the state.
 MAX_NODES = 2000
 MAX_RUNS_PER_NODE = 16
@@ -74,6 +77,8 @@
 
     def __init__(self):
         self._comparisons_by_node = OrderedDict()
+        self._usual_ratio = 1.0
+        self._usual_ratio_at = -inf
 
     def record_duration(self, node, job, at, sample):
         """Record how a finished run compares with what was expected.
@@ -93,8 +98,26 @@
             self._comparisons_by_node.popitem(last=False)
 
     def is_slow(self, node, now):
-        """Return whether the runs that ended lately show that a worker is slow."""
-        return judge_place(self.list_recent(node, now)).speed is Speed.SLOW
+        """Return whether the runs that ended lately show that a worker is slow.
+
+        If runs take longer on half of the workers, the estimates are wrong instead.
+        """
+        place = judge_place(self.list_recent(node, now))
+        if place.speed is not Speed.SLOW:
+            return False
+        return place.ratio >= SLOW_RATIO * self._get_usual_ratio(now)
+
+    def _get_usual_ratio(self, now):
+        """Return the median ratio of the workers that can be judged."""
+        if not 0.0 <= now - self._usual_ratio_at < MEDIAN_INTERVAL_SECONDS:
+            places = [
+                judge_place(self.list_recent(node, now))
+                for node in self._comparisons_by_node
+            ]
+            ratios = [place.ratio for place in places if place.ratio > 0.0]
+            self._usual_ratio = median_high(ratios) if ratios else 1.0
+            self._usual_ratio_at = now
+        return self._usual_ratio
 
     def list_recent(self, node, now):
         """Return the ``Comparison`` objects of runs that ended lately on a node."""
--- a/src/bergamotshore/core/work/tails.py
+++ b/src/bergamotshore/core/work/tails.py
@@ -25,8 +25,8 @@
 # Least time saved by a copy, in seconds: a start takes 0.3 s, the rest is a margin for
 # errors of the estimates.
 MIN_GAIN_SECONDS = 0.5
-# Where the worker can't be judged, copies are made as long as this share of them is
-# expected to win; the first ones are presumed to win half the time.
+# Copies are made as long as this share of them is expected to win; the first ones are
+# presumed to win half the time.
 MIN_WIN_SHARE = 0.33
 PRESUMED_WINS, PRESUMED_LOSSES = 1.0, 1.0
 # Earlier copies count half after this time, in seconds, so that they are tried again.
@@ -249,13 +249,11 @@
     if lateness is None:
         return None
     place = judge_neighbours(view, worker, run)
-    match place.speed:
-        case Speed.USUAL:
-            return None
-        case Speed.UNKNOWN:
-            queue = get_queue_name(run.ref.job)
-            if not view.cluster.tails.is_copy_promising(queue, view.now):
-                return None
+    queue = get_queue_name(run.ref.job)
+    # A place also looks slow while tasks take longer everywhere, and copies lose.
+    is_promising = view.cluster.tails.is_copy_promising(queue, view.now)
+    if place.speed is Speed.USUAL or not is_promising:
+        return None
     return replace(lateness, place=place)
 
 
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -7,9 +7,14 @@
 import pytest
 
 from bergamotshore.core.work.cluster import ClusterState, RunOutcome
-from bergamotshore.core.work.durations import DurationEstimate
+from bergamotshore.core.work.durations import DurationEstimate, SampleAccepted
 from bergamotshore.core.work.model import JobSpec, Step
-from bergamotshore.core.work.places import Place, Speed, judge_neighbours
+from bergamotshore.core.work.places import (
+    Place,
+    PlaceTracker,
+    Speed,
+    judge_neighbours,
+)
 from bergamotshore.core.work.planner import plan_copies, plan_starts
 from bergamotshore.core.work.site import SiteState
 from bergamotshore.core.work.tails import MAX_TASKS, PAST_HIGH, TailTracker, order_tasks
@@ -23,6 +28,8 @@
 TAILS = Scheduling(durations=True, tails=True)
 TAIL_FACTOR = 7.0
 SLOWDOWN = 6.5
+LARGER = 4.0
+USUAL = DurationEstimate(1.0, 1.5, 50, "queue")
 # A task is late after up to one and a half durations, and its copy takes another one;
 # start, detection and end each wait for a report.
 MAX_COPIED_SECONDS = 2.5 * TASK_SECONDS + 3 * REPORT_INTERVAL_SECONDS
@@ -85,6 +92,45 @@
     assert burst.copy_signs == []
 
 
+def test_tails_do_not_lock_learning_when_tasks_get_longer_everywhere():
+    """From a job on, all tasks are four times as long, so all places look slow."""
+
+    def get_size(name):
+        number = int(name.split(".")[0].removeprefix("job"))
+        return LARGER if number >= 150 else 1.0
+
+    burst, _ = run_single_tasks({}, jobs=350, scheduling=TAILS, get_size=get_size)
+    step = Step(tasks=1, cpu=1600, estimate=TASK_SECONDS)
+    estimate = burst.cluster.durations.get_estimate("queue", step)
+    assert estimate.expected == pytest.approx(LARGER * TASK_SECONDS, rel=0.25)
+    # Those in flight when the first one loses: two each 0.4 s for one duration.
+    in_flight = 2 * LARGER * TASK_SECONDS / REPORT_INTERVAL_SECONDS
+    assert len(burst.copy_signs) <= in_flight
+
+
+@pytest.mark.parametrize(("slow", "is_slow"), [(1, True), (2, False), (4, False)])
+def test_a_place_is_slow_only_compared_with_most_places(slow, is_slow):
+    tracker = PlaceTracker()
+    for node in range(4):
+        sample = SampleAccepted(4.0 if node < slow else 1.0, USUAL)
+        for job in range(4):
+            tracker.record_duration(f"node-{node}", f"job{job}", 100.0, sample)
+    assert tracker.is_slow("node-0", 101.0) is is_slow
+    assert not tracker.is_slow("node-3", 101.0)
+
+
+def test_copies_from_a_slow_place_are_given_up_after_they_have_lost():
+    view, worker, run = build_late_run()
+    for number in range(3):
+        place_neighbour(worker, number, seconds=4.0)
+    for _ in range(2):
+        view.cluster.tails.record_copy(run.ref, 2, PAST_HIGH)
+        outcome = RunOutcome(worker.node, run, "done", 105.0)
+        view.cluster.tails.record_outcome(outcome)
+        view.cluster.tails.record_outcome(outcome)
+    assert plan_copies(view) == []
+
+
 def build_late_run(fields=(), scheduling=TAILS, nodes=2):
     """Return a view with a run that has worked five times as long as it should have."""
     cluster = ClusterState(build_configuration().get_queue)
