Judge resumed runs late only once enough of them was seen

Cause: whether a run is past the high quantile was extrapolated from any share seen of it. A resumed run begins at a rounded percentage; after one or two reports a hundredth or less was seen, and its duration came out several times too long.

Change: the same least share as elsewhere, 0.2, is required.

--- a/src/bergamotshore/core/work/tails.py
+++ b/src/bergamotshore/core/work/tails.py
@@ -14,6 +14,7 @@
 
 from bergamotshore.core.work.fullspeed import (
     FULL_PERCENT,
+    MIN_OBSERVED_SHARE,
     MeasuredDuration,
     is_usable,
     measure_running,
@@ -261,7 +262,7 @@
     """Return the ``Lateness`` of a run past the high quantile of its kind, or None."""
     share = (run.percent + 0.5) / FULL_PERCENT
     observed_share = share - run.worked_from_percent / FULL_PERCENT
-    if run.worked_from == 0.0 or not 0.0 < observed_share <= share <= 1.0:
+    if run.worked_from == 0.0 or not MIN_OBSERVED_SHARE <= observed_share <= share <= 1:
         return None
     total = run.worked_seconds / observed_share
     queue = get_queue_name(run.ref.job)
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -201,6 +201,17 @@
     assert plan_copies(view) == []
 
 
+def test_a_resumed_run_is_not_late_before_enough_of_it_was_seen():
+    """Its first reports tell rounded percentages that differ by one or none."""
+    view, _, run = build_late_run()
+    run.worked_from_percent, run.worked_seconds, run.percent = 60, 0.4, 60
+    assert plan_copies(view) == []
+    run.worked_seconds, run.percent = 0.8, 61
+    assert plan_copies(view) == []
+    run.worked_from_percent, run.worked_seconds, run.percent = 10, 5.0, 31
+    assert len(plan_copies(view)) == 1
+
+
 def test_a_copy_waits_while_other_tasks_wait():
     view, _, _ = build_late_run()
     large = Step(tasks=1, cpu=99000)
