Make no copies of slow runs on slow workers

Cause: a copy of a run past the high quantile went to any other worker with room, also to one just judged slow, where it would be as late.

Change: workers that are slow by the runs that ended there lately are passed over.

--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -244,8 +244,7 @@
         # Best-effort tasks don't give way to a copy of a run that works.
         cpu = item.step.cpu
         others = [worker for worker in others if worker.get_best_effort_cpu() >= cpu]
-    counts = count_runs_by_node(item)
-    worker = choose_worker(item.step, others, counts, view.cluster.interference)
+    worker = _choose_for_copy(view, run, item, others)
     if worker is None:
         return []
     ticket = _get_ticket(view, item, worker)
@@ -255,6 +254,23 @@
     return [(run, worker, allocation)]
 
 
+def _choose_for_copy(view, run, item, workers):
+    """Return a worker for the copy of a late run, or None.
+
+    On another slow worker, a copy of a run that works would be as late.
+    """
+    counts = count_runs_by_node(item)
+    places, interference = view.cluster.places, view.cluster.interference
+    worker = choose_worker(item.step, workers, counts, interference)
+    if run.sign != PAST_HIGH:
+        return worker
+    # Only the chosen ones are judged, because judging all takes longer than a choice.
+    while worker is not None and places.is_slow(worker.node, view.now):
+        workers = [other for other in workers if other is not worker]
+        worker = choose_worker(item.step, workers, counts, interference)
+    return worker
+
+
 def _list_open(view, item, workers_by_service):
     """Return the eligible workers of a step that are not reserved for another."""
     workers = list_eligible_workers(view, item, workers_by_service)
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -111,10 +111,8 @@
 @pytest.mark.parametrize(("slow", "is_slow"), [(1, True), (2, False), (4, False)])
 def test_a_place_is_slow_only_compared_with_most_places(slow, is_slow):
     tracker = PlaceTracker()
-    for node in range(4):
-        sample = SampleAccepted(4.0 if node < slow else 1.0, USUAL)
-        for job in range(4):
-            tracker.record_duration(f"node-{node}", f"job{job}", 100.0, sample)
+    nodes = [f"node-{number}" for number in range(4)]
+    record_places(tracker, nodes, nodes[:slow], at=100.0)
     assert tracker.is_slow("node-0", 101.0) is is_slow
     assert not tracker.is_slow("node-3", 101.0)
 
@@ -212,6 +210,27 @@
     assert len(plan_copies(view)) == 1
 
 
+def record_places(tracker, nodes, slow_nodes, at):
+    """Record runs of four jobs that ended on each node, four times as long on some."""
+    for node in nodes:
+        sample = SampleAccepted(4.0 if node in slow_nodes else 1.0, USUAL)
+        for job in range(4):
+            tracker.record_duration(node, f"queue/ended{job}", at, sample)
+
+
+@pytest.mark.parametrize("nodes", [2, 4])
+def test_a_copy_goes_to_no_slow_place(nodes):
+    view, worker, _ = build_late_run(nodes=nodes)
+    others = [name for name in view.cluster.worker_by_node if name != worker.node]
+    for name in others[1:]:
+        place_run(view.cluster.worker_by_node[name], Step(tasks=1, cpu=1000), "busy")
+    # Places that the view doesn't have are usual, so that the empty one stands out.
+    elsewhere = [f"elsewhere-{number}" for number in range(4)]
+    record_places(view.cluster.places, [*others, *elsewhere], others[:1], at=104.0)
+    copies = plan_copies(view)
+    assert [other.node for _, other, _ in copies] == others[1:2]
+
+
 def test_a_copy_waits_while_other_tasks_wait():
     view, _, _ = build_late_run()
     large = Step(tasks=1, cpu=99000)
