Keep estimates until what they are derived from changes

Cause: each finished task cleared all kept estimates, and a pass asks for those of all speculative runs. With a late run, the waiting steps were also listed a second time.

Change: an estimate is dropped with a new sample of its job, or once one of the kinds that were tried for it has to be summarized again.

--- a/src/bergamotshore/core/work/decisions.py
+++ b/src/bergamotshore/core/work/decisions.py
@@ -8,6 +8,7 @@
 from bergamotshore.core.work.preemption import plan_preemptions
 from bergamotshore.core.work.relocation import plan_relocations
 from bergamotshore.core.work.stops import plan_stops
+from bergamotshore.core.work.waiting import list_waiting
 
 
 @dataclass(slots=True)
@@ -43,10 +44,11 @@
         plan.stops += plan_stops(view)
     if not may_start:
         return plan
-    _, plan.questions = plan_starts(view)
+    waiting = list_waiting(view)
+    _, plan.questions = plan_starts(view, waiting)
     if is_full_scan:
         plan.stops += plan_evictions(view, view.is_urgent_by_draining_node)
         plan.stops += plan_preemptions(view)
         plan.stops += plan_relocations(view)
-        plan.copies = plan_copies(view)
+        plan.copies = plan_copies(view, waiting)
     return plan
--- a/src/bergamotshore/core/work/durations.py
+++ b/src/bergamotshore/core/work/durations.py
@@ -12,6 +12,7 @@
 from math import exp, inf, log
 from statistics import median
 
+from bergamotshore.core.work.estimatecache import EstimateCache
 from bergamotshore.core.work.fullspeed import (
     MeasuredDuration,
     UnusableDuration,
@@ -29,7 +30,6 @@
 MAX_SAMPLES_PER_KIND = 128
 MAX_JOBS = 1000
 MAX_SAMPLES_PER_JOB = 32
-MAX_CACHED = 4096
 # A kind is summarized again after this share of its samples is new.
 NEW_SHARE = 0.125
 # Number of finished tasks of a job that say as much about the rest of it as all other
@@ -85,6 +85,11 @@
     summary: object = None
     new_samples: int = 0
 
+    @property
+    def is_due(self):
+        """Return whether the samples have to be summarized again before use."""
+        return self.summary is None or self.new_samples > NEW_SHARE * len(self.samples)
+
 
 class DurationEstimates:
     """Durations of finished tasks, by kind of task and by job.
@@ -98,8 +103,7 @@
         self._kind_by_key = OrderedDict()
         self._samples_by_job = OrderedDict()
         self._latest_at = 0.0
-        # Valid until the next sample, so for at least one planning pass.
-        self._estimate_by_key = {}
+        self._cache = EstimateCache()
 
     @property
     def kinds(self):
@@ -132,20 +136,24 @@
 
     def _add_sample(self, queue, run, seconds, at):
         self._latest_at = max(self._latest_at, at)
-        self._estimate_by_key.clear()
         sample = DurationSample(run.ref.job, at, log(seconds), _get_log(run.step))
         for _, key in _list_keys(queue, run.step):
             kind = self._kind_by_key.setdefault(key, Kind())
             self._kind_by_key.move_to_end(key)
             kind.samples.append(sample)
             kind.new_samples += 1
+            if kind.is_due:
+                self._cache.drop(key)
         of_job = self._samples_by_job.setdefault(
             run.ref.job, deque(maxlen=MAX_SAMPLES_PER_JOB)
         )
         self._samples_by_job.move_to_end(run.ref.job)
         of_job.append(sample)
-        _drop_oldest(self._kind_by_key, MAX_KINDS)
-        _drop_oldest(self._samples_by_job, MAX_JOBS)
+        self._cache.drop(run.ref.job)
+        for key in _drop_oldest(self._kind_by_key, MAX_KINDS):
+            self._cache.drop(key)
+        for job in _drop_oldest(self._samples_by_job, MAX_JOBS):
+            self._cache.drop(job)
 
     def get_estimate(self, queue, step, job_key=None):
         """Return the ``DurationEstimate`` of a task, as declared if little is known.
@@ -157,17 +165,15 @@
         if not self.is_enabled or step.is_lasting:
             return DurationEstimate(step.estimate, inf)
         key = (queue, job_key, step.image, step.cpu, step.estimate)
-        estimate = self._estimate_by_key.get(key)
+        estimate = self._cache.get(key)
         if estimate is None:
-            if len(self._estimate_by_key) >= MAX_CACHED:
-                self._estimate_by_key.clear()
-            estimate = self._estimate(queue, step, job_key)
-            self._estimate_by_key[key] = estimate
+            source, kind, keys = self._find_kind(queue, step)
+            estimate = self._estimate(step, job_key, source, kind)
+            self._cache.put(key, estimate, (job_key, *keys))
         return estimate
 
-    def _estimate(self, queue, step, job_key):
+    def _estimate(self, step, job_key, source, kind):
         declared_log = _get_log(step)
-        source, kind = self._find_kind(queue, step)
         own = self._get_own_log(job_key, declared_log)
         if kind is None:
             return _estimate_without_kind(own, step)
@@ -185,17 +191,22 @@
         )
 
     def _find_kind(self, queue, step):
-        """Return code and ``KindSummary`` of the closest known kind, or None."""
+        """Return the closest known kind of a step.
+
+        :returns: Code, ``KindSummary`` or None, and the keys of the kinds tried.
+        """
+        keys = []
         for source, key in _list_keys(queue, step):
+            keys.append(key)
             kind = self._kind_by_key.get(key)
             if kind is None:
                 continue
-            if kind.summary is None or kind.new_samples > NEW_SHARE * len(kind.samples):
+            if kind.is_due:
                 kind.summary = summarize(kind.samples, self._latest_at)
                 kind.new_samples = 0
             if kind.summary.jobs >= MIN_JOBS:
-                return source, kind.summary
-        return DECLARED, None
+                return source, kind.summary, keys
+        return DECLARED, None, keys
 
     def _get_own_log(self, job_key, declared_log):
         """Return what the finished tasks of a job tell about another one of it.
@@ -242,5 +253,6 @@
 
 
 def _drop_oldest(ordered, limit):
-    while len(ordered) > limit:
-        ordered.popitem(last=False)
+    """Drop the first items beyond a number of them; return their keys."""
+    excess = range(len(ordered) - limit)
+    return [ordered.popitem(last=False)[0] for _ in excess]
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -35,13 +35,14 @@
 QUARANTINE_LIMIT_SECONDS = 3.0
 
 
-def plan_starts(view):
+def plan_starts(view, waiting=None):
     """Claim workers for all tasks that can start now.
 
+    :param waiting: ``WaitingStep`` objects in scheduling order, if known.
     :returns: Pair of a list of claims, each as worker and ``Allocation``, and a list of
         ``AdviceQuery`` for the advice service.
     """
-    waiting = list_waiting(view)
+    waiting = list_waiting(view) if waiting is None else waiting
     view.cluster.record_waiting(waiting, view.now)
     starts = StartPlan(group_workers(view), Trials(view), WaitDecisions(view))
     for item in waiting:
@@ -195,18 +196,19 @@
     return (step.cpu, step.memory, step.accelerators)
 
 
-def plan_copies(view):
+def plan_copies(view, waiting=None):
     """Claim workers for speculative copies of late runs.
 
     Has to be called after ``plan_starts``, so that copies only use capacity for which
     no other task waits.
 
+    :param waiting: ``WaitingStep`` objects from before ``plan_starts``, if known.
     :returns: List of triples of ``LateRun``, worker and the ``Allocation`` of the copy.
     """
     late = list_late_runs(view)
     workers_by_service = group_workers(view) if late else {}
     if any(run.sign == PAST_HIGH for run in late):
-        late = _leave_room(view, late)
+        late = _leave_room(view, late, waiting)
     claimed = []
     for run in late:
         with view.containing("copies", run.progress.key):
@@ -214,15 +216,18 @@
     return claimed
 
 
-def _leave_room(view, late):
+def _leave_room(view, late, waiting):
     """Return the late runs without those for whose service tasks wait.
 
     A run past the high quantile of its kind still works, unlike other late ones, so
     its copy can wait.
     """
     cluster = view.cluster
+    waiting = list_waiting(view) if waiting is None else waiting
     busy_services = {
-        cluster.get_service(item.progress.spec) for item in list_waiting(view)
+        cluster.get_service(item.progress.spec)
+        for item in waiting
+        if item.progress.key not in view.collector.left_out and item.refresh().refs
     }
     return [
         run
--- a/tests/site/test_durations.py
+++ b/tests/site/test_durations.py
@@ -1,5 +1,6 @@
 """Estimates of durations while declared ones are wrong by ten times either way."""
 
+import itertools
 import math
 import random
 
@@ -13,6 +14,7 @@
     DurationEstimates,
     SampleAccepted,
 )
+from bergamotshore.core.work.estimatecache import MAX_CACHED, EstimateCache
 from bergamotshore.core.work.fullspeed import (
     MeasuredDuration,
     UnusableDuration,
@@ -127,6 +129,48 @@
     assert estimates.get_estimate("other", Step(1, 400, estimate=60.0)).expected == 60.0
 
 
+def test_a_finished_task_leaves_the_estimates_of_other_kinds_as_they_are():
+    """A pass asks for hundreds of them, and tasks finish between any two passes."""
+    estimates = DurationEstimates()
+    learn_wrong_declarations(estimates)
+    step = Step(tasks=2, cpu=500, image="check", estimate=2.0)
+    other = Step(tasks=2, cpu=100, image="other", estimate=2.0)
+    near = estimates.get_estimate(QUEUE, step, f"{QUEUE}/open")
+    far = estimates.get_estimate("elsewhere", other, "elsewhere/open")
+    finish(estimates, step, 9.0, "open", at=200.0)
+    assert estimates.get_estimate("elsewhere", other, "elsewhere/open") is far
+    assert estimates.get_estimate(QUEUE, step, f"{QUEUE}/open") != near
+
+
+def test_kept_estimates_are_those_that_would_be_derived():
+    rng = random.Random(5)
+    kept, derived = DurationEstimates(), DurationEstimates()
+    for number in range(400):
+        image = f"image{rng.randrange(3)}" if rng.random() < 0.8 else ""
+        step = Step(4, rng.choice([100, 900]), image=image, estimate=rng.choice([1, 5]))
+        job, seconds = f"job{rng.randrange(40)}", rng.lognormvariate(0.0, 0.5)
+        for estimates in (kept, derived):
+            finish(estimates, step, seconds, job, number, 100.0 + number)
+        derived._cache = EstimateCache()
+        for size, seen in itertools.product([100, 900], ["image0", "image1", ""]):
+            asked = Step(4, size, image=seen, estimate=5)
+            expected = derived.get_estimate(QUEUE, asked, f"{QUEUE}/{job}")
+            assert kept.get_estimate(QUEUE, asked, f"{QUEUE}/{job}") == expected
+
+
+def test_kept_estimates_are_bounded():
+    cache = EstimateCache()
+    for number in range(2 * MAX_CACHED):
+        cache.put(number, 1.0, (number % 7, f"job{number}"))
+        cache.drop(f"job{number - 3}")
+    assert len(cache) <= 3
+    assert cache.sources <= 10
+    for number in range(2 * MAX_CACHED):
+        cache.put(number, 1.0, (f"job{number}",))
+    assert len(cache) <= MAX_CACHED
+    assert cache.sources <= MAX_CACHED + 10
+
+
 def test_old_samples_fade():
     estimates = DurationEstimates()
     step = Step(1, 500, image="check", estimate=1.0)
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from bergamotshore.core.work import decisions, planner
 from bergamotshore.core.work.cluster import ClusterState, RunOutcome
+from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.durations import DurationEstimate, SampleAccepted
 from bergamotshore.core.work.model import JobSpec, Step
 from bergamotshore.core.work.places import (
@@ -239,6 +241,26 @@
     assert plan_copies(view) == []
 
 
+@pytest.mark.parametrize(("cpu", "copies"), [(99000, 0), (100, 1)])
+def test_a_pass_lists_the_waiting_steps_once_for_starts_and_copies(
+    monkeypatch, cpu, copies
+):
+    """A task that was started in the pass waits no more."""
+    view, _, _ = build_late_run()
+    step = Step(tasks=1, cpu=cpu)
+    view.cluster.add_job(JobSpec("queue", "other", SERVICE, "p", (step,), 3))
+    listed = []
+
+    def count(seen):
+        listed.append(seen)
+        return list_waiting(seen)
+
+    for module in (decisions, planner):
+        monkeypatch.setattr(module, "list_waiting", count, raising=False)
+    assert len(make_plan(view, may_start=True, is_full_scan=True).copies) == copies
+    assert len(listed) == 1
+
+
 def test_a_copy_takes_no_processors_from_best_effort_tasks():
     view, worker, _ = build_late_run()
     (other,) = (w for w in view.cluster.worker_by_node.values() if w is not worker)
