Learn only when switched on, and keep errors in it apart

Cause: DurationEstimates learned unless told otherwise, and only the dispatcher told it. Unneeded copies were counted and logged with tails off, by new lines that nobody had asked for. One containment held all that follows the end of a run: an error in a new part lost the run-ended line and its metric, and left the worker out of planning for a second.

Change: the default is off; tests that learn say so, and the burst simulation follows its settings. Copies are remembered and counted only with tails on. The end of a run is logged first; suspicion, durations, tails and backlog are contained each by itself, the last three under their own names, so that the worker stays in use.

--- a/src/bergamotshore/core/work/durations.py
+++ b/src/bergamotshore/core/work/durations.py
@@ -98,7 +98,7 @@
         returned.
     """
 
-    def __init__(self, is_enabled=True):
+    def __init__(self, is_enabled=False):
         self.is_enabled = is_enabled
         self._kind_by_key = OrderedDict()
         self._samples_by_job = OrderedDict()
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -255,7 +255,8 @@
     ticket = _get_ticket(view, item, worker)
     allocation = view.cluster.claim(ref, worker, view.now)
     allocation.ticket = ticket
-    view.cluster.tails.record_copy(ref, allocation.number, run.sign)
+    if view.scheduling.tails:
+        view.cluster.tails.record_copy(ref, allocation.number, run.sign)
     return [(run, worker, allocation)]
 
 
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -642,13 +642,7 @@
 
     def _decide(self, now):
         for completion in self.cluster.pop_new_outcomes():
-            with self.collector.containing("outcomes", completion.node):
-                self.suspicion.record_fact(completion)
-                self.cluster.step_durations.record_fact(completion)
-                self._record_duration(completion)
-                self._record_tail(completion)
-                self._record_drain(completion)
-                self._log_completion(completion)
+            self._record_outcome(completion)
         for node, ended_run in self.cluster.pop_unclaimed_completions():
             self.log.write(
                 "end-unclaimed",
@@ -837,6 +831,24 @@
                 seconds=run.seconds,
             )
 
+    def _record_outcome(self, completion):
+        """Log the end of a run, and learn from it.
+
+        What is learned for the decisions under load tells nothing against the worker,
+        so an error in it doesn't leave out the worker.
+        """
+        with self.collector.containing("outcomes", completion.node):
+            self._log_completion(completion)
+        with self.collector.containing("outcomes", completion.node):
+            self.suspicion.record_fact(completion)
+            self.cluster.step_durations.record_fact(completion)
+        with self.collector.containing("outcomes", "durations"):
+            self._record_duration(completion)
+        with self.collector.containing("outcomes", "tails"):
+            self._record_tail(completion)
+        with self.collector.containing("outcomes", "backlog"):
+            self._record_drain(completion)
+
     def _record_duration(self, completion):
         """Learn the duration of a finished task, and log figures that can't be used."""
         run, places = completion.allocation, self.cluster.places
@@ -857,6 +869,8 @@
 
     def _record_tail(self, completion):
         """Count the work of a run that another run of its task made unneeded."""
+        if not self.scheduling.tails:
+            return
         match self.cluster.tails.record_outcome(completion):
             case (sign, core_seconds):
                 run = completion.allocation
--- a/tests/site/burst.py
+++ b/tests/site/burst.py
@@ -50,6 +50,7 @@
         self.stop_reasons = set()
         self.slowdown_by_node = slowdown_by_node
         self.cluster = ClusterState(build_configuration().get_queue)
+        self.cluster.durations.is_enabled = scheduling.durations
         self.site = SiteState(build_configuration())
         self.quarantine = WorkerQuarantine()
         self.started_at_by_key = {}
--- a/tests/site/test_durations.py
+++ b/tests/site/test_durations.py
@@ -77,7 +77,7 @@
 
 @pytest.mark.parametrize("declared", [0.2, 2.0, 20.0])
 def test_declared_durations_wrong_by_ten_times_either_way(declared):
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     learn_wrong_declarations(estimates)
     estimate = estimates.get_estimate(
         QUEUE, Step(1, 500, image="check", estimate=declared)
@@ -89,7 +89,7 @@
 
 def test_finished_tasks_of_the_job_correct_its_declared_duration():
     """The factor of the first step holds for the second, three times as long."""
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     learn_wrong_declarations(estimates)
     first = Step(tasks=6, cpu=500, image="check", estimate=1.0)
     for index in range(6):
@@ -101,7 +101,7 @@
 
 
 def test_declared_durations_that_hold_are_used_within_a_kind():
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     for number in range(40):
         step = Step(1, 500, image="check", estimate=0.5 * 1.15**number)
         finish(estimates, step, 2.0 * step.estimate, f"job{number}", at=1000.0)
@@ -113,7 +113,7 @@
 
 
 def test_one_job_says_too_little_about_others():
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     step = Step(tasks=30, cpu=500, image="check", estimate=1.0)
     for index in range(30):
         finish(estimates, step, 9.0, "only", index)
@@ -121,7 +121,7 @@
 
 
 def test_an_unknown_image_is_estimated_from_its_queue_and_size():
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     learn_wrong_declarations(estimates)
     estimate = estimates.get_estimate(QUEUE, Step(1, 400, image="new", estimate=60.0))
     assert estimate.source == "queue-size"
@@ -131,7 +131,7 @@
 
 def test_a_finished_task_leaves_the_estimates_of_other_kinds_as_they_are():
     """A pass asks for hundreds of them, and tasks finish between any two passes."""
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     learn_wrong_declarations(estimates)
     step = Step(tasks=2, cpu=500, image="check", estimate=2.0)
     other = Step(tasks=2, cpu=100, image="other", estimate=2.0)
@@ -144,7 +144,10 @@
 
 def test_kept_estimates_are_those_that_would_be_derived():
     rng = random.Random(5)
-    kept, derived = DurationEstimates(), DurationEstimates()
+    kept, derived = (
+        DurationEstimates(is_enabled=True),
+        DurationEstimates(is_enabled=True),
+    )
     for number in range(400):
         image = f"image{rng.randrange(3)}" if rng.random() < 0.8 else ""
         step = Step(4, rng.choice([100, 900]), image=image, estimate=rng.choice([1, 5]))
@@ -172,7 +175,7 @@
 
 
 def test_old_samples_fade():
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     step = Step(1, 500, image="check", estimate=1.0)
     for number in range(40):
         finish(estimates, step, 1.0, f"old{number}", at=100.0)
@@ -182,7 +185,7 @@
 
 
 def test_a_successor_knows_only_what_is_declared():
-    estimate = DurationEstimates().get_estimate(
+    estimate = DurationEstimates(is_enabled=True).get_estimate(
         QUEUE, Step(1, 500, estimate=3.0), "q/j"
     )
     assert estimate == DurationEstimate(3.0, math.inf, 0, "declared")
@@ -197,7 +200,7 @@
 
 
 def test_state_is_bounded():
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     for number in range(2 * MAX_JOBS):
         finish(estimates, Step(1, 500, image=f"image{number}"), 1.0, f"job{number}")
     assert estimates.kinds <= MAX_KINDS
@@ -206,7 +209,7 @@
 
 @pytest.mark.parametrize("declared", [0.0, -5.0, 1e30, math.inf, math.nan])
 def test_bad_declared_durations_count_as_unknown(declared):
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     step = Step(1, 500, image="check", estimate=declared)
     assert estimates.get_estimate(QUEUE, step).expected == 0.0
     for number in range(10):
@@ -217,7 +220,7 @@
 
 @pytest.mark.parametrize("started_at", [1e30, -1e30, 300.0, math.nan])
 def test_a_run_with_impossible_times_is_rejected_and_not_learned(started_at):
-    estimates = DurationEstimates()
+    estimates = DurationEstimates(is_enabled=True)
     step = Step(1, 500, image="check", estimate=1.0)
     run = build_run(step, started_at=started_at)
     run.percent = 10
@@ -274,7 +277,9 @@
 
 
 def test_the_error_of_an_estimate_is_told():
-    sample = finish(DurationEstimates(), Step(1, 500, estimate=10.0), 2.0)
+    sample = finish(
+        DurationEstimates(is_enabled=True), Step(1, 500, estimate=10.0), 2.0
+    )
     match sample:
         case SampleAccepted(error_seconds=seconds):
             assert seconds == pytest.approx(8.0)
