--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -35,13 +35,14 @@
 QUARANTINE_LIMIT_SECONDS = 3.0
 
 
-def plan_starts(view):
+def plan_starts(view, waiting=None):
     """Claim workers for all tasks that can start now.
 
+    :param waiting: ``WaitingStep`` objects in scheduling order, if known.
     :returns: Pair of a list of claims, each as worker and ``Allocation``, and a list of
         ``AdviceQuery`` for the advice service.
     """
-    waiting = list_waiting(view)
+    waiting = list_waiting(view) if waiting is None else waiting
     view.cluster.record_waiting(waiting, view.now)
     starts = StartPlan(group_workers(view), Trials(view), WaitDecisions(view))
     for item in waiting:
@@ -195,18 +196,19 @@
     return (step.cpu, step.memory, step.accelerators)
 
 
-def plan_copies(view):
+def plan_copies(view, waiting=None):
     """Claim workers for speculative copies of late runs.
 
     Has to be called after ``plan_starts``, so that copies only use capacity for which
     no other task waits.
 
+    :param waiting: ``WaitingStep`` objects from before ``plan_starts``, if known.
     :returns: List of triples of ``LateRun``, worker and the ``Allocation`` of the copy.
     """
     late = list_late_runs(view)
     workers_by_service = group_workers(view) if late else {}
     if any(run.sign == PAST_HIGH for run in late):
-        late = _leave_room(view, late)
+        late = _leave_room(view, late, waiting)
     claimed = []
     for run in late:
         with view.containing("copies", run.progress.key):
@@ -214,15 +216,18 @@
     return claimed
 
 
-def _leave_room(view, late):
+def _leave_room(view, late, waiting):
     """Return the late runs without those for whose service tasks wait.
 
     A run past the high quantile of its kind still works, unlike other late ones, so
     its copy can wait.
     """
     cluster = view.cluster
+    waiting = list_waiting(view) if waiting is None else waiting
     busy_services = {
-        cluster.get_service(item.progress.spec) for item in list_waiting(view)
+        cluster.get_service(item.progress.spec)
+        for item in waiting
+        if item.progress.key not in view.collector.left_out and item.refresh().refs
     }
     return [
         run
@@ -244,17 +249,34 @@
         # Best-effort tasks don't give way to a copy of a run that works.
         cpu = item.step.cpu
         others = [worker for worker in others if worker.get_best_effort_cpu() >= cpu]
-    counts = count_runs_by_node(item)
-    worker = choose_worker(item.step, others, counts, view.cluster.interference)
+    worker = _choose_for_copy(view, run, item, others)
     if worker is None:
         return []
     ticket = _get_ticket(view, item, worker)
     allocation = view.cluster.claim(ref, worker, view.now)
     allocation.ticket = ticket
-    view.cluster.tails.record_copy(ref, allocation.number, run.sign)
+    if view.scheduling.tails:
+        view.cluster.tails.record_copy(ref, allocation.number, run.sign)
     return [(run, worker, allocation)]
 
 
+def _choose_for_copy(view, run, item, workers):
+    """Return a worker for the copy of a late run, or None.
+
+    On another slow worker, a copy of a run that works would be as late.
+    """
+    counts = count_runs_by_node(item)
+    places, interference = view.cluster.places, view.cluster.interference
+    worker = choose_worker(item.step, workers, counts, interference)
+    if run.sign != PAST_HIGH:
+        return worker
+    # Only the chosen ones are judged, because judging all takes longer than a choice.
+    while worker is not None and places.is_slow(worker.node, view.now):
+        workers = [other for other in workers if other is not worker]
+        worker = choose_worker(item.step, workers, counts, interference)
+    return worker
+
+
 def _list_open(view, item, workers_by_service):
     """Return the eligible workers of a step that are not reserved for another."""
     workers = list_eligible_workers(view, item, workers_by_service)
--- a/src/bergamotshore/core/work/tails.py
+++ b/src/bergamotshore/core/work/tails.py
@@ -14,6 +14,7 @@
 
 from bergamotshore.core.work.fullspeed import (
     FULL_PERCENT,
+    MIN_OBSERVED_SHARE,
     MeasuredDuration,
     is_usable,
     measure_running,
@@ -25,8 +26,8 @@
 # Least time saved by a copy, in seconds: a start takes 0.3 s, the rest is a margin for
 # errors of the estimates.
 MIN_GAIN_SECONDS = 0.5
-# Where the worker can't be judged, copies are made as long as this share of them is
-# expected to win; the first ones are presumed to win half the time.
+# Copies are made as long as this share of them is expected to win; the first ones are
+# presumed to win half the time.
 MIN_WIN_SHARE = 0.33
 PRESUMED_WINS, PRESUMED_LOSSES = 1.0, 1.0
 # Earlier copies count half after this time, in seconds, so that they are tried again.
@@ -249,13 +250,11 @@
     if lateness is None:
         return None
     place = judge_neighbours(view, worker, run)
-    match place.speed:
-        case Speed.USUAL:
-            return None
-        case Speed.UNKNOWN:
-            queue = get_queue_name(run.ref.job)
-            if not view.cluster.tails.is_copy_promising(queue, view.now):
-                return None
+    queue = get_queue_name(run.ref.job)
+    # A place also looks slow while tasks take longer everywhere, and copies lose.
+    is_promising = view.cluster.tails.is_copy_promising(queue, view.now)
+    if place.speed is Speed.USUAL or not is_promising:
+        return None
     return replace(lateness, place=place)
 
 
@@ -263,7 +262,7 @@
     """Return the ``Lateness`` of a run past the high quantile of its kind, or None."""
     share = (run.percent + 0.5) / FULL_PERCENT
     observed_share = share - run.worked_from_percent / FULL_PERCENT
-    if run.worked_from == 0.0 or not 0.0 < observed_share <= share <= 1.0:
+    if run.worked_from == 0.0 or not MIN_OBSERVED_SHARE <= observed_share <= share <= 1:
         return None
     total = run.worked_seconds / observed_share
     queue = get_queue_name(run.ref.job)
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -6,10 +6,17 @@
 
 import pytest
 
+from bergamotshore.core.work import decisions, planner
 from bergamotshore.core.work.cluster import ClusterState, RunOutcome
-from bergamotshore.core.work.durations import DurationEstimate
+from bergamotshore.core.work.decisions import make_plan
+from bergamotshore.core.work.durations import DurationEstimate, SampleAccepted
 from bergamotshore.core.work.model import JobSpec, Step
-from bergamotshore.core.work.places import Place, Speed, judge_neighbours
+from bergamotshore.core.work.places import (
+    Place,
+    PlaceTracker,
+    Speed,
+    judge_neighbours,
+)
 from bergamotshore.core.work.planner import plan_copies, plan_starts
 from bergamotshore.core.work.site import SiteState
 from bergamotshore.core.work.tails import MAX_TASKS, PAST_HIGH, TailTracker, order_tasks
@@ -23,6 +30,8 @@
 TAILS = Scheduling(durations=True, tails=True)
 TAIL_FACTOR = 7.0
 SLOWDOWN = 6.5
+LARGER = 4.0
+USUAL = DurationEstimate(1.0, 1.5, 50, "queue")
 # A task is late after up to one and a half durations, and its copy takes another one;
 # start, detection and end each wait for a report.
 MAX_COPIED_SECONDS = 2.5 * TASK_SECONDS + 3 * REPORT_INTERVAL_SECONDS
@@ -85,6 +94,43 @@
     assert burst.copy_signs == []
 
 
+def test_tails_do_not_lock_learning_when_tasks_get_longer_everywhere():
+    """From a job on, all tasks are four times as long, so all places look slow."""
+
+    def get_size(name):
+        number = int(name.split(".")[0].removeprefix("job"))
+        return LARGER if number >= 150 else 1.0
+
+    burst, _ = run_single_tasks({}, jobs=350, scheduling=TAILS, get_size=get_size)
+    step = Step(tasks=1, cpu=1600, estimate=TASK_SECONDS)
+    estimate = burst.cluster.durations.get_estimate("queue", step)
+    assert estimate.expected == pytest.approx(LARGER * TASK_SECONDS, rel=0.25)
+    # Those in flight when the first one loses: two each 0.4 s for one duration.
+    in_flight = 2 * LARGER * TASK_SECONDS / REPORT_INTERVAL_SECONDS
+    assert len(burst.copy_signs) <= in_flight
+
+
+@pytest.mark.parametrize(("slow", "is_slow"), [(1, True), (2, False), (4, False)])
+def test_a_place_is_slow_only_compared_with_most_places(slow, is_slow):
+    tracker = PlaceTracker()
+    nodes = [f"node-{number}" for number in range(4)]
+    record_places(tracker, nodes, nodes[:slow], at=100.0)
+    assert tracker.is_slow("node-0", 101.0) is is_slow
+    assert not tracker.is_slow("node-3", 101.0)
+
+
+def test_copies_from_a_slow_place_are_given_up_after_they_have_lost():
+    view, worker, run = build_late_run()
+    for number in range(3):
+        place_neighbour(worker, number, seconds=4.0)
+    for _ in range(2):
+        view.cluster.tails.record_copy(run.ref, 2, PAST_HIGH)
+        outcome = RunOutcome(worker.node, run, "done", 105.0)
+        view.cluster.tails.record_outcome(outcome)
+        view.cluster.tails.record_outcome(outcome)
+    assert plan_copies(view) == []
+
+
 def build_late_run(fields=(), scheduling=TAILS, nodes=2):
     """Return a view with a run that has worked five times as long as it should have."""
     cluster = ClusterState(build_configuration().get_queue)
@@ -155,6 +201,38 @@
     assert plan_copies(view) == []
 
 
+def test_a_resumed_run_is_not_late_before_enough_of_it_was_seen():
+    """Its first reports tell rounded percentages that differ by one or none."""
+    view, _, run = build_late_run()
+    run.worked_from_percent, run.worked_seconds, run.percent = 60, 0.4, 60
+    assert plan_copies(view) == []
+    run.worked_seconds, run.percent = 0.8, 61
+    assert plan_copies(view) == []
+    run.worked_from_percent, run.worked_seconds, run.percent = 10, 5.0, 31
+    assert len(plan_copies(view)) == 1
+
+
+def record_places(tracker, nodes, slow_nodes, at):
+    """Record runs of four jobs that ended on each node, four times as long on some."""
+    for node in nodes:
+        sample = SampleAccepted(4.0 if node in slow_nodes else 1.0, USUAL)
+        for job in range(4):
+            tracker.record_duration(node, f"queue/ended{job}", at, sample)
+
+
+@pytest.mark.parametrize("nodes", [2, 4])
+def test_a_copy_goes_to_no_slow_place(nodes):
+    view, worker, _ = build_late_run(nodes=nodes)
+    others = [name for name in view.cluster.worker_by_node if name != worker.node]
+    for name in others[1:]:
+        place_run(view.cluster.worker_by_node[name], Step(tasks=1, cpu=1000), "busy")
+    # Places that the view doesn't have are usual, so that the empty one stands out.
+    elsewhere = [f"elsewhere-{number}" for number in range(4)]
+    record_places(view.cluster.places, [*others, *elsewhere], others[:1], at=104.0)
+    copies = plan_copies(view)
+    assert [other.node for _, other, _ in copies] == others[1:2]
+
+
 def test_a_copy_waits_while_other_tasks_wait():
     view, _, _ = build_late_run()
     large = Step(tasks=1, cpu=99000)
@@ -163,6 +241,26 @@
     assert plan_copies(view) == []
 
 
+@pytest.mark.parametrize(("cpu", "copies"), [(99000, 0), (100, 1)])
+def test_a_pass_lists_the_waiting_steps_once_for_starts_and_copies(
+    monkeypatch, cpu, copies
+):
+    """A task that was started in the pass waits no more."""
+    view, _, _ = build_late_run()
+    step = Step(tasks=1, cpu=cpu)
+    view.cluster.add_job(JobSpec("queue", "other", SERVICE, "p", (step,), 3))
+    listed = []
+
+    def count(seen):
+        listed.append(seen)
+        return list_waiting(seen)
+
+    for module in (decisions, planner):
+        monkeypatch.setattr(module, "list_waiting", count, raising=False)
+    assert len(make_plan(view, may_start=True, is_full_scan=True).copies) == copies
+    assert len(listed) == 1
+
+
 def test_a_copy_takes_no_processors_from_best_effort_tasks():
     view, worker, _ = build_late_run()
     (other,) = (w for w in view.cluster.worker_by_node.values() if w is not worker)
