--- a/src/bergamotshore/core/work/freeing.py
+++ b/src/bergamotshore/core/work/freeing.py
@@ -21,6 +21,8 @@
 # A smaller observed share of a task doesn't allow an estimate of its speed.
 MIN_OBSERVED_SHARE = 0.1
 FULL_PERCENT = 100
+# Further slots of a worker don't change a decision, as no wait is that long.
+MAX_SLOTS_PER_WORKER = 200
 # Longest duration that is believed, in seconds: a day.
 MAX_DURATION_SECONDS = 86400.0
 
@@ -46,9 +48,9 @@
         """
         times = []
         for worker in workers:
-            limit = math.inf
+            limit = MAX_SLOTS_PER_WORKER
             if step.per_worker:
-                limit = step.per_worker - counts.get(worker.node, 0)
+                limit = min(limit, step.per_worker - counts.get(worker.node, 0))
             if limit > 0 and worker.could_fit(step):
                 times += self._list_slot_times_of_worker(step, worker, limit)
         return sorted(times)
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -324,20 +324,22 @@
     counts = count_runs_by_node(item)
     waited = view.now - view.cluster.get_waiting_since(item)
     has_waited = waited > MAX_TRIAL_WAIT_SECONDS
-    is_short = False
+    is_short = is_held = False
     for ref in order_tasks(view, item):
         if trials.has_to_be_tried(ref, has_waited):
             worker = trials.choose_worker(item, workers, counts, has_waited)
             if worker is None:
                 continue
             trials.record(worker)
-        elif is_short:
+        elif is_short or is_held:
             continue
         else:
             worker = _choose_worker(view, item, workers, counts, trials, has_waited)
             if may_wait and worker is not None:
                 near = trials.list_open(workers)
-                if starts.waits.holds_back(item, ref, worker, near, counts):
+                # A step waits as a whole, so that nothing changes for its next tasks.
+                is_held = starts.waits.holds_back(item, ref, worker, near, counts)
+                if is_held:
                     continue
         if worker is None:
             is_short = True
