--- a/src/bergamotshore/core/work/taskgroups.py
+++ b/src/bergamotshore/core/work/taskgroups.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bergamotshore.core.decoding import decode_msgpack
-from bergamotshore.core.work.progress import EncodedTask, decode_task, encode_task
+from bergamotshore.core.work.jobstate import EncodedTask, decode_task, encode_task
 from bergamotshore.exceptions import DecodingError
 
 SEPARATOR = "#"
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -20,11 +20,12 @@
 from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.durations import SampleAccepted
 from bergamotshore.core.work.fullspeed import UnusableDuration
+from bergamotshore.core.work.jobstate import restore_crashes
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.core.work.order import Band
 from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.presence import get_reported_runs
-from bergamotshore.core.work.progress import JobProgress, restore_crashes
+from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
--- a/src/bergamotshore/entry/jobwriter.py
+++ b/src/bergamotshore/entry/jobwriter.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from bergamotshore.core.work.progress import encode_crashes, encode_progress
+from bergamotshore.core.work.jobstate import encode_crashes, encode_progress
 from bergamotshore.core.work.taskgroups import encode_group
 from bergamotshore.entry.jobrows import (
     CLOSED,
--- a/src/bergamotshore/entry/takeover.py
+++ b/src/bergamotshore/entry/takeover.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.decoding import decode_msgpack
-from bergamotshore.core.work.progress import restore_progress
+from bergamotshore.core.work.jobstate import restore_progress
 from bergamotshore.core.work.taskgroups import parse_group_key, restore_group
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
--- a/tests/site/test_borders.py
+++ b/tests/site/test_borders.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.adapters.http import HttpAnswer, HttpFailure
+from bergamotshore.core.work.jobstate import encode_progress, restore_progress
 from bergamotshore.core.work.model import (
     JobSpec,
     Step,
@@ -14,11 +15,7 @@
     decode_spec,
     encode_spec,
 )
-from bergamotshore.core.work.progress import (
-    JobProgress,
-    encode_progress,
-    restore_progress,
-)
+from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.exceptions import PlatformUnavailable, PlatformUncertain
 from bergamotshore.platform.jobs import decode_submission
 from bergamotshore.platform.operator import decode_configuration, decode_wave
--- a/tests/site/test_crashes.py
+++ b/tests/site/test_crashes.py
@@ -9,8 +9,8 @@
     LostRun,
     record_crash,
 )
+from bergamotshore.core.work.jobstate import encode_progress
 from bergamotshore.core.work.model import Step, TaskRef
-from bergamotshore.core.work.progress import encode_progress
 from bergamotshore.core.work.workers import WorkerState
 from bergamotshore.entry.jobrows import CRASHES, get_row_id
 from bergamotshore.ports.rows import Put
--- a/tests/site/test_large_jobs.py
+++ b/tests/site/test_large_jobs.py
@@ -5,14 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bergamotshore.core.work.jobstate import encode_progress, encode_task
 from bergamotshore.core.work.model import JobSpec, Step, TaskRef
-from bergamotshore.core.work.progress import (
-    GROUP_TASKS,
-    MAX_TASKS_IN_ROW,
-    JobProgress,
-    encode_progress,
-    encode_task,
-)
+from bergamotshore.core.work.progress import GROUP_TASKS, MAX_TASKS_IN_ROW, JobProgress
 from bergamotshore.core.work.taskgroups import parse_group_key, restore_group
 from bergamotshore.entry import jobwriter
 from bergamotshore.entry.jobrows import GROUPS, RUNS, get_row_id
--- a/tests/test_odd_content.py
+++ b/tests/test_odd_content.py
@@ -17,12 +17,9 @@
 
 from bergamotshore.adapters.http import HttpAnswer
 from bergamotshore.core.work.interference import Interference
+from bergamotshore.core.work.jobstate import encode_progress, restore_progress
 from bergamotshore.core.work.model import JobSpec, Step, encode_spec
-from bergamotshore.core.work.progress import (
-    JobProgress,
-    encode_progress,
-    restore_progress,
-)
+from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.entry.election import LEADER_ROW, Election, LeaderRow
 from bergamotshore.entry.jobrows import (
     COUNTS_ROW,
