Refuse no job beside idle cores

Cause: each open step counted as tasks x cpu done in parallel, whether or not any worker could take it, so that steps that fit nowhere, steps with a label of no worker and narrow chains of a higher priority made an idle site refuse everything.

Change: steps that no open worker could take are left out of the estimate; it tells the idle share of the open cores by service, and for best-effort work, and nothing is refused while that is over a tenth.

A service whose tasks leave over a tenth free by their shape is never refused anything now. Tests: four failed before (all 20 jobs refused in each of three cases; a blocked step counted).

--- a/src/bergamotshore/core/work/admission.py
+++ b/src/bergamotshore/core/work/admission.py
@@ -10,6 +10,7 @@
 from bergamotshore.core.work.backlog import (
     USE_FACTOR,
     get_drained_cores,
+    get_idle_share,
     get_work_ahead,
 )
 from bergamotshore.core.work.waiting import get_critical_path_seconds
@@ -25,6 +26,9 @@
 # counted and this entry has accepted since. The guess about the others must not refuse
 # where there is hardly a backlog.
 MIN_KNOWN_SHARE = 0.25
+# Share of the cores that is idle only where the work ahead can't use it: narrow chains,
+# or steps that wait for something else. Such work keeps no job waiting.
+MAX_IDLE_SHARE = 0.1
 # Bounds of the time after which a refused caller may return, in seconds.
 MIN_RETRY_SECONDS, MAX_RETRY_SECONDS = 1, 30
 HASH_RANGE = 2**32
@@ -91,6 +95,8 @@
     if cores <= 0.0 or limit <= 0.0:
         # How fast work is done isn't known, or the objective is none.
         return None
+    if get_idle_share(backlog, arrival) > MAX_IDLE_SHARE:
+        return None
     ahead = get_work_ahead(backlog, arrival, limit)
     done = cores * age
     count, own = accepted
--- a/src/bergamotshore/core/work/backlog.py
+++ b/src/bergamotshore/core/work/backlog.py
@@ -3,8 +3,9 @@
 The scheduling entry computes it and tells all entries. Work is counted in core-seconds.
 Narrow work that lasts doesn't keep wide work waiting, so that each row tells how much
 of it can be done within several times: a task of 60 s on one core is 4 core-seconds
-within 4 s. Memory, labels and gangs aren't counted: where they bind, jobs wait for
-longer than estimated, and too few are refused rather than too many.
+within 4 s. Steps that no open worker can take aren't counted. Gangs aren't considered,
+nor which memory is free: where they bind, jobs wait for longer than estimated, and too
+few are refused rather than too many.
 """
 
 import math
@@ -13,8 +14,13 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
+from bergamotshore.core.work.opencores import (
+    build_fit_check,
+    get_idle_step_share,
+    measure_idle,
+    sum_cores,
+)
 from bergamotshore.core.work.waiting import get_critical_path_seconds, group_workers
-from bergamotshore.core.work.workers import LATENCY_CRITICAL_IDLE_SHARE
 
 # Times within which work is counted, in seconds. Callers of jobs wait for seconds to a
 # minute or two; longer waits refuse nothing.
@@ -69,6 +75,8 @@
     :param filling_cores_by_service: The same for best-effort work, less what
         long-running tasks use.
     :param drain_by_service: Work that is done per core and second; 1 as declared.
+    :param idle_by_service: Share of the cores of open workers that is free.
+    :param filling_idle_by_service: The same for best-effort work.
     """
 
     epoch: int
@@ -77,6 +85,8 @@
     cores_by_service: dict[str, float]
     filling_cores_by_service: dict[str, float]
     drain_by_service: dict[str, float]
+    idle_by_service: dict[str, float] = field(default_factory=dict)
+    filling_idle_by_service: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +198,16 @@
     return cores_by_service.get(arrival.service, 0.0) * drain
 
 
+def get_idle_share(backlog, arrival):
+    """Return the share of the open cores that is free for a job; 0 if it isn't told."""
+    idle_by_service = (
+        backlog.filling_idle_by_service
+        if arrival.is_filling
+        else backlog.idle_by_service
+    )
+    return idle_by_service.get(arrival.service, 0.0)
+
+
 class BacklogTracker:
     """Compute the estimate; the state is that of the last seconds of one term.
 
@@ -220,18 +240,29 @@
 
         :param view: ``PlanView``.
         """
-        cores, filling_cores = self._measure_cores(view)
-        classes = _measure_classes(view)
-        drain = self._measure_drain(view.now, classes, filling_cores)
-        return Backlog(self._epoch, 0.0, classes, cores, filling_cores, drain)
-
-    def _measure_cores(self, view):
+        workers_by_service = group_workers(view)
         present = {
-            service: _sum_cores(workers)
-            for service, workers in group_workers(view).items()
+            service: sum_cores(workers)
+            for service, workers in workers_by_service.items()
         }
-        self._cores.append((view.now, present))
-        while self._cores[0][0] < view.now - CAPACITY_WINDOW_SECONDS:
+        cores, filling_cores = self._measure_cores(view.now, present)
+        classes = _measure_classes(view, workers_by_service)
+        drain = self._measure_drain(view.now, classes, filling_cores)
+        idle, filling_idle = measure_idle(workers_by_service, present)
+        return Backlog(
+            self._epoch,
+            0.0,
+            classes,
+            cores,
+            filling_cores,
+            drain,
+            idle,
+            filling_idle,
+        )
+
+    def _measure_cores(self, now, present):
+        self._cores.append((now, present))
+        while self._cores[0][0] < now - CAPACITY_WINDOW_SECONDS:
             self._cores.popleft()
         cores, filling_cores = {}, {}
         for _, earlier in self._cores:
@@ -287,31 +318,15 @@
         return pairs
 
 
-def _sum_cores(workers):
-    """Return the cores left by long-running tasks, reserved and really used ones."""
-    total = reserved = used = 0
-    for worker in workers:
-        total += worker.size.cpu
-        for run in worker.allocation_by_key.values():
-            if run.step.is_lasting:
-                cpu = run.step.reserved_cpu
-                reserved += cpu
-                used += cpu * (1.0 - _get_idle_share(run.step))
-    return max(0, total - reserved) / MILLIS, max(0.0, total - used) / MILLIS
-
-
-def _get_idle_share(step):
-    return LATENCY_CRITICAL_IDLE_SHARE if step.goal_ms else 0.0
-
-
 def _get_expected_seconds(durations, queue, step):
     """Return the expected duration of a task; a bad figure counts as unknown."""
     expected = durations.get_estimate(queue, step).expected
     return min(expected, TIMES[-1]) if expected >= 0.0 else 0.0
 
 
-def _measure_classes(view):
+def _measure_classes(view, workers_by_service):
     load_by_key, row_by_occurrence = {}, {}
+    can_run = build_fit_check(workers_by_service)
     for progress in view.cluster.job_by_key.values():
         spec = progress.spec
         queue = view.cluster.get_queue(spec.queue)
@@ -327,7 +342,7 @@
             due = bisect_left(DUES, limit - waited)
             for number, tasks in enumerate(steps):
                 step = spec.steps[number]
-                if step.is_lasting:
+                if step.is_lasting or not can_run(queue.service, step):
                     continue
                 left = sum(not task.is_done for task in tasks)
                 seconds = _get_expected_seconds(
@@ -339,7 +354,7 @@
                 load = load_by_key.setdefault(key, ClassLoad(*key))
                 row = load.row_by_due.setdefault(due, [0.0] * len(TIMES))
                 _add(row, left * step.cpu / MILLIS, seconds)
-                load.used = min(load.used, 1.0 - _get_idle_share(step))
+                load.used = min(load.used, 1.0 - get_idle_step_share(step))
                 row_by_occurrence[progress.key, occurrence, number] = (row, seconds)
     _subtract_done(view, row_by_occurrence)
     return list(load_by_key.values())
--- a/src/bergamotshore/entry/admission.py
+++ b/src/bergamotshore/entry/admission.py
@@ -227,6 +227,8 @@
     numbers = [backlog.age, *backlog.cores_by_service.values()]
     numbers += backlog.filling_cores_by_service.values()
     numbers += backlog.drain_by_service.values()
+    numbers += backlog.idle_by_service.values()
+    numbers += backlog.filling_idle_by_service.values()
     for load in backlog.classes:
         numbers += (load.priority, load.used)
         for due, row in load.row_by_due.items():
--- a/tests/site/test_admission_load.py
+++ b/tests/site/test_admission_load.py
@@ -209,3 +209,47 @@
     load.run(1.0)
     assert all(entry.encode() for entry in load.entries)
     assert not any(line.startswith("event=estimate-invalid ") for line in lines)
+
+
+NOWHERE = {
+    "too wide": (Step(tasks=20, cpu=32000, memory=1, estimate=20.0),),
+    "label": (Step(tasks=100, cpu=1000, memory=1, estimate=20.0, label="nowhere"),),
+    "chain": tuple(
+        Step(1, cpu=1000, memory=1, estimate=20.0, after=(n - 1,) if n else ())
+        for n in range(20)
+    ),
+}
+
+
+# Guards against refusals beside idle cores, behind work that can't use them.
+@pytest.mark.parametrize("steps", NOWHERE.values(), ids=NOWHERE)
+def test_work_that_leaves_the_cores_idle_leads_to_no_refusal(build_load, steps):
+    high = Queue("high", "h", "/h/", SERVICE, priority=0, stretch=1.5, slack=1.0)
+    low = Queue("low", "h", "/l/", SERVICE, priority=2, stretch=1.5, slack=1.0)
+    load = build_load(queues=(high, low), error=0.0)
+    for number in range(4):
+        spec = JobSpec("high", f"job-{number}", SERVICE, "", steps)
+        load.cluster.add_job(spec).open_due_occurrences(0.0)
+    load.run(1.0)
+    for _ in range(20):
+        load.submit(**{**JOB, "queue": "low"})
+    assert load.refused == []
+
+
+def measure_blocked(load, label):
+    """Return the work that is told for a step which needs a label."""
+    step = Step(tasks=20, cpu=1000, memory=1, estimate=20.0, label=label)
+    spec = JobSpec("queue", "blocked", SERVICE, "", (step,))
+    load.cluster.add_job(spec).open_due_occurrences(0.0)
+    load.run(0.5)
+    return decode_backlog(load.entries[0].encode()).classes
+
+
+def test_step_that_no_open_worker_can_take_is_not_counted(build_load):
+    assert measure_blocked(build_load(error=0.0), "nowhere") == []
+
+
+def test_step_that_some_open_worker_can_take_is_counted(build_load):
+    load = build_load(error=0.0)
+    load.cluster.worker_by_node["node-3"].labels = ("somewhere",)
+    assert measure_blocked(load, "somewhere")
