Number estimates, and count their way in the age that is passed on

Cause: the age left out the time on the way, so that an estimate looked younger at each entry that passed it on, and replaced its own later copies: with 8 entries and 0.6 s on the way it lived for over 20 s (the test's horizon), where 3 s are meant.

Change: within a term only a strictly higher number is taken; the age by which an estimate expires and is passed on includes the longest time on the way. Accepted jobs are still counted from when it was made at the latest, so that none counts twice for it. An estimate of an entry that has no numbers yet is taken once a term.

Tests: three new, failed before (20.4 s instead of under 3 s; no number).

--- a/src/bergamotshore/core/work/backlog.py
+++ b/src/bergamotshore/core/work/backlog.py
@@ -68,7 +68,7 @@
     """Estimate of all work, made by one scheduling entry at one time.
 
     :param epoch: Term of the scheduling entry.
-    :param age: Time since it was made when it was told, in seconds.
+    :param age: Longest time since it was made when it was told, in seconds.
     :param classes: List of ``ClassLoad``.
     :param cores_by_service: Cores of the workers that take new work, less what
         long-running tasks reserve.
@@ -77,6 +77,7 @@
     :param drain_by_service: Work that is done per core and second; 1 as declared.
     :param idle_by_service: Share of the cores of open workers that is free.
     :param filling_idle_by_service: The same for best-effort work.
+    :param number: Running number within the term.
     """
 
     epoch: int
@@ -87,6 +88,7 @@
     drain_by_service: dict[str, float]
     idle_by_service: dict[str, float] = field(default_factory=dict)
     filling_idle_by_service: dict[str, float] = field(default_factory=dict)
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,6 +218,7 @@
 
     def __init__(self, epoch):
         self._epoch = epoch
+        self._number = 0
         self._cores = deque()
         self._drained = deque()
         self._saturated_since_by_service = {}
@@ -249,6 +252,7 @@
         classes = _measure_classes(view, workers_by_service)
         drain = self._measure_drain(view.now, classes, filling_cores)
         idle, filling_idle = measure_idle(workers_by_service, present)
+        self._number += 1
         return Backlog(
             self._epoch,
             0.0,
@@ -258,6 +262,7 @@
             drain,
             idle,
             filling_idle,
+            self._number,
         )
 
     def _measure_cores(self, now, present):
--- a/src/bergamotshore/entry/admission.py
+++ b/src/bergamotshore/entry/admission.py
@@ -70,31 +70,42 @@
         self._count_entries = count_entries
         self._lock = threading.Lock()
         self._backlog = None
-        self._made_at = -math.inf
+        # When it was made at the latest, and at the earliest: its way took up to the
+        # time since the clock reading that its heartbeat echoed.
+        self._made_at = self._made_from = -math.inf
         self._recent = deque(maxlen=MAX_RECENT)
         # Number and core-seconds of jobs accepted since the estimate, by class.
         self._accepted_by_class = {}
         self._fallback = ""
         self._logged_at = -math.inf
 
-    def record(self, backlog):
+    def record(self, backlog, transit=0.0):
         """Record an estimate that was made or told just now.
 
-        :param backlog: ``Backlog``; one that is older than the held one is ignored.
+        :param backlog: ``Backlog``; one that isn't newer than the held one is ignored.
+        :param transit: Longest time that it was on its way, in seconds.
         """
         now = self._clock.now()
-        made_at = now - backlog.age
         with self._lock:
-            is_held = now - self._made_at < MAX_AGE_SECONDS
-            held_epoch = self._backlog.epoch if is_held else 0
-            if backlog.epoch >= held_epoch:
-                is_newer = backlog.epoch > held_epoch or made_at > self._made_at
-                if is_newer and backlog.age < MAX_AGE_SECONDS:
-                    self._backlog, self._made_at = backlog, made_at
+            is_held = now - self._made_from < MAX_AGE_SECONDS
+            if not (is_held and backlog.epoch < self._backlog.epoch):
+                if self._is_newer(backlog) and backlog.age + transit < MAX_AGE_SECONDS:
+                    self._backlog, self._made_at = backlog, now - backlog.age
+                    self._made_from = self._made_at - transit
                     self._count_recent()
                 return
         self._report_invalid("former-term")
 
+    def _is_newer(self, backlog):
+        """Return whether an estimate has another term or a higher number.
+
+        Ages don't tell that: they are known only up to the time on the way.
+        """
+        held = self._backlog
+        if held is None or backlog.epoch != held.epoch:
+            return True
+        return backlog.number > held.number
+
     def record_told(self, content, echo):
         """Record the estimate in a heartbeat of another entry.
 
@@ -103,7 +114,8 @@
         """
         if not content or not self.is_enabled:
             return
-        if not 0.0 <= self._clock.now() - echo <= MAX_TRANSIT_SECONDS:
+        transit = self._clock.now() - echo
+        if not 0.0 <= transit <= MAX_TRANSIT_SECONDS:
             # The first heartbeat of a stream echoes nothing yet.
             if echo:
                 self._report_invalid("late")
@@ -113,13 +125,13 @@
         except DecodingError as error:
             self._report_invalid("malformed", str(error))
             return
-        self.record(backlog)
+        self.record(backlog, transit)
 
     def encode(self):
-        """Return the estimate to pass on, with its age; empty without a recent one."""
+        """Return the estimate to pass on, with its longest age; empty without one."""
         now = self._clock.now()
         with self._lock:
-            backlog, age = self._backlog, now - self._made_at
+            backlog, age = self._backlog, now - self._made_from
         if backlog is None or not self.is_enabled or age >= MAX_AGE_SECONDS:
             return b""
         return encode_backlog(replace(backlog, age=age))
@@ -137,10 +149,12 @@
         started_at = now = self._clock.now()
         with self._lock:
             backlog, made_at = self._backlog, self._made_at
+            longest_age = now - self._made_from
             accepted = list(self._accepted_by_class.items())
         age = now - made_at
-        if backlog is None or age >= MAX_AGE_SECONDS:
-            self._report_fallback("absent" if backlog is None else "old", age)
+        if backlog is None or longest_age >= MAX_AGE_SECONDS:
+            reason = "absent" if backlog is None else "old"
+            self._report_fallback(reason, longest_age)
             return None
         self._report_resumed(backlog.epoch, age)
         arrival = describe_arrival(spec, queue)
@@ -239,6 +253,7 @@
                 later < earlier for earlier, later in zip(row, row[1:], strict=False)
             ):
                 raise DecodingError("a row of an estimate decreases")
+    numbers.append(backlog.number)
     if not all(0 <= number <= MAX_NUMBER for number in numbers):
         raise DecodingError("a figure of an estimate is out of range")
     if not 1 <= backlog.epoch <= MAX_NUMBER:
--- a/tests/site/test_admission.py
+++ b/tests/site/test_admission.py
@@ -352,3 +352,39 @@
     assert rows.has(key, clock.now() + CALL_SECONDS) == Success(False)
     rows.accept(build_spec(), clock.now() + CALL_SECONDS).unwrap()
     assert rows.has(key, clock.now() + CALL_SECONDS) == Success(True)
+
+
+TRANSIT_SECONDS = 0.6
+
+
+# Guards against an estimate that looks younger at each entry that passes it on.
+def test_estimate_that_goes_round_slow_links_ends_with_its_age(clock, registry, lines):
+    log = EventLog(clock, emit=lines.append)
+    entries = [Admission(True, f"entry-{n}", clock, registry, log) for n in range(8)]
+    entries[0].record(build_backlog())
+    made_at = last_at = clock.now()
+    while clock.now() - made_at < 20.0:
+        sent_at = clock.now()
+        contents = [entry.encode() for entry in entries]
+        clock.advance(TRANSIT_SECONDS)
+        for content in contents:
+            for entry in entries:
+                entry.record_told(content, sent_at)
+        if any(is_refusing(entry) for entry in entries):
+            last_at = clock.now()
+    assert 0.0 < last_at - made_at < MAX_AGE_SECONDS
+
+
+def test_estimate_that_arrives_again_does_not_replace_its_successor(admission, clock):
+    admission.record(build_backlog(wait=0.0, number=2))
+    clock.advance(0.5)
+    admission.record(build_backlog(number=1))
+    assert not is_refusing(admission)
+    admission.record(build_backlog(number=3))
+    assert is_refusing(admission)
+
+
+def test_estimates_of_a_term_are_numbered(loaded):
+    first = decode_backlog(loaded.leader.admission.encode()).number
+    loaded.advance(1.0)
+    assert decode_backlog(loaded.leader.admission.encode()).number > first > 0
