Cap the guess about other entries by the known work

Cause: one entry's burst was multiplied by the number of entries, though the balancer's share is uneven: 10 jobs at one of 8 entries were refused with a second of work ahead. Change: the guess is at most the work that is known. Test: failed before; the test of the gap between two estimates holds.

--- a/src/bergamotshore/core/work/admission.py
+++ b/src/bergamotshore/core/work/admission.py
@@ -100,7 +100,8 @@
     ahead = get_work_ahead(backlog, arrival, limit)
     done = cores * age
     count, own = accepted
-    others = guess_others(count, own, entries)
+    # The balancer's share may be uneven, so that a guess never outweighs what is known.
+    others = min(guess_others(count, own, entries), ahead + own)
     wait = (ahead + own + others - done) / cores
     if wait <= limit or ahead + own < MIN_KNOWN_SHARE * limit * cores:
         return None
--- a/tests/site/test_admission_load.py
+++ b/tests/site/test_admission_load.py
@@ -253,3 +253,17 @@
     load = build_load(error=0.0)
     load.cluster.worker_by_node["node-3"].labels = ("somewhere",)
     assert measure_blocked(load, "somewhere")
+
+
+# Guards against refusals at low load: the balancer gave one entry all jobs of a burst.
+def test_burst_at_one_of_eight_entries_is_not_taken_for_one_at_all(build_load):
+    load = build_load(entries=8, error=0.0)
+    load.run(1.0)
+    for _ in range(10):
+        load.submit(tasks=4, seconds=1.0)
+    load.run(0.5)
+    # All cores are at work, with a second of work ahead.
+    load.entries = load.entries[:1]
+    for _ in range(10):
+        load.submit(**JOB)
+    assert load.refused == []
