Keep the doubt about a write until the job is stored

Cause: a definite failure of a later attempt erased the memory that an earlier write had no answer: after 504 and 503, a third attempt could be refused while the first write might still be applied. The memory also lasted from the start of the write, not from its end.

Change: only a stored job clears it; an attempt without an answer sets it anew.

--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -201,10 +201,7 @@
             return self._refuse(refusal, call)
         self._set_uncertain(spec.key, is_uncertain=True)
         outcome = self._rows.accept(spec, call.deadline)
-        if not isinstance(outcome, Failure) or not isinstance(
-            outcome.failure(), PlatformUncertain
-        ):
-            self._set_uncertain(spec.key, is_uncertain=False)
+        self._update_uncertain(spec.key, outcome)
         match outcome:
             case Success(is_new):
                 if is_new and self._admission is not None:
@@ -261,6 +258,18 @@
                 return "stored"
         return "store-slow"
 
+    def _update_uncertain(self, key, outcome):
+        """Update the memory of a job's write by how the attempt to store it ended.
+
+        A definite failure concerns this attempt alone: an earlier write of the job may
+        still be applied.
+        """
+        match outcome:
+            case Success(_):
+                self._set_uncertain(key, is_uncertain=False)
+            case Failure(PlatformUncertain()):
+                self._set_uncertain(key, is_uncertain=True)
+
     def _set_uncertain(self, key, is_uncertain):
         """Remember, or forget, that a write of a job may still be applied."""
         if self._admission is None:
--- a/tests/site/test_admission.py
+++ b/tests/site/test_admission.py
@@ -25,7 +25,7 @@
     encode_closed,
     get_row_id,
 )
-from bergamotshore.entry.submissions import SubmissionApp
+from bergamotshore.entry.submissions import UNCERTAIN_SECONDS, SubmissionApp
 from bergamotshore.exceptions import DecodingError, PlatformUnavailable
 from bergamotshore.generated.settings import Scheduling
 from bergamotshore.ports.rows import Put
@@ -388,3 +388,28 @@
     first = decode_backlog(loaded.leader.admission.encode()).number
     loaded.advance(1.0)
     assert decode_backlog(loaded.leader.admission.encode()).number > first > 0
+
+
+# Guards against a definite failure that hides an older write without an answer.
+def test_definite_failure_leaves_the_doubt_about_a_former_write(
+    app, store, admission, clock
+):
+    store.faults = ["late"] * 50
+    assert call(app)[0] == 504
+    store.faults = []
+    app._site.confirmed_at = clock.now()
+    store.is_down = True
+    assert call(app)[0] == 503
+    store.is_down = False
+    app._site.confirmed_at = clock.now()
+    admission.record(build_backlog())
+    assert call(app)[0] == 200
+
+
+def test_doubt_lasts_from_the_end_of_the_write(app, store, admission, clock):
+    # The store holds the write back for longer than the caller waits.
+    store.faults = ["late"] * 50
+    assert call(app)[0] == 504
+    key = get_job_key("queue", "00000000000000aa")
+    until = app._uncertain_until_by_key[key]
+    assert until == pytest.approx(clock.now() + UNCERTAIN_SECONDS)
