Forget finished work first, and make the test of the proof strict

Cause: the finished work that measures the drain was trimmed after the classes were measured, so that it grew without bound if that failed at each pass. Change: it is trimmed first.

The test of the order of the two reads passed with them swapped. It now closes the job between the reads, and fails with them swapped (tried); what it checked before is a test of its own. Test of the trimming: failed before.

--- a/src/bergamotshore/core/work/backlog.py
+++ b/src/bergamotshore/core/work/backlog.py
@@ -243,6 +243,8 @@
 
         :param view: ``PlanView``.
         """
+        # First, so that it stays bounded when a later part fails at each pass.
+        self._forget_drained(view.now)
         workers_by_service = group_workers(view)
         present = {
             service: sum_cores(workers)
@@ -265,6 +267,10 @@
             self._number,
         )
 
+    def _forget_drained(self, now):
+        while self._drained and self._drained[0][0] < now - DRAIN_WINDOW_SECONDS:
+            self._drained.popleft()
+
     def _measure_cores(self, now, present):
         self._cores.append((now, present))
         while self._cores[0][0] < now - CAPACITY_WINDOW_SECONDS:
@@ -277,8 +283,6 @@
         return cores, filling_cores
 
     def _measure_drain(self, now, classes, cores):
-        while self._drained and self._drained[0][0] < now - DRAIN_WINDOW_SECONDS:
-            self._drained.popleft()
         queued = {}
         for load in classes:
             work = sum(row[-1] for row in load.row_by_due.values())
--- a/tests/site/test_admission.py
+++ b/tests/site/test_admission.py
@@ -20,6 +20,7 @@
 )
 from bergamotshore.entry.jobrows import (
     CLOSED,
+    JOBS,
     ClosedJob,
     JobRows,
     encode_closed,
@@ -347,11 +348,40 @@
     assert list_refusing(loaded) == []
 
 
+class ClosingStore:
+    """Store in which a job is closed after the first read."""
+
+    def __init__(self, store, key):
+        self._store, self._key = store, key
+        self.reads = 0
+
+    def read(self, *arguments, **options):
+        """Read rows; close the job behind the first read."""
+        page = self._store.read(*arguments, **options)
+        self.reads += 1
+        if self.reads == 1:
+            closed = Put(
+                get_row_id(CLOSED, self._key), encode_closed(ClosedJob("done", 1.0))
+            )
+            self._store.write([closed], [get_row_id(JOBS, self._key)])
+        return page
+
+
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_proof_tells_whether_a_job_is_stored(rows, clock, is_stored):
+    if is_stored:
+        rows.accept(build_spec(), clock.now() + CALL_SECONDS).unwrap()
+    key = get_job_key("queue", "job")
+    assert rows.has(key, clock.now() + CALL_SECONDS) == Success(is_stored)
+
+
 def test_proof_reads_the_open_row_before_the_closed_one(rows, store, clock):
     key = get_job_key("queue", "job")
-    assert rows.has(key, clock.now() + CALL_SECONDS) == Success(False)
     rows.accept(build_spec(), clock.now() + CALL_SECONDS).unwrap()
-    assert rows.has(key, clock.now() + CALL_SECONDS) == Success(True)
+    closing = JobRows(ClosingStore(store, key), clock, clock.advance)
+    assert closing.has(key, clock.now() + CALL_SECONDS) == Success(True)
+    # The job was closed meanwhile: an open row is gone.
+    assert get_row_id(JOBS, key) not in store.row_by_id
 
 
 TRANSIT_SECONDS = 0.6
--- a/tests/site/test_admission_load.py
+++ b/tests/site/test_admission_load.py
@@ -4,9 +4,11 @@
 
 from bergamotshore.core.work.admission import MAX_AGE_SECONDS
 from bergamotshore.core.work.model import JobSpec, Step, TaskRef
-from bergamotshore.core.work.site import Queue
+from bergamotshore.core.work.site import Queue, SiteState
+from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.core.work.workers import LATENCY_CRITICAL_IDLE_SHARE
 from bergamotshore.entry.admission import decode_backlog
+from bergamotshore.generated.settings import Scheduling
 from bergamotshore.utils.eventlog import EventLog
 from tests.site.doorload import CORES_PER_WORKER, QUEUE, SERVICE, DoorLoad
 
@@ -267,3 +269,33 @@
     for _ in range(10):
         load.submit(**JOB)
     assert load.refused == []
+
+
+class BrokenJobs:
+    """Cluster whose jobs can't be read, with the workers of another."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+
+    def __getattr__(self, name):
+        if name == "job_by_key":
+            raise ValueError("broken")
+        return getattr(self._cluster, name)
+
+
+# Guards against memory that grows while each estimate fails.
+def test_finished_work_is_forgotten_although_no_estimate_succeeds(build_load):
+    load = build_load(error=0.0)
+    load.run(5.0, [(get_rate(load, 0.5), JOB)])
+    view = PlanView(
+        BrokenJobs(load.cluster),
+        SiteState(),
+        load.clock.now() + 60.0,
+        load.clock.now() + 60.0,
+        lambda node, at: False,
+        scheduling=Scheduling(admission=True),
+    )
+    assert load.tracker._drained
+    with pytest.raises(ValueError, match="broken"):
+        load.tracker.measure(view)
+    assert not load.tracker._drained
