--- a/tests/site/test_admission.py
+++ b/tests/site/test_admission.py
@@ -20,12 +20,13 @@
 )
 from bergamotshore.entry.jobrows import (
     CLOSED,
+    JOBS,
     ClosedJob,
     JobRows,
     encode_closed,
     get_row_id,
 )
-from bergamotshore.entry.submissions import SubmissionApp
+from bergamotshore.entry.submissions import UNCERTAIN_SECONDS, SubmissionApp
 from bergamotshore.exceptions import DecodingError, PlatformUnavailable
 from bergamotshore.generated.settings import Scheduling
 from bergamotshore.ports.rows import Put
@@ -347,11 +348,101 @@
     assert list_refusing(loaded) == []
 
 
+class ClosingStore:
+    """Store in which a job is closed after the first read."""
+
+    def __init__(self, store, key):
+        self._store, self._key = store, key
+        self.reads = 0
+
+    def read(self, *arguments, **options):
+        """Read rows; close the job behind the first read."""
+        page = self._store.read(*arguments, **options)
+        self.reads += 1
+        if self.reads == 1:
+            closed = Put(
+                get_row_id(CLOSED, self._key), encode_closed(ClosedJob("done", 1.0))
+            )
+            self._store.write([closed], [get_row_id(JOBS, self._key)])
+        return page
+
+
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_proof_tells_whether_a_job_is_stored(rows, clock, is_stored):
+    if is_stored:
+        rows.accept(build_spec(), clock.now() + CALL_SECONDS).unwrap()
+    key = get_job_key("queue", "job")
+    assert rows.has(key, clock.now() + CALL_SECONDS) == Success(is_stored)
+
+
 def test_proof_reads_the_open_row_before_the_closed_one(rows, store, clock):
     key = get_job_key("queue", "job")
-    assert rows.has(key, clock.now() + CALL_SECONDS) == Success(False)
     rows.accept(build_spec(), clock.now() + CALL_SECONDS).unwrap()
-    assert rows.has(key, clock.now() + CALL_SECONDS) == Success(True)
+    closing = JobRows(ClosingStore(store, key), clock, clock.advance)
+    assert closing.has(key, clock.now() + CALL_SECONDS) == Success(True)
+    # The job was closed meanwhile: an open row is gone.
+    assert get_row_id(JOBS, key) not in store.row_by_id
+
+
+TRANSIT_SECONDS = 0.6
+
+
+# Guards against an estimate that looks younger at each entry that passes it on.
+def test_estimate_that_goes_round_slow_links_ends_with_its_age(clock, registry, lines):
+    log = EventLog(clock, emit=lines.append)
+    entries = [Admission(True, f"entry-{n}", clock, registry, log) for n in range(8)]
+    entries[0].record(build_backlog())
+    made_at = last_at = clock.now()
+    while clock.now() - made_at < 20.0:
+        sent_at = clock.now()
+        contents = [entry.encode() for entry in entries]
+        clock.advance(TRANSIT_SECONDS)
+        for content in contents:
+            for entry in entries:
+                entry.record_told(content, sent_at)
+        if any(is_refusing(entry) for entry in entries):
+            last_at = clock.now()
+    assert 0.0 < last_at - made_at < MAX_AGE_SECONDS
+
+
+def test_estimate_that_arrives_again_does_not_replace_its_successor(admission, clock):
+    admission.record(build_backlog(wait=0.0, number=2))
+    clock.advance(0.5)
+    admission.record(build_backlog(number=1))
+    assert not is_refusing(admission)
+    admission.record(build_backlog(number=3))
+    assert is_refusing(admission)
+
+
+def test_estimates_of_a_term_are_numbered(loaded):
+    first = decode_backlog(loaded.leader.admission.encode()).number
+    loaded.advance(1.0)
+    assert decode_backlog(loaded.leader.admission.encode()).number > first > 0
+
+
+# Guards against a definite failure that hides an older write without an answer.
+def test_definite_failure_leaves_the_doubt_about_a_former_write(
+    app, store, admission, clock
+):
+    store.faults = ["late"] * 50
+    assert call(app)[0] == 504
+    store.faults = []
+    app._site.confirmed_at = clock.now()
+    store.is_down = True
+    assert call(app)[0] == 503
+    store.is_down = False
+    app._site.confirmed_at = clock.now()
+    admission.record(build_backlog())
+    assert call(app)[0] == 200
+
+
+def test_doubt_lasts_from_the_end_of_the_write(app, store, admission, clock):
+    # The store holds the write back for longer than the caller waits.
+    store.faults = ["late"] * 50
+    assert call(app)[0] == 504
+    key = get_job_key("queue", "00000000000000aa")
+    until = app._uncertain_until_by_key[key]
+    assert until == pytest.approx(clock.now() + UNCERTAIN_SECONDS)
 
 
 # Guards against an error of the estimate that stops the scheduling of jobs.
--- a/tests/site/test_admission_load.py
+++ b/tests/site/test_admission_load.py
@@ -4,9 +4,11 @@
 
 from bergamotshore.core.work.admission import MAX_AGE_SECONDS
 from bergamotshore.core.work.model import JobSpec, Step, TaskRef
-from bergamotshore.core.work.site import Queue
+from bergamotshore.core.work.site import Queue, SiteState
+from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.core.work.workers import LATENCY_CRITICAL_IDLE_SHARE
 from bergamotshore.entry.admission import decode_backlog
+from bergamotshore.generated.settings import Scheduling
 from bergamotshore.utils.eventlog import EventLog
 from tests.site.doorload import CORES_PER_WORKER, QUEUE, SERVICE, DoorLoad
 
@@ -209,3 +211,91 @@
     load.run(1.0)
     assert all(entry.encode() for entry in load.entries)
     assert not any(line.startswith("event=estimate-invalid ") for line in lines)
+
+
+NOWHERE = {
+    "too wide": (Step(tasks=20, cpu=32000, memory=1, estimate=20.0),),
+    "label": (Step(tasks=100, cpu=1000, memory=1, estimate=20.0, label="nowhere"),),
+    "chain": tuple(
+        Step(1, cpu=1000, memory=1, estimate=20.0, after=(n - 1,) if n else ())
+        for n in range(20)
+    ),
+}
+
+
+# Guards against refusals beside idle cores, behind work that can't use them.
+@pytest.mark.parametrize("steps", NOWHERE.values(), ids=NOWHERE)
+def test_work_that_leaves_the_cores_idle_leads_to_no_refusal(build_load, steps):
+    high = Queue("high", "h", "/h/", SERVICE, priority=0, stretch=1.5, slack=1.0)
+    low = Queue("low", "h", "/l/", SERVICE, priority=2, stretch=1.5, slack=1.0)
+    load = build_load(queues=(high, low), error=0.0)
+    for number in range(4):
+        spec = JobSpec("high", f"job-{number}", SERVICE, "", steps)
+        load.cluster.add_job(spec).open_due_occurrences(0.0)
+    load.run(1.0)
+    for _ in range(20):
+        load.submit(**{**JOB, "queue": "low"})
+    assert load.refused == []
+
+
+def measure_blocked(load, label):
+    """Return the work that is told for a step which needs a label."""
+    step = Step(tasks=20, cpu=1000, memory=1, estimate=20.0, label=label)
+    spec = JobSpec("queue", "blocked", SERVICE, "", (step,))
+    load.cluster.add_job(spec).open_due_occurrences(0.0)
+    load.run(0.5)
+    return decode_backlog(load.entries[0].encode()).classes
+
+
+def test_step_that_no_open_worker_can_take_is_not_counted(build_load):
+    assert measure_blocked(build_load(error=0.0), "nowhere") == []
+
+
+def test_step_that_some_open_worker_can_take_is_counted(build_load):
+    load = build_load(error=0.0)
+    load.cluster.worker_by_node["node-3"].labels = ("somewhere",)
+    assert measure_blocked(load, "somewhere")
+
+
+# Guards against refusals at low load: the balancer gave one entry all jobs of a burst.
+def test_burst_at_one_of_eight_entries_is_not_taken_for_one_at_all(build_load):
+    load = build_load(entries=8, error=0.0)
+    load.run(1.0)
+    for _ in range(10):
+        load.submit(tasks=4, seconds=1.0)
+    load.run(0.5)
+    # All cores are at work, with a second of work ahead.
+    load.entries = load.entries[:1]
+    for _ in range(10):
+        load.submit(**JOB)
+    assert load.refused == []
+
+
+class BrokenJobs:
+    """Cluster whose jobs can't be read, with the workers of another."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+
+    def __getattr__(self, name):
+        if name == "job_by_key":
+            raise ValueError("broken")
+        return getattr(self._cluster, name)
+
+
+# Guards against memory that grows while each estimate fails.
+def test_finished_work_is_forgotten_although_no_estimate_succeeds(build_load):
+    load = build_load(error=0.0)
+    load.run(5.0, [(get_rate(load, 0.5), JOB)])
+    view = PlanView(
+        BrokenJobs(load.cluster),
+        SiteState(),
+        load.clock.now() + 60.0,
+        load.clock.now() + 60.0,
+        lambda node, at: False,
+        scheduling=Scheduling(admission=True),
+    )
+    assert load.tracker._drained
+    with pytest.raises(ValueError, match="broken"):
+        load.tracker.measure(view)
+    assert not load.tracker._drained
