Answer requests without a body that expect 100-continue

A completed or refused request with Expect was sent 100 Continue and never queued, while its memory stayed accounted as arrived. The expectation ends with the request.

--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -154,6 +154,9 @@
     def received(self, data):
         """Take received bytes; return how many of them belong to this request."""
         consumed = super().received(data)
+        if self.completed:
+            # Otherwise the channel would ask for a body and never queue the request.
+            self.expect_continue = False
         if self.error or self.empty or self.channel.server.intake.admit(self):
             return consumed
         self._refuse()
@@ -187,3 +190,4 @@
         self.body_rcv = None
         self.error = OverloadError()
         self.completed = True
+        self.expect_continue = False
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -167,3 +167,21 @@
     call.request("POST", "/", b"x" * LARGEST_BODY)
     assert call.getresponse().status == 200
     assert app.sizes == [LARGEST_BODY]
+
+
+def test_request_without_body_that_expects_continue_is_served(connect, registry):
+    sock = connect()
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n\r\n")
+    assert read_body(sock) == b"served"
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_refused_request_that_expects_continue_is_answered(connect, registry):
+    fill(connect, registry)
+    sock = connect()
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n"
+    # Their cost shows at the end of the header only.
+    fields = b"".join(b"F%d: x\r\n" % number for number in range(500))
+    sock.sendall(head + fields + b"\r\n")
+    # A "100 Continue" before the refusal would be the first line.
+    assert sock.recv(12) == b"HTTP/1.1 503"
