Give memory of requests back at blank lines and at the end of a server

Blank lines kept their account. A finished server kept those of unfinished requests, and evicting one pulled a trigger whose descriptor was closed. An eviction also cut an earlier answer on its connection, and connections that were being closed counted in the excess again.

--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -115,12 +115,17 @@
         :param server: Server of waitress, with ``max_connections``.
         :param newcomer: Channel that was just accepted.
         """
-        excess = len(server.active_channels) - server.max_connections
+        staying = [
+            channel
+            for channel in server.active_channels.values()
+            if not channel.will_close
+        ]
+        excess = len(staying) - server.max_connections
         if excess <= 0:
             return
         waiting = [
             channel
-            for channel in server.active_channels.values()
+            for channel in staying
             if channel is not newcomer and channel.is_waiting()
         ]
         waiting.sort(key=_get_closing_rank)
@@ -157,6 +162,9 @@
         if self.completed:
             # Otherwise the channel would ask for a body and never queue the request.
             self.expect_continue = False
+        if self.empty:
+            # The channel drops blank lines without a word.
+            self.close()
         if self.error or self.empty or self.channel.server.intake.admit(self):
             return consumed
         self._refuse()
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -68,8 +68,13 @@
         if not self.requests_lock.acquire(blocking=False):
             return
         try:
-            if self.request is request and not self.requests:
-                self.will_close = True
+            # The trigger of a server that has ended is another's descriptor by now.
+            if not self.connected or self.request is not request:
+                return
+            # An earlier answer is still owed in full.
+            if self.requests or self.total_outbufs_len:
+                return
+            self.will_close = True
         finally:
             self.requests_lock.release()
         self.server.pull_trigger()
@@ -171,6 +176,8 @@
             self._server.task_dispatcher.shutdown(
                 cancel_pending=True, timeout=THREADS_EXIT_SECONDS
             )
+            for channel in list(self._server.active_channels.values()):
+                channel.handle_close()
             wasyncore.close_all(self._socket_map)
         finally:
             self._has_ended.set()
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -26,10 +27,22 @@
 
     def __init__(self):
         self.sizes = []
+        self.answer = b"served"
 
     def __call__(self, environ, start_response):
         self.sizes.append(len(environ["wsgi.input"].read()))
-        return reply(start_response, 200, "text/plain", b"served")
+        return reply(start_response, 200, "text/plain", self.answer)
+
+
+class StubChannel:
+    """Idle connection of a server."""
+
+    has_served = False
+    creation_time = 0.0
+    will_close = False
+
+    def is_waiting(self):
+        return not self.will_close
 
 
 @pytest.fixture
@@ -77,6 +90,10 @@
         time.sleep(0.01)
 
 
+def list_channels(server):
+    return list(server._server.active_channels.values())
+
+
 def send_unfinished(sock, size=LARGEST_BODY - 1):
     head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
     sock.sendall(head + b"x" * (size - 1))
@@ -179,9 +196,55 @@
 def test_refused_request_that_expects_continue_is_answered(connect, registry):
     fill(connect, registry)
     sock = connect()
-    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n"
+    head = (
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n"
+    )
     # Their cost shows at the end of the header only.
     fields = b"".join(b"F%d: x\r\n" % number for number in range(500))
     sock.sendall(head + fields + b"\r\n")
     # A "100 Continue" before the refusal would be the first line.
     assert sock.recv(12) == b"HTTP/1.1 503"
+
+
+def test_eviction_does_not_cut_the_answer_before_it(app, server, connect):
+    app.answer = b"x" * 15_000_000
+    sock = connect()
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\n")
+    wait_until(lambda: app.sizes and list_channels(server))
+    (channel,) = list_channels(server)
+    wait_until(lambda: channel.total_outbufs_len and not channel.requests)
+    channel.drop(channel.request)
+    assert read_body(sock) == app.answer
+
+
+def test_blank_lines_hold_no_memory(connect, registry):
+    sock = connect()
+    sock.sendall(b"\r\n")
+    wait_until(lambda: read_held(registry) > 0)
+    sock.sendall(b"\r\n")
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_connections_that_are_being_closed_are_not_in_excess(intake):
+    channels = [StubChannel() for _ in range(66)]
+    channels[0].will_close = True
+    server = SimpleNamespace(
+        active_channels=dict(enumerate(channels)), max_connections=64
+    )
+    intake.limit_connections(server, channels[-1])
+    intake.limit_connections(server, channels[-1])
+    closed = [channel for channel in channels if channel.will_close]
+    assert len(closed) == 3
+
+
+def test_finished_server_gives_the_memory_of_unfinished_requests_back(
+    server, connect, registry
+):
+    send_unfinished(connect())
+    wait_until(lambda: read_held(registry) > LARGEST_BODY)
+    (channel,) = list_channels(server)
+    request = channel.request
+    server.finish(0.0)
+    assert read_held(registry) == 0
+    # The trigger of the server is closed by now; its descriptor may be another's.
+    channel.drop(request)
