--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -24,6 +24,13 @@
 # A header is kept as received, as text and split into fields.
 HEADER_COPIES = 3
 HEADER_FIELD_BYTES = 256
+MAX_HEADER_BYTES = 32 * 1024
+# Shortest line of a field: a letter, the colon and the end of the line.
+MIN_FIELD_LINE_BYTES = 4
+MAX_HEADER_COST = (
+    HEADER_COPIES * MAX_HEADER_BYTES
+    + HEADER_FIELD_BYTES * MAX_HEADER_BYTES // MIN_FIELD_LINE_BYTES
+)
 # A body is kept in a buffer and handed to the application as a copy.
 BODY_COPIES = 2
 RETRY_AFTER_SECONDS = 1
@@ -73,12 +80,14 @@
         self._log = log
         registry.watch("request_memory_bytes", lambda: self._budget.held)
 
-    def ensure_room(self, largest_body):
-        """Raise the limit to what a single request of a server may need.
+    def ensure_room(self, largest_body, count=1):
+        """Raise the limit to what the largest requests of a server may need.
 
         :param largest_body: Largest body that the server accepts, in bytes.
+        :param count: Number of such requests that are served at once in any case.
         """
-        needed = BODY_COPIES * largest_body + 2 * SMALL_BYTES
+        largest_cost = REQUEST_BYTES + MAX_HEADER_COST + BODY_COPIES * largest_body
+        needed = count * largest_cost + 2 * SMALL_BYTES
         with self._lock:
             self._budget.limit = max(
                 self._budget.limit, int(needed / (1 - RESERVED_SHARE))
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -10,7 +10,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from bergamotshore.entry.intake import BudgetedParser, Intake
+from bergamotshore.entry.intake import MAX_HEADER_BYTES, BudgetedParser, Intake
 from bergamotshore.exceptions import AddressInUseError
 from bergamotshore.generated.settings import Intake as IntakeSettings
 from bergamotshore.metrics.registry import Registry
@@ -32,7 +32,6 @@
 MIN_FINISH_SECONDS = 0.3
 # Time for the threads of calls that are given up, in seconds.
 THREADS_EXIT_SECONDS = 0.1
-MAX_HEADER_BYTES = 32 * 1024
 MAX_BUFFER_BYTES = 1 << 30
 
 
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -96,12 +96,14 @@
         # Start of the worker's incarnation and whether it is gone, as last told to all
         # entries.
         self._announced_state = (0, False)
+        intake = Intake(settings.intake, self.clock, self.registry, self.log)
+        intake.ensure_room(MAX_HEARTBEAT_BYTES, HEARTBEAT_THREADS)
         self.heartbeat_server = HttpServer(
             HeartbeatApp(self.run_manager, self.registry, self.log),
             split_address(self.site.heartbeats),
             HEARTBEAT_THREADS,
             MAX_HEARTBEAT_BYTES,
-            Intake(settings.intake, self.clock, self.registry, self.log),
+            intake,
             MAX_SMALL_SERVER_CONNECTIONS,
         )
         self.registry.watch("resident_bytes", read_resident_bytes)
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -13,6 +13,7 @@
 from bergamotshore.entry.intake import BODY_COPIES, Intake
 from bergamotshore.entry.wsgi import HttpServer, reply
 from bergamotshore.generated.settings import Intake as IntakeSettings
+from bergamotshore.node.site import HEARTBEAT_THREADS, MAX_HEARTBEAT_BYTES
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.utils.eventlog import EventLog
 
@@ -52,20 +53,37 @@
 
 @pytest.fixture
 def intake(registry):
+    return build_intake(registry, memory_mb=64, connections=64)
+
+
+def build_intake(registry, **limits):
     clock = SystemClock()
-    limits = IntakeSettings(memory_mb=64, connections=64)
-    return Intake(limits, clock, registry, EventLog(clock, lambda line: None))
+    log = EventLog(clock, lambda line: None)
+    return Intake(IntakeSettings(**limits), clock, registry, log)
+
+
+@pytest.fixture
+def serve(app):
+    """Return a function that starts a server, stopped after the test."""
+    started = []
+
+    def start(largest_body, intake):
+        server = HttpServer(app, ("127.0.0.1", 0), 2, largest_body, intake)
+        thread = threading.Thread(target=server.run)
+        thread.start()
+        started.append((server, thread))
+        return server
+
+    yield start
+    for server, thread in started:
+        server.stop()
+        thread.join(CALL_TIMEOUT_SECONDS)
+        assert not thread.is_alive()
 
 
 @pytest.fixture
-def server(app, intake):
-    server = HttpServer(app, ("127.0.0.1", 0), 2, LARGEST_BODY, intake)
-    thread = threading.Thread(target=server.run)
-    thread.start()
-    yield server
-    server.stop()
-    thread.join(CALL_TIMEOUT_SECONDS)
-    assert not thread.is_alive()
+def server(serve, intake):
+    return serve(LARGEST_BODY, intake)
 
 
 @pytest.fixture
@@ -248,3 +266,31 @@
     assert read_held(registry) == 0
     # The trigger of the server is closed by now; its descriptor may be another's.
     channel.drop(request)
+
+
+def test_two_largest_heartbeats_at_once_are_both_served(app, serve, registry):
+    intake = build_intake(registry, memory_mb=168)
+    intake.ensure_room(MAX_HEARTBEAT_BYTES, HEARTBEAT_THREADS)
+    address = ("127.0.0.1", serve(MAX_HEARTBEAT_BYTES, intake).port)
+    expected = 2 * BODY_COPIES * (MAX_HEARTBEAT_BYTES - 2)
+    with (
+        socket.create_connection(address, CALL_TIMEOUT_SECONDS) as first,
+        socket.create_connection(address, CALL_TIMEOUT_SECONDS) as second,
+    ):
+        for sock in (first, second):
+            send_unfinished(sock, MAX_HEARTBEAT_BYTES)
+        wait_until(lambda: read_held(registry) > expected)
+        for sock in (first, second):
+            sock.sendall(b"x")
+            assert read_body(sock) == b"served"
+
+
+def test_body_of_the_largest_size_with_many_fields_is_served(serve, intake):
+    # Twice this is more than an eighth of the memory.
+    size = 3_000_000
+    address = ("127.0.0.1", serve(size, intake).port)
+    fields = b"".join(b"%x:\r\n" % number for number in range(4500))
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n" % size
+    with socket.create_connection(address, CALL_TIMEOUT_SECONDS) as sock:
+        sock.sendall(head + fields + b"\r\n" + b"x" * size)
+        assert read_body(sock) == b"served"
