Read on after a refused body, so that its 503 arrives

The connection was closed with bytes unread and thus reset; a client with a small send buffer never saw bodies-full. What still comes is now discarded, bounded by one largest body and body_stall.

--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from dataclasses import dataclass
 
 from waitress.parser import HTTPRequestParser
 
@@ -60,6 +61,20 @@
         return "503 Service Unavailable", headers, body
 
 
+@dataclass(slots=True)
+class Discard:
+    """Bounds of what is read, without being kept, from a client that was refused.
+
+    A connection that is closed with unread bytes is reset, and its answer lost.
+
+    :param size_left: Bytes that may still be read.
+    :param deadline: Time at which the connection is closed.
+    """
+
+    size_left: int
+    deadline: float
+
+
 class Intake:
     """Memory and connections of requests, over all HTTP servers of a process.
 
@@ -115,6 +130,17 @@
         with self._lock:
             self._budget.release(request)
 
+    def start_discard(self, largest_body):
+        """Return the ``Discard`` of a client that was refused.
+
+        :param largest_body: Largest body that the server accepts, in bytes.
+        """
+        return Discard(largest_body, self._clock.now() + self._budget.stall)
+
+    def may_discard(self, discard):
+        """Return whether to read on from a client that was refused."""
+        return discard.size_left > 0 and self._clock.now() < discard.deadline
+
     def limit_connections(self, server, newcomer):
         """Close connections without a request when a server has too many.
 
@@ -208,3 +234,4 @@
         self.error = OverloadError()
         self.completed = True
         self.expect_continue = False
+        self.channel.is_refused = True
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -51,6 +51,9 @@
     task_class = DrainingTask
     # Whether a whole request has been received.
     has_served = False
+    # Whether a request didn't fit; what still comes is discarded after its answer.
+    is_refused = False
+    discard = None
 
     def __init__(self, server, sock, addr, adj, map=None):
         super().__init__(server, sock, addr, adj, map)
@@ -83,6 +86,37 @@
         self.has_served = True
         super().service()
 
+    def handle_write(self):
+        """Send output; after a refusal, end the output before the connection."""
+        if not (self.is_refused and self.close_when_flushed) or self.will_close:
+            super().handle_write()
+        elif self.total_outbufs_len:
+            self._flush_exception(self._flush_some)
+        else:
+            self._start_discard()
+
+    def _start_discard(self):
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.handle_close()
+            return
+        self.discard = self.server.intake.start_discard(self.adj.max_request_body_size)
+        self.close_when_flushed = False
+
+    def handle_read(self):
+        """Receive data, which is not kept after a refusal."""
+        if self.discard is None:
+            super().handle_read()
+            return
+        try:
+            # At the end of the input, this closes the connection.
+            data = self.recv(self.adj.recv_bytes)
+        except OSError:
+            self.handle_close()
+            return
+        self.discard.size_left -= len(data)
+
     def handle_close(self):
         """Close the connection and give back what its unfinished request holds."""
         super().handle_close()
@@ -96,6 +130,10 @@
         A request that is read has to be answered, while one that isn't has provably
         not run.
         """
+        if self.discard is not None and not self.server.intake.may_discard(
+            self.discard
+        ):
+            self.will_close = True
         return not self.server.is_finishing and super().readable()
 
 
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -294,3 +294,30 @@
     with socket.create_connection(address, CALL_TIMEOUT_SECONDS) as sock:
         sock.sendall(head + fields + b"\r\n" + b"x" * size)
         assert read_body(sock) == b"served"
+
+
+def test_refusal_reaches_a_client_that_is_still_writing(connect, registry):
+    fill(connect, registry)
+    for _ in range(10):
+        sock = connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        send_unfinished(sock)
+        assert json.loads(read_body(sock))["code"] == "bodies-full"
+
+
+def test_refused_client_that_never_stops_writing_is_closed(connect, registry):
+    fill(connect, registry)
+    sock = connect()
+    send_unfinished(sock)
+    with pytest.raises(OSError, match="reset|pipe"):
+        for _ in range(200):
+            sock.sendall(b"x" * 100_000)
+
+
+def test_refused_client_that_is_silent_is_closed(connect, server, intake, registry):
+    fill(connect, registry)
+    sock = connect()
+    send_unfinished(sock, 100_000)
+    assert json.loads(read_body(sock))["code"] == "bodies-full"
+    assert len(list_channels(server)) == FITTING + 1
+    wait_until(lambda: len(list_channels(server)) == FITTING)
