--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -14,7 +14,6 @@
 from bergamotshore.entry.wsgi import HttpServer, reply
 from bergamotshore.generated.settings import Intake as IntakeSettings
 from bergamotshore.node.site import HEARTBEAT_THREADS, MAX_HEARTBEAT_BYTES
-from bergamotshore.ports.clock import SystemClock
 from bergamotshore.utils.eventlog import EventLog
 
 CALL_TIMEOUT_SECONDS = 10.0
@@ -52,12 +51,11 @@
 
 
 @pytest.fixture
-def intake(registry):
-    return build_intake(registry, memory_mb=64, connections=64)
+def intake(clock, registry):
+    return build_intake(clock, registry, memory_mb=64, connections=64)
 
 
-def build_intake(registry, **limits):
-    clock = SystemClock()
+def build_intake(clock, registry, **limits):
     log = EventLog(clock, lambda line: None)
     return Intake(IntakeSettings(**limits), clock, registry, log)
 
@@ -268,8 +266,8 @@
     channel.drop(request)
 
 
-def test_two_largest_heartbeats_at_once_are_both_served(app, serve, registry):
-    intake = build_intake(registry, memory_mb=168)
+def test_two_largest_heartbeats_at_once_are_both_served(app, clock, serve, registry):
+    intake = build_intake(clock, registry, memory_mb=168)
     intake.ensure_room(MAX_HEARTBEAT_BYTES, HEARTBEAT_THREADS)
     address = ("127.0.0.1", serve(MAX_HEARTBEAT_BYTES, intake).port)
     expected = 2 * BODY_COPIES * (MAX_HEARTBEAT_BYTES - 2)
@@ -314,10 +312,11 @@
             sock.sendall(b"x" * 100_000)
 
 
-def test_refused_client_that_is_silent_is_closed(connect, server, intake, registry):
+def test_refused_client_that_is_silent_is_closed(clock, connect, server, registry):
     fill(connect, registry)
     sock = connect()
     send_unfinished(sock, 100_000)
     assert json.loads(read_body(sock))["code"] == "bodies-full"
-    assert len(list_channels(server)) == FITTING + 1
+    wait_until(lambda: any(channel.discard for channel in list_channels(server)))
+    clock.advance(IntakeSettings().body_stall)
     wait_until(lambda: len(list_channels(server)) == FITTING)
