--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from dataclasses import dataclass
 
 from waitress.parser import HTTPRequestParser
 
@@ -24,6 +25,13 @@
 # A header is kept as received, as text and split into fields.
 HEADER_COPIES = 3
 HEADER_FIELD_BYTES = 256
+MAX_HEADER_BYTES = 32 * 1024
+# Shortest line of a field: a letter, the colon and the end of the line.
+MIN_FIELD_LINE_BYTES = 4
+MAX_HEADER_COST = (
+    HEADER_COPIES * MAX_HEADER_BYTES
+    + HEADER_FIELD_BYTES * MAX_HEADER_BYTES // MIN_FIELD_LINE_BYTES
+)
 # A body is kept in a buffer and handed to the application as a copy.
 BODY_COPIES = 2
 RETRY_AFTER_SECONDS = 1
@@ -53,6 +61,20 @@
         return "503 Service Unavailable", headers, body
 
 
+@dataclass(slots=True)
+class Discard:
+    """Bounds of what is read, without being kept, from a client that was refused.
+
+    A connection that is closed with unread bytes is reset, and its answer lost.
+
+    :param size_left: Bytes that may still be read.
+    :param deadline: Time at which the connection is closed.
+    """
+
+    size_left: int
+    deadline: float
+
+
 class Intake:
     """Memory and connections of requests, over all HTTP servers of a process.
 
@@ -73,12 +95,14 @@
         self._log = log
         registry.watch("request_memory_bytes", lambda: self._budget.held)
 
-    def ensure_room(self, largest_body):
-        """Raise the limit to what a single request of a server may need.
+    def ensure_room(self, largest_body, count=1):
+        """Raise the limit to what the largest requests of a server may need.
 
         :param largest_body: Largest body that the server accepts, in bytes.
+        :param count: Number of such requests that are served at once in any case.
         """
-        needed = BODY_COPIES * largest_body + 2 * SMALL_BYTES
+        largest_cost = REQUEST_BYTES + MAX_HEADER_COST + BODY_COPIES * largest_body
+        needed = count * largest_cost + 2 * SMALL_BYTES
         with self._lock:
             self._budget.limit = max(
                 self._budget.limit, int(needed / (1 - RESERVED_SHARE))
@@ -106,6 +130,17 @@
         with self._lock:
             self._budget.release(request)
 
+    def start_discard(self, largest_body):
+        """Return the ``Discard`` of a client that was refused.
+
+        :param largest_body: Largest body that the server accepts, in bytes.
+        """
+        return Discard(largest_body, self._clock.now() + self._budget.stall)
+
+    def may_discard(self, discard):
+        """Return whether to read on from a client that was refused."""
+        return discard.size_left > 0 and self._clock.now() < discard.deadline
+
     def limit_connections(self, server, newcomer):
         """Close connections without a request when a server has too many.
 
@@ -115,12 +150,17 @@
         :param server: Server of waitress, with ``max_connections``.
         :param newcomer: Channel that was just accepted.
         """
-        excess = len(server.active_channels) - server.max_connections
+        staying = [
+            channel
+            for channel in server.active_channels.values()
+            if not channel.will_close
+        ]
+        excess = len(staying) - server.max_connections
         if excess <= 0:
             return
         waiting = [
             channel
-            for channel in server.active_channels.values()
+            for channel in staying
             if channel is not newcomer and channel.is_waiting()
         ]
         waiting.sort(key=_get_closing_rank)
@@ -154,6 +194,12 @@
     def received(self, data):
         """Take received bytes; return how many of them belong to this request."""
         consumed = super().received(data)
+        if self.completed:
+            # Otherwise the channel would ask for a body and never queue the request.
+            self.expect_continue = False
+        if self.empty:
+            # The channel drops blank lines without a word.
+            self.close()
         if self.error or self.empty or self.channel.server.intake.admit(self):
             return consumed
         self._refuse()
@@ -187,3 +233,5 @@
         self.body_rcv = None
         self.error = OverloadError()
         self.completed = True
+        self.expect_continue = False
+        self.channel.is_refused = True
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -10,7 +10,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from bergamotshore.entry.intake import BudgetedParser, Intake
+from bergamotshore.entry.intake import MAX_HEADER_BYTES, BudgetedParser, Intake
 from bergamotshore.exceptions import AddressInUseError
 from bergamotshore.generated.settings import Intake as IntakeSettings
 from bergamotshore.metrics.registry import Registry
@@ -32,7 +32,6 @@
 MIN_FINISH_SECONDS = 0.3
 # Time for the threads of calls that are given up, in seconds.
 THREADS_EXIT_SECONDS = 0.1
-MAX_HEADER_BYTES = 32 * 1024
 MAX_BUFFER_BYTES = 1 << 30
 
 
@@ -52,6 +51,9 @@
     task_class = DrainingTask
     # Whether a whole request has been received.
     has_served = False
+    # Whether a request didn't fit; what still comes is discarded after its answer.
+    is_refused = False
+    discard = None
 
     def __init__(self, server, sock, addr, adj, map=None):
         super().__init__(server, sock, addr, adj, map)
@@ -68,8 +70,13 @@
         if not self.requests_lock.acquire(blocking=False):
             return
         try:
-            if self.request is request and not self.requests:
-                self.will_close = True
+            # The trigger of a server that has ended is another's descriptor by now.
+            if not self.connected or self.request is not request:
+                return
+            # An earlier answer is still owed in full.
+            if self.requests or self.total_outbufs_len:
+                return
+            self.will_close = True
         finally:
             self.requests_lock.release()
         self.server.pull_trigger()
@@ -79,6 +86,37 @@
         self.has_served = True
         super().service()
 
+    def handle_write(self):
+        """Send output; after a refusal, end the output before the connection."""
+        if not (self.is_refused and self.close_when_flushed) or self.will_close:
+            super().handle_write()
+        elif self.total_outbufs_len:
+            self._flush_exception(self._flush_some)
+        else:
+            self._start_discard()
+
+    def _start_discard(self):
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.handle_close()
+            return
+        self.discard = self.server.intake.start_discard(self.adj.max_request_body_size)
+        self.close_when_flushed = False
+
+    def handle_read(self):
+        """Receive data, which is not kept after a refusal."""
+        if self.discard is None:
+            super().handle_read()
+            return
+        try:
+            # At the end of the input, this closes the connection.
+            data = self.recv(self.adj.recv_bytes)
+        except OSError:
+            self.handle_close()
+            return
+        self.discard.size_left -= len(data)
+
     def handle_close(self):
         """Close the connection and give back what its unfinished request holds."""
         super().handle_close()
@@ -92,6 +130,10 @@
         A request that is read has to be answered, while one that isn't has provably
         not run.
         """
+        if self.discard is not None and not self.server.intake.may_discard(
+            self.discard
+        ):
+            self.will_close = True
         return not self.server.is_finishing and super().readable()
 
 
@@ -171,6 +213,8 @@
             self._server.task_dispatcher.shutdown(
                 cancel_pending=True, timeout=THREADS_EXIT_SECONDS
             )
+            for channel in list(self._server.active_channels.values()):
+                channel.handle_close()
             wasyncore.close_all(self._socket_map)
         finally:
             self._has_ended.set()
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -12,7 +13,7 @@
 from bergamotshore.entry.intake import BODY_COPIES, Intake
 from bergamotshore.entry.wsgi import HttpServer, reply
 from bergamotshore.generated.settings import Intake as IntakeSettings
-from bergamotshore.ports.clock import SystemClock
+from bergamotshore.node.site import HEARTBEAT_THREADS, MAX_HEARTBEAT_BYTES
 from bergamotshore.utils.eventlog import EventLog
 
 CALL_TIMEOUT_SECONDS = 10.0
@@ -26,10 +27,22 @@
 
     def __init__(self):
         self.sizes = []
+        self.answer = b"served"
 
     def __call__(self, environ, start_response):
         self.sizes.append(len(environ["wsgi.input"].read()))
-        return reply(start_response, 200, "text/plain", b"served")
+        return reply(start_response, 200, "text/plain", self.answer)
+
+
+class StubChannel:
+    """Idle connection of a server."""
+
+    has_served = False
+    creation_time = 0.0
+    will_close = False
+
+    def is_waiting(self):
+        return not self.will_close
 
 
 @pytest.fixture
@@ -38,21 +51,37 @@
 
 
 @pytest.fixture
-def intake(registry):
-    clock = SystemClock()
-    limits = IntakeSettings(memory_mb=64, connections=64)
-    return Intake(limits, clock, registry, EventLog(clock, lambda line: None))
+def intake(clock, registry):
+    return build_intake(clock, registry, memory_mb=64, connections=64)
+
+
+def build_intake(clock, registry, **limits):
+    log = EventLog(clock, lambda line: None)
+    return Intake(IntakeSettings(**limits), clock, registry, log)
 
 
 @pytest.fixture
-def server(app, intake):
-    server = HttpServer(app, ("127.0.0.1", 0), 2, LARGEST_BODY, intake)
-    thread = threading.Thread(target=server.run)
-    thread.start()
-    yield server
-    server.stop()
-    thread.join(CALL_TIMEOUT_SECONDS)
-    assert not thread.is_alive()
+def serve(app):
+    """Return a function that starts a server, stopped after the test."""
+    started = []
+
+    def start(largest_body, intake):
+        server = HttpServer(app, ("127.0.0.1", 0), 2, largest_body, intake)
+        thread = threading.Thread(target=server.run)
+        thread.start()
+        started.append((server, thread))
+        return server
+
+    yield start
+    for server, thread in started:
+        server.stop()
+        thread.join(CALL_TIMEOUT_SECONDS)
+        assert not thread.is_alive()
+
+
+@pytest.fixture
+def server(serve, intake):
+    return serve(LARGEST_BODY, intake)
 
 
 @pytest.fixture
@@ -77,6 +106,10 @@
         time.sleep(0.01)
 
 
+def list_channels(server):
+    return list(server._server.active_channels.values())
+
+
 def send_unfinished(sock, size=LARGEST_BODY - 1):
     head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
     sock.sendall(head + b"x" * (size - 1))
@@ -167,3 +200,123 @@
     call.request("POST", "/", b"x" * LARGEST_BODY)
     assert call.getresponse().status == 200
     assert app.sizes == [LARGEST_BODY]
+
+
+def test_request_without_body_that_expects_continue_is_served(connect, registry):
+    sock = connect()
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n\r\n")
+    assert read_body(sock) == b"served"
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_refused_request_that_expects_continue_is_answered(connect, registry):
+    fill(connect, registry)
+    sock = connect()
+    head = (
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n"
+    )
+    # Their cost shows at the end of the header only.
+    fields = b"".join(b"F%d: x\r\n" % number for number in range(500))
+    sock.sendall(head + fields + b"\r\n")
+    # A "100 Continue" before the refusal would be the first line.
+    assert sock.recv(12) == b"HTTP/1.1 503"
+
+
+def test_eviction_does_not_cut_the_answer_before_it(app, server, connect):
+    app.answer = b"x" * 15_000_000
+    sock = connect()
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\n")
+    wait_until(lambda: app.sizes and list_channels(server))
+    (channel,) = list_channels(server)
+    wait_until(lambda: channel.total_outbufs_len and not channel.requests)
+    channel.drop(channel.request)
+    assert read_body(sock) == app.answer
+
+
+def test_blank_lines_hold_no_memory(connect, registry):
+    sock = connect()
+    sock.sendall(b"\r\n")
+    wait_until(lambda: read_held(registry) > 0)
+    sock.sendall(b"\r\n")
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_connections_that_are_being_closed_are_not_in_excess(intake):
+    channels = [StubChannel() for _ in range(66)]
+    channels[0].will_close = True
+    server = SimpleNamespace(
+        active_channels=dict(enumerate(channels)), max_connections=64
+    )
+    intake.limit_connections(server, channels[-1])
+    intake.limit_connections(server, channels[-1])
+    closed = [channel for channel in channels if channel.will_close]
+    assert len(closed) == 3
+
+
+def test_finished_server_gives_the_memory_of_unfinished_requests_back(
+    server, connect, registry
+):
+    send_unfinished(connect())
+    wait_until(lambda: read_held(registry) > LARGEST_BODY)
+    (channel,) = list_channels(server)
+    request = channel.request
+    server.finish(0.0)
+    assert read_held(registry) == 0
+    # The trigger of the server is closed by now; its descriptor may be another's.
+    channel.drop(request)
+
+
+def test_two_largest_heartbeats_at_once_are_both_served(app, clock, serve, registry):
+    intake = build_intake(clock, registry, memory_mb=168)
+    intake.ensure_room(MAX_HEARTBEAT_BYTES, HEARTBEAT_THREADS)
+    address = ("127.0.0.1", serve(MAX_HEARTBEAT_BYTES, intake).port)
+    expected = 2 * BODY_COPIES * (MAX_HEARTBEAT_BYTES - 2)
+    with (
+        socket.create_connection(address, CALL_TIMEOUT_SECONDS) as first,
+        socket.create_connection(address, CALL_TIMEOUT_SECONDS) as second,
+    ):
+        for sock in (first, second):
+            send_unfinished(sock, MAX_HEARTBEAT_BYTES)
+        wait_until(lambda: read_held(registry) > expected)
+        for sock in (first, second):
+            sock.sendall(b"x")
+            assert read_body(sock) == b"served"
+
+
+def test_body_of_the_largest_size_with_many_fields_is_served(serve, intake):
+    # Twice this is more than an eighth of the memory.
+    size = 3_000_000
+    address = ("127.0.0.1", serve(size, intake).port)
+    fields = b"".join(b"%x:\r\n" % number for number in range(4500))
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n" % size
+    with socket.create_connection(address, CALL_TIMEOUT_SECONDS) as sock:
+        sock.sendall(head + fields + b"\r\n" + b"x" * size)
+        assert read_body(sock) == b"served"
+
+
+def test_refusal_reaches_a_client_that_is_still_writing(connect, registry):
+    fill(connect, registry)
+    for _ in range(10):
+        sock = connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        send_unfinished(sock)
+        assert json.loads(read_body(sock))["code"] == "bodies-full"
+
+
+def test_refused_client_that_never_stops_writing_is_closed(connect, registry):
+    fill(connect, registry)
+    sock = connect()
+    send_unfinished(sock)
+    with pytest.raises(OSError, match="reset|pipe"):
+        for _ in range(200):
+            sock.sendall(b"x" * 100_000)
+
+
+def test_refused_client_that_is_silent_is_closed(clock, connect, server, registry):
+    fill(connect, registry)
+    sock = connect()
+    send_unfinished(sock, 100_000)
+    assert json.loads(read_body(sock))["code"] == "bodies-full"
+    wait_until(lambda: any(channel.discard for channel in list_channels(server)))
+    clock.advance(IntakeSettings().body_stall)
+    wait_until(lambda: len(list_channels(server)) == FITTING)
