--- a/soak/run.py
+++ b/soak/run.py
@@ -127,7 +127,9 @@
         later = {**step, "count": 1, "after": [0]}
         steps = [{**step, "long_running": True}] if is_lasting else [step, later]
         call = {"spec": job_id, "steps": steps}
-        spec = decode_submission(json.dumps(call), QUEUE, job_id, time.time()).unwrap()
+        spec = decode_submission(
+            json.dumps(call).encode(), QUEUE, job_id, time.time()
+        ).unwrap()
         with self._site.lock:
             self._site.ledger.record_job(spec)
         status = self.call("POST", job_id, call)
