Send lease ends and starts only to the life of the worker they are for

Cause: the end of a lease is a time on the worker's clock, which starts anew with each life. The node's first calls to the next life still carried ends by the clock of the life before; the worker cut them to its longest lease (10 s), while node and scheduling entry counted the usual one (about 6 s) as over.

Ends of leases and starts now go only where their life has answered, as acknowledgements did; a start asks first where that isn't known. A call that the life before left unanswered may still be carried out by the next one until its fence is raised, so from that moment the node counts the longest lease.

The stand-in of the worker carries out late calls in whatever life is there, and the ledger reports a start between an end as done and its acknowledgement.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -270,7 +270,7 @@
                 )
             case "/run-start":
                 order = RunOrder(call["task"], call["run"], call["spec"], "", "")
-                return runner.start(order, call["until_ms"], fence, runner.name)
+                return runner.start(order, call["until_ms"], fence, runner.incarnation)
             case "/run-stop":
                 return runner.stop(call["task"], call["run"], fence)
         return runner.throttle(call["task"], call["run"], call["percent"], fence)
--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -100,6 +100,18 @@
                 )
         return outcome
 
+    def is_open(self, number):
+        """Return whether the calling thread's connection is open and has this number.
+
+        :param number: Number of the connection, as in ``HttpAnswer``.
+        """
+        connection = getattr(self._local, "connection", None)
+        return (
+            connection is not None
+            and self._local.number == number
+            and not self._is_to_be_replaced(connection)
+        )
+
     def is_refusing(self, timeout):
         """Return whether the server refuses a new connection, which is closed at once.
 
@@ -154,10 +166,7 @@
 
     def _connect(self, timeout, required):
         connection = getattr(self._local, "connection", None)
-        if connection is not None and (
-            _is_stale(connection)
-            or self._local.answered_at < self._timed_out_call_sent_at
-        ):
+        if connection is not None and self._is_to_be_replaced(connection):
             self._discard_connection()
             connection = None
         if required is not None and (
@@ -174,6 +183,12 @@
             self._local.answered_at = time.monotonic()
         return connection
 
+    def _is_to_be_replaced(self, connection):
+        return (
+            _is_stale(connection)
+            or self._local.answered_at < self._timed_out_call_sent_at
+        )
+
     def _discard_connection(self):
         connection = getattr(self._local, "connection", None)
         self._local.connection = None
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -14,8 +14,13 @@
 from bergamotshore.node.lostruns import LostRuns
 from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
-from bergamotshore.node.workerlease import WorkerLease
-from bergamotshore.ports.runner import Acknowledgement, RunOrder, RunRejected
+from bergamotshore.node.workerlease import Extension, WorkerLease
+from bergamotshore.ports.runner import (
+    Acknowledgement,
+    RunOrder,
+    RunRejected,
+    WorkerIncarnation,
+)
 from bergamotshore.utils.eventlog import describe_error
 
 # The worker reports the tail latency of a latency-critical task over the last half
@@ -65,6 +70,7 @@
 
     :param runner: ``Runner``.
     :param grant: ``RenewalGrant``.
+    :param longest_lease: Longest lease that the worker accepts, in seconds.
     :param clock: ``Clock``.
     :param on_change: Called when the report of this node may have changed.
     :param on_result: Called with task, run number and outcome of an order to start.
@@ -72,7 +78,17 @@
     :param log: ``EventLog``.
     """
 
-    def __init__(self, runner, grant, clock, on_change, on_result, registry, log):
+    def __init__(
+        self,
+        runner,
+        grant,
+        longest_lease,
+        clock,
+        on_change,
+        on_result,
+        registry,
+        log,
+    ):
         self.runner = runner
         self.grant = grant
         self.clock = clock
@@ -83,6 +99,9 @@
         self.worker_report = None
         self._reported_size = ReportedSize()
         self.incarnation = 0
+        # Start of an incarnation that has answered and isn't fenced yet; None for none.
+        self._candidate_incarnation = None
+        self._incarnation_fence = 0
         self._has_seen_end = False
         self.is_answering = False
         self.running = []
@@ -96,7 +115,7 @@
         self._cancelled_jobs = CancelledJobs()
         self._started_at_by_key = {}
         self._lost_runs = LostRuns()
-        self._lease = WorkerLease(grant, clock.now())
+        self._lease = WorkerLease(grant, longest_lease, clock.now())
         # When the first of the latest refused connections was refused.
         self._refused_since = math.inf
         self._is_worker_down = False
@@ -271,6 +290,13 @@
 
     def _start(self, order, orders):
         key = (order.task, order.number)
+        match self.runner.confirm(orders.born, self._fence):
+            case Failure(RunRejected(reason=reason)):
+                self._resolve(key, reason)
+                return
+            case Failure(_):
+                self._resolve(key, "not-reached")
+                return
         now = self.clock.now()
         # Calls without an answer may have delayed this one, so it is checked again.
         if reason := self._find_refusal_reason(orders, now):
@@ -285,18 +311,21 @@
             self._resolve(key, "job-cancelled")
             return
         with self._lock:
+            is_current = orders.born == self.incarnation
             fence = self._fence
-            self._unresolved_by_key[key] = UnresolvedOrder(fence, is_sent=True)
-            extension = self._lease.extend(now)
+            extension = self._lease.extend(now) if is_current else Extension()
+            is_allowed = extension.end_ms is not None
+            self._unresolved_by_key[key] = UnresolvedOrder(fence, is_sent=is_allowed)
             worker = (
                 self.worker_report.incarnation.worker
                 if self.worker_report is not None
                 else ""
             )
-        if extension.end_ms is None:
-            self._resolve(key, "no-right")
+        if not is_allowed:
+            self._resolve(key, "no-right" if is_current else "other-life")
             return
-        outcome = self.runner.start(order, extension.end_ms, fence, worker)
+        incarnation = WorkerIncarnation(worker, orders.born)
+        outcome = self.runner.start(order, extension.end_ms, fence, incarnation)
         match outcome:
             case Success(_):
                 self._speed_limits.send(key)
@@ -304,6 +333,8 @@
             case Failure(RunRejected(reason=reason)):
                 self._resolve(key, reason)
             case Failure(WorkerFailure(is_certain=True)):
+                with self._lock:
+                    self._lease.withdraw(extension)
                 self._resolve(key, "not-reached")
             case Failure(failure):
                 self.log.write(
@@ -357,11 +388,13 @@
 
     def _hold(self):
         sent_at = self.clock.now()
+        is_confirmed = self.runner.is_confirmed(self.incarnation)
         with self._lock:
             fence = self._fence
-            extension = self._lease.extend(sent_at)
-            acknowledgement = self._acknowledgement
-        wait_ms = HOLD_WAIT_MS if self.is_answering else 0
+            extension = self._lease.extend(sent_at) if is_confirmed else Extension()
+            acknowledgement = Acknowledgement(self.incarnation, self.acknowledged)
+        # Unless the incarnation is confirmed, the lease is extended by the next call.
+        wait_ms = HOLD_WAIT_MS if self.is_answering and is_confirmed else 0
         outcome = self.runner.renew_lease(
             extension.end_ms, fence, acknowledgement, wait_ms
         )
@@ -458,6 +491,7 @@
             self._lease.record_clock(now, listing.clock_ms)
             self._reported_size.record_clock(sent_at, listing.clock_ms)
             self._refused_since, self._is_worker_down = math.inf, False
+            self._candidate_incarnation = None
             self._state_known_at = now
             self.is_answering = True
             listed_keys = {(run.task, run.number) for run in listing.running}
@@ -514,14 +548,13 @@
         :returns: True when the listing may be applied.
         """
         with self._lock:
-            if (
-                self._candidate_incarnation == (listing.started_ms, True)
-                and fence >= self._incarnation_fence
-            ):
+            is_candidate = self._candidate_incarnation == listing.started_ms
+            if is_candidate and fence >= self._incarnation_fence:
                 self._record_worker_end()
                 self._has_seen_end = bool(self.incarnation)
                 self.incarnation = listing.started_ms
-                self._lease.forget_clock()
+                self._candidate_incarnation = None
+                self._lease.record_incarnation(self.clock.now())
                 self._started_at_by_key.clear()
                 if (
                     self.worker_report is not None
@@ -531,14 +564,11 @@
                     self._reported_size = ReportedSize()
                 self.log.write("worker-life", "worker", born=self.incarnation)
                 return True
-            self._candidate_incarnation = (listing.started_ms, True)
+            self._candidate_incarnation = listing.started_ms
             self._fence += 1
             self._incarnation_fence = self._fence
             return False
 
-    _candidate_incarnation = (0, False)
-    _incarnation_fence = 0
-
     def _record_worker_end(self):
         """Record which runs are lost with a worker; one that drains ends by itself."""
         now = self.clock.now()
--- a/src/bergamotshore/node/site.py
+++ b/src/bergamotshore/node/site.py
@@ -69,12 +69,14 @@
         self.watcher = SettingsWatcher(path, self.clock, self.log, self._apply)
         self.is_draining = False
         self.loop = Loop(self.clock)
-        self.grant = RenewalGrant(get_grant_seconds(self.site.longest_hold_ms / 1000))
+        longest_lease = self.site.longest_hold_ms / 1000
+        self.grant = RenewalGrant(get_grant_seconds(longest_lease))
         self.starts = ThreadPoolExecutor(START_THREADS, "starts")
         self.stops = ThreadPoolExecutor(STOP_THREADS, "stops")
         self.run_manager = RunManager(
             PlatformRunner(settings.node.worker, settings.platform.timeout),
             self.grant,
+            longest_lease,
             self.clock,
             lambda: self.loop.call(self._send_report),
             lambda *result: self.loop.call(self._send_result, result),
--- a/src/bergamotshore/node/workerlease.py
+++ b/src/bergamotshore/node/workerlease.py
@@ -21,7 +21,7 @@
     :param former_expires_at: The same if it does not receive the call.
     """
 
-    end_ms: int | None
+    end_ms: int | None = None
     expires_at: float = -math.inf
     former_expires_at: float = -math.inf
 
@@ -32,12 +32,14 @@
     A call without an answer may have been carried out, so it counts as received.
 
     :param grant: ``RenewalGrant`` of the node.
+    :param longest: Longest lease that the worker accepts, in seconds.
     :param now: Start of the node's process, in seconds. An earlier process may have
         extended the lease just before.
     """
 
-    def __init__(self, grant, now):
+    def __init__(self, grant, longest, now):
         self._grant = grant
+        self._longest = longest
         self._clock_reading = None
         self._answered_at = now
         self._expires_at = now + get_lease_expiry_seconds(grant.duration)
@@ -47,16 +49,22 @@
         self._answered_at = now
         self._clock_reading = (now, clock_ms)
 
-    def forget_clock(self):
-        """Forget the reading of the clock, which another incarnation starts anew."""
+    def record_incarnation(self, now):
+        """Record that a new incarnation has answered a call under a higher fence.
+
+        Until then, it may have carried out calls that were sent to the former one. On
+        its clock, their ends may lie far ahead, and it cuts them to its longest lease.
+        """
         self._clock_reading = None
+        expires_at = now + self._longest * (1.0 + 2 * DRIFT_SHARE)
+        self._expires_at = max(self._expires_at, expires_at)
 
     def extend(self, now):
         """Return the ``Extension`` for a call that is about to be sent."""
         remaining = self._grant.get_remaining(now)
         is_silent = now - self._answered_at > MAX_SILENT_SECONDS
         if remaining <= 0.0 or self._clock_reading is None or is_silent:
-            return Extension(None)
+            return Extension()
         read_at, clock_ms = self._clock_reading
         elapsed_ms = (now + remaining - read_at) * 1000 * (1.0 - DRIFT_SHARE)
         expires_at = now + remaining * (1.0 + 2 * DRIFT_SHARE)
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -1,6 +1,7 @@
 """Client of the platform's workers, and the format of their heartbeats."""
 
-from dataclasses import dataclass
+import threading
+from dataclasses import dataclass, replace
 
 import msgspec
 from returns.result import Failure, Success
@@ -101,22 +102,23 @@
 class IdentifiedConnection:
     """Connection on which the worker has named its incarnation.
 
-    :param number: Number of the connection; 0 for none.
+    :param number: Number of the connection.
     :param started_ms: Start time of the incarnation, in milliseconds.
     """
 
-    number: int = 0
-    started_ms: int = 0
+    number: int
+    started_ms: int
 
 
 class PlatformRunner:
     """Call the worker on this VM over HTTP.
 
-    The platform acknowledges completions by sequence number alone, and a worker may
-    restart under its name and address. An acknowledgement is therefore sent only on a
-    connection on which its incarnation has answered before: it can't reach another one.
-    ``renew_lease`` must always be called by the same thread, since connections belong
-    to threads.
+    A worker may restart under its name and address. Its next incarnation has another
+    clock, numbers completions anew and may be of another size, and the platform's calls
+    don't say which incarnation they are for. Starts, ends of leases and
+    acknowledgements are therefore sent only on a connection on which their incarnation
+    has answered before, as a connection ends with the process that accepted it.
+    Connections belong to threads, and so does what is known of them.
 
     :param address: Address of the worker as host:port.
     :param timeout: Timeout of one call, in seconds.
@@ -125,10 +127,34 @@
     def __init__(self, address, timeout):
         self._client = HttpClient(address, timeout)
         self._timeout = timeout
-        self._identified = IdentifiedConnection()
+        self._local = threading.local()
+
+    def is_confirmed(self, started_ms):
+        """Return whether a connection to an incarnation is open; see the port."""
+        identified = self._get_identified()
+        return (
+            identified is not None
+            and identified.started_ms == started_ms
+            and self._client.is_open(identified.number)
+        )
 
-    def start(self, order, lease_end_ms, fence, worker):
+    def confirm(self, started_ms, fence):
+        """Ask the worker for its incarnation if necessary; see the port."""
+        if self.is_confirmed(started_ms):
+            return Success(None)
+        match self._list_runs(fence, 0):
+            case Success(listing) if listing.started_ms != started_ms:
+                return Failure(RunRejected("other-life"))
+            case Failure(WorkerFailure() as failure):
+                # The call had no effect: it neither extends nor acknowledges anything.
+                return Failure(replace(failure, is_certain=True))
+            case outcome:
+                return outcome.map(lambda listing: None)
+
+    def start(self, order, lease_end_ms, fence, incarnation):
         """Start a run; see the port."""
+        if not self.is_confirmed(incarnation.started_ms):
+            return Failure(WorkerFailure("incarnation not confirmed", is_certain=True))
         request = {
             "task": order.task,
             "run": order.number,
@@ -140,7 +166,9 @@
             request["checkpoint_token"] = order.checkpoint
         if order.ticket:
             request["ticket"] = order.ticket
-        return self._send_order("/run-start", request, worker)
+        headers = {"X-Expect-Instance": incarnation.worker}
+        number = self._get_identified().number
+        return self._send_order("/run-start", request, headers, number)
 
     def stop(self, task, number, fence):
         """Stop a run; see the port."""
@@ -155,19 +183,25 @@
 
     def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
         """Extend the lease and return the listing of runs; see the port."""
-        request = {"fence": fence, "ack_cursor": 0, "wait_ms": wait_ms}
+        if not self.is_confirmed(acknowledgement.started_ms):
+            return self._list_runs(fence, wait_ms)
+        request = {"ack_cursor": acknowledgement.sequence}
         if lease_end_ms is not None:
             request["until_ms"] = lease_end_ms
+        number = self._get_identified().number
+        answer = self._hold(request, fence, wait_ms, number)
+        if _is_connection_replaced(answer):
+            return self._list_runs(fence, wait_ms)
+        return self._read_listing(answer)
+
+    def _list_runs(self, fence, wait_ms):
+        """List the runs of whatever incarnation answers, without any effect on it."""
+        return self._read_listing(self._hold({"ack_cursor": 0}, fence, wait_ms))
+
+    def _hold(self, request, fence, wait_ms, connection=None):
+        request = {**request, "fence": fence, "wait_ms": wait_ms}
         timeout = self._timeout + wait_ms / 1000
-        is_known = self._identified.number > 0
-        if is_known and acknowledgement.started_ms == self._identified.started_ms:
-            bound_request = {**request, "ack_cursor": acknowledgement.sequence}
-            answer = self._call(
-                "/hold", bound_request, "", timeout, self._identified.number
-            )
-            if not _is_connection_replaced(answer):
-                return self._read_listing(answer)
-        return self._read_listing(self._call("/hold", request, "", timeout))
+        return self._call("/hold", request, {}, timeout, connection)
 
     def is_refusing(self):
         """Return whether a new connection is refused; see the port."""
@@ -178,21 +212,24 @@
         outcome = _read_answer(answer, WireListing).map(_decode_listing)
         match answer, outcome:
             case Success(HttpAnswer(connection=number)), Success(listing):
-                self._identified = IdentifiedConnection(number, listing.started_ms)
+                identified = IdentifiedConnection(number, listing.started_ms)
             case _:
-                self._identified = IdentifiedConnection()
+                identified = None
+        self._local.identified = identified
         return outcome
 
-    def _send_order(self, path, request, worker=""):
-        answer = self._call(path, request, worker, self._timeout)
+    def _get_identified(self):
+        """Return the ``IdentifiedConnection`` of this thread, or None."""
+        return getattr(self._local, "identified", None)
+
+    def _send_order(self, path, request, headers=None, connection=None):
+        answer = self._call(path, request, headers or {}, self._timeout, connection)
         return _read_answer(answer, WireAnswer).map(
             lambda item: RunAccepted(item.clock_ms)
         )
 
-    def _call(self, path, request, worker, timeout, connection=None):
-        headers = {"Content-Type": "application/json"}
-        if worker:
-            headers["X-Expect-Instance"] = worker
+    def _call(self, path, request, headers, timeout, connection=None):
+        headers = {"Content-Type": "application/json", **headers}
         body = msgspec.json.encode(request)
         return self._client.call("POST", path, body, headers, timeout, connection)
 
--- a/src/bergamotshore/ports/runner.py
+++ b/src/bergamotshore/ports/runner.py
@@ -94,14 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """Completions that a worker may discard.
+    """Completions that an incarnation of a worker may discard.
 
     Each incarnation numbers its completions from 1, so a sequence number means nothing
     to any other incarnation.
 
     :param started_ms: Start time of the incarnation that numbered them, in
-        milliseconds; 0 when nothing is acknowledged.
-    :param sequence: Sequence number up to which it may discard them.
+        milliseconds; 0 while none is known.
+    :param sequence: Sequence number up to which it may discard them; 0 for none.
     """
 
     started_ms: int = 0
@@ -168,17 +168,40 @@
 
 
 class Runner(Protocol):
-    """Runs tasks under the lease of one worker."""
+    """Runs tasks under the lease of one worker.
 
-    def start(self, order, lease_end_ms, fence, worker):
-        """Start a run.
+    A worker may restart under its name, and its next incarnation may receive what is
+    meant for the former one. Calls that have a meaning for one incarnation alone are
+    sent only where the calling thread knows that they can't reach another one; the
+    former one may still leave them unanswered, and the next one carry them out.
+    """
+
+    def is_confirmed(self, started_ms):
+        """Return whether the next call of this thread can only reach an incarnation.
+
+        :param started_ms: Start time of the incarnation, in milliseconds.
+        """
+
+    def confirm(self, started_ms, fence):
+        """Make sure that the next call of this thread can only reach an incarnation.
+
+        :param started_ms: Start time of the incarnation, in milliseconds.
+        :param fence: Fencing token of this node.
+        :returns: ``Result`` of None; failures are ``RunRejected``, with 'other-life' if
+            another incarnation answers, and ``WorkerFailure``, always certain.
+        """
+
+    def start(self, order, lease_end_ms, fence, incarnation):
+        """Start a run on an incarnation that this thread has confirmed.
 
         :param order: ``RunOrder``.
-        :param lease_end_ms: Expiry of the lease on the worker's clock, in milliseconds.
+        :param lease_end_ms: Expiry of the lease on the clock of the incarnation, in
+            milliseconds.
         :param fence: Fencing token of this node.
-        :param worker: Name of the intended worker; empty for any.
+        :param incarnation: ``WorkerIncarnation``.
         :returns: ``Result`` of ``RunAccepted``; failures are ``RunRejected`` and
-            ``WorkerFailure``.
+            ``WorkerFailure``, which is certain if the incarnation isn't confirmed any
+            more.
         """
 
     def stop(self, task, number, fence):
@@ -193,10 +216,11 @@
     def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
         """Extend the lease and list the running and finished runs.
 
-        :param lease_end_ms: New expiry of the lease on the worker's clock, in
-            milliseconds; None leaves the lease as it is.
-        :param acknowledgement: ``Acknowledgement``; has no effect on any incarnation
-            but the one that it names.
+        :param lease_end_ms: New expiry of the lease on the clock of the incarnation
+            that the acknowledgement names, in milliseconds; None leaves the lease as it
+            is.
+        :param acknowledgement: ``Acknowledgement``. Neither it nor the lease end is
+            sent where it might reach another incarnation than the one it names.
         :param wait_ms: Maximum time to wait for a completion, in milliseconds.
         :returns: ``Result`` of ``WorkerListing``; failures are those of ``start``.
         """
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -67,6 +67,7 @@
         self.live = {}
         self.done = set()
         self.acknowledged_done = set()
+        self._starts_at_done_by_run = {}
         self.failed_ends_by_task = {}
         self.failed_runs_by_task = {}
         self.crash_delay_by_name = {}
@@ -368,6 +369,7 @@
         self.live.pop((runner.name, task), None)
         if outcome == "done":
             self.done.add(task)
+            self._starts_at_done_by_run[(task, number)] = len(self.starts)
         if outcome == "failed":
             self.failed_ends_by_task.setdefault(task, set()).add(number)
 
@@ -375,9 +377,26 @@
         """Record that a completion was acknowledged."""
         if end.outcome == "done":
             self.acknowledged_done.add(end.task)
+            self._check_started_since(end)
         if end.outcome == "failed":
             self.failed_runs_by_task.setdefault(end.task, set()).add(end.number)
 
+    def _check_started_since(self, end):
+        """Check that no other run of a task began after an acknowledged end as done.
+
+        Copies may, and long-running tasks have to.
+        """
+        starts_at_done = self._starts_at_done_by_run.get((end.task, end.number))
+        if starts_at_done is None:
+            return
+        since = [task for task, _, _ in self.starts[starts_at_done:]]
+        step = self.get_step(end.task)
+        if end.task in since and not (step.is_speculative or step.is_lasting):
+            self.problems.append(
+                f"{end.task} started again after run {end.number} was done, and that"
+                " end was acknowledged"
+            )
+
     def forget_worker(self, runner):
         """Drop all live runs of a worker."""
         for key in [key for key in self.live if key[0] == runner.name]:
--- a/standins/site.py
+++ b/standins/site.py
@@ -170,14 +170,16 @@
     ``usage`` is listed for each run: its tail latency or its processor usage, and
     ``percent``, its progress.
 
-    ``throttle_faults`` and ``stop_faults`` list those of the next throttle and stop
-    orders. Faults are 'ok' (none), 'lost' (executed, response lost), 'late' (executed
-    by ``run_late``) and 'silent' (not executed, no response).
+    ``throttle_faults``, ``stop_faults`` and ``renewal_faults`` list those of the next
+    throttle and stop orders and renewals of the lease. Faults are 'ok' (none), 'lost'
+    (executed, response lost), 'late' (executed by ``run_late``, maybe by a later
+    incarnation) and 'silent' (not executed, no response).
 
     ``stop_seconds`` is the time that a stop takes; the run keeps its resources until
     then.
 
-    ``drift`` is the share by which its clock runs slower than true time.
+    ``drift`` is the share by which its clock runs slower than true time, and
+    ``longest_hold`` its longest lease, in seconds.
 
     A task with a crash delay in the ledger crashes the worker after that time of work,
     for ``crash_seconds``; with delay 0, the order to start it gets no response.
@@ -189,6 +191,7 @@
         self.machine = f"vm of {name}"
         self.ledger = ledger
         self.drift = WORKER_DRIFT
+        self.longest_hold = LONGEST_HOLD_SECONDS
         self.capacity = Capacity(cpu, memory)
         self.stop_seconds = 0.0
         self.rack = "r1-1"
@@ -201,6 +204,8 @@
         self.late_throttles = []
         self.stop_faults = []
         self.late_stops = []
+        self.renewal_faults = []
+        self.late_renewals = []
         self.is_cut = False
         self.is_gone = False
         self.is_draining = False
@@ -238,6 +243,12 @@
         self.sequence = 0
         self.lease_end_ms = 0
         self.void_sequences = set()
+        self._confirmed_ms = None
+
+    @property
+    def incarnation(self):
+        """Return the present ``WorkerIncarnation``."""
+        return WorkerIncarnation(self.name, self.born)
 
     @property
     def clock_ms(self):
@@ -265,6 +276,8 @@
                 self.late_stops,
                 self.throttle_faults,
                 self.late_throttles,
+                self.renewal_faults,
+                self.late_renewals,
             )
         )
 
@@ -352,16 +365,31 @@
         self.update()
         return self.is_gone or self.is_down
 
-    def start(self, order, lease_end_ms, fence, worker):
+    def is_confirmed(self, started_ms):
+        """Return whether the connection leads to an incarnation."""
+        return self._confirmed_ms == started_ms
+
+    def confirm(self, started_ms, fence):
+        """Return a failure unless an incarnation answers; it extends nothing."""
+        match self._check_reachable():
+            case Failure(failure):
+                return Failure(replace(failure, is_certain=True))
+        if started_ms != self.born:
+            return Failure(RunRejected("other-life"))
+        return Success(None)
+
+    def start(self, order, lease_end_ms, fence, incarnation):
         """Start a run, subject to the next injected fault."""
         match self._check_reachable():
             case Failure() as failure:
                 return failure
+        if incarnation.started_ms != self.born:
+            return Failure(WorkerFailure("not confirmed", is_certain=True))
         match self.faults.pop(0) if self.faults else "ok":
             case "silent":
                 return Failure(WorkerFailure("silent", is_certain=False))
             case "late":
-                self.late.append((order, lease_end_ms, fence, self.born))
+                self.late.append((order, lease_end_ms, fence))
                 return Failure(WorkerFailure("late", is_certain=False))
             case "lost":
                 self._start(order, lease_end_ms, fence)
@@ -369,23 +397,25 @@
         return self._start(order, lease_end_ms, fence)
 
     def _extend(self, lease_end_ms):
-        longest = self.clock_ms + int(LONGEST_HOLD_SECONDS * 1000)
+        longest = self.clock_ms + int(self.longest_hold * 1000)
         self.lease_end_ms = max(self.lease_end_ms, min(longest, lease_end_ms))
 
     def run_late(self):
-        """Execute the delayed calls."""
+        """Execute the delayed calls, those to a former incarnation included."""
         late, self.late = self.late, []
-        for order, lease_end_ms, fence, born in late:
-            if born == self.born and not self.is_down:
-                self._start(order, lease_end_ms, fence, is_late=True)
         late_stops, self.late_stops = self.late_stops, []
-        for task, number, fence, born in late_stops:
-            if born == self.born and not self.is_down:
-                self._stop(task, number, fence)
         late_throttles, self.late_throttles = self.late_throttles, []
-        for task, number, percent, fence, born in late_throttles:
-            if born == self.born and not self.is_down:
-                self._throttle(task, number, percent, fence)
+        late_renewals, self.late_renewals = self.late_renewals, []
+        if self.is_down or self.is_gone:
+            return
+        for renewal in late_renewals:
+            self._renew(*renewal)
+        for order, lease_end_ms, fence in late:
+            self._start(order, lease_end_ms, fence, is_late=True)
+        for stop in late_stops:
+            self._stop(*stop)
+        for throttle in late_throttles:
+            self._throttle(*throttle)
 
     def _start(self, order, lease_end_ms, fence, is_late=False):
         self.end_runs_if_expired()
@@ -420,7 +450,7 @@
             case "silent":
                 return Failure(WorkerFailure("silent", is_certain=False))
             case "late":
-                self.late_stops.append((task, number, fence, self.born))
+                self.late_stops.append((task, number, fence))
                 return Failure(WorkerFailure("late", is_certain=False))
             case "lost":
                 self._stop(task, number, fence)
@@ -451,7 +481,7 @@
             case "silent":
                 return Failure(WorkerFailure("silent", is_certain=False))
             case "late":
-                self.late_throttles.append((task, number, percent, fence, self.born))
+                self.late_throttles.append((task, number, percent, fence))
                 return Failure(WorkerFailure("late", is_certain=False))
         return self._throttle(task, number, percent, fence)
 
@@ -466,17 +496,39 @@
         return Success(RunAccepted(self.clock_ms))
 
     def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
-        """Extend the lease; list runs and unacknowledged completions at once."""
+        """Extend the lease, subject to the next injected fault; list all runs.
+
+        Lease end and acknowledgement only reach the incarnation that they are for.
+        """
+        outcome = self._renew_lease(lease_end_ms, fence, acknowledgement)
+        is_answered = isinstance(outcome, Success)
+        self._confirmed_ms = self.born if is_answered else None
+        return outcome
+
+    def _renew_lease(self, lease_end_ms, fence, acknowledgement):
         match self._check_reachable():
             case Failure() as failure:
                 return failure
+        is_bound = acknowledgement.started_ms == self.born
+        acknowledged = acknowledgement.sequence if is_bound else 0
+        renewal = (lease_end_ms if is_bound else None, fence, acknowledged)
+        match self.renewal_faults.pop(0) if self.renewal_faults else "ok":
+            case "silent":
+                return Failure(WorkerFailure("silent", is_certain=False))
+            case "late":
+                self.late_renewals.append(renewal)
+                return Failure(WorkerFailure("late", is_certain=False))
+            case "lost":
+                self._renew(*renewal)
+                return Failure(WorkerFailure("lost", is_certain=False))
+        return self._renew(*renewal)
+
+    def _renew(self, lease_end_ms, fence, acknowledged):
         if fence < self.fence:
             return Failure(RunRejected("fence", self.clock_ms))
         self.fence = fence
         if lease_end_ms is not None:
             self._extend(lease_end_ms)
-        is_mine = acknowledgement.started_ms == self.born
-        acknowledged = acknowledgement.sequence if is_mine else 0
         for end in self.ends:
             if end.sequence <= acknowledged and end.sequence not in self.void_sequences:
                 self.ledger.record_acknowledgement(end)
@@ -499,7 +551,7 @@
     def build_report(self, zone):
         """Return the worker's heartbeat report."""
         return WorkerReport(
-            incarnation=WorkerIncarnation(self.name, self.born),
+            incarnation=self.incarnation,
             service=SERVICE,
             zone=zone,
             version="v1",
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -10,21 +10,30 @@
 
 from bergamotshore.node.site import STOP_THREADS
 from bergamotshore.platform.runner import PlatformRunner
-from bergamotshore.ports.runner import Acknowledgement, ListedRun
+from bergamotshore.ports.runner import (
+    Acknowledgement,
+    ListedRun,
+    RunOrder,
+    RunRejected,
+    WorkerIncarnation,
+)
 from tests.adapters.servers import SilencingServer
 
 TIMEOUT_SECONDS = 2.0
 SHORT_TIMEOUT_SECONDS = 0.4
 FORMER_MS = 1_000
 CURRENT_MS = 2_000
+LEASE_END_MS = 900_000
+ORDER = RunOrder("0123456789abcdef.0.1.17", 1, "payload")
 
 
 class Worker(SilencingServer):
-    """Worker that records the acknowledgements sent to each of its incarnations."""
+    """Worker that records the calls to each of its incarnations."""
 
     def __init__(self):
         self.started_ms = FORMER_MS
         self.acknowledged_by_incarnation = {FORMER_MS: [], CURRENT_MS: []}
+        self.lease_ends_by_incarnation = {FORMER_MS: [], CURRENT_MS: []}
         self.running = []
         super().__init__(self.build_listing)
 
@@ -34,6 +43,9 @@
         if "ack_cursor" in order:
             acknowledged = self.acknowledged_by_incarnation[self.started_ms]
             acknowledged.append(order["ack_cursor"])
+        if "until_ms" in order:
+            lease_ends = self.lease_ends_by_incarnation[self.started_ms]
+            lease_ends.append(order["until_ms"])
         return {
             "clock_ms": 1,
             "born": self.started_ms,
@@ -83,6 +95,58 @@
     assert set(worker.acknowledged_by_incarnation[CURRENT_MS]) == {0}
 
 
+# Guards against running a completed task again: a restarted worker took a lease end by
+# the clock of its former incarnation for a time far ahead, so that its lease lasted for
+# longer than its node and the scheduling entry waited after losing it.
+def test_restarted_worker_receives_no_lease_end_of_its_former_incarnation(
+    runner, worker
+):
+    for _ in range(2):
+        runner.renew_lease(LEASE_END_MS, 1, Acknowledgement(FORMER_MS), 0)
+    assert worker.lease_ends_by_incarnation[FORMER_MS] == [LEASE_END_MS]
+    worker.restart()
+    outcomes = [
+        runner.renew_lease(LEASE_END_MS, 1, Acknowledgement(FORMER_MS), 0)
+        for _ in range(3)
+    ]
+    assert isinstance(outcomes[-1], Success)
+    assert worker.lease_ends_by_incarnation[CURRENT_MS] == []
+
+
+# Guards against the same by an order to start a run, which carries a lease end as well,
+# and against a run on a worker that has come back with another size or kind.
+@pytest.mark.parametrize("is_confirmed_before", [True, False])
+def test_restarted_worker_receives_no_start_for_its_former_incarnation(
+    runner, worker, is_confirmed_before
+):
+    incarnation = WorkerIncarnation("worker", FORMER_MS)
+    if is_confirmed_before:
+        assert runner.confirm(FORMER_MS, 1) == Success(None)
+    worker.restart()
+    outcomes = [runner.start(ORDER, LEASE_END_MS, 1, incarnation) for _ in range(2)]
+    assert all(outcome.failure().is_certain for outcome in outcomes)
+    # A call on a connection that has ended may fail without an answer.
+    runner.confirm(FORMER_MS, 1)
+    assert runner.confirm(FORMER_MS, 1) == Failure(RunRejected("other-life"))
+    assert runner.start(ORDER, LEASE_END_MS, 1, incarnation).failure().is_certain
+    assert worker.lease_ends_by_incarnation[CURRENT_MS] == []
+
+
+def test_start_is_sent_to_a_confirmed_incarnation(runner, worker):
+    incarnation = WorkerIncarnation("worker", FORMER_MS)
+    assert runner.confirm(FORMER_MS, 1) == Success(None)
+    assert isinstance(runner.start(ORDER, LEASE_END_MS, 1, incarnation), Success)
+    assert worker.lease_ends_by_incarnation[FORMER_MS] == [LEASE_END_MS]
+
+
+# Connections belong to threads: what one has been told proves nothing to another.
+def test_each_thread_confirms_the_incarnation_by_itself(runner, worker):
+    runner.confirm(FORMER_MS, 1)
+    with ThreadPoolExecutor(1) as threads:
+        assert not threads.submit(runner.is_confirmed, FORMER_MS).result()
+    assert runner.is_confirmed(FORMER_MS)
+
+
 def stop_in_each_thread(threads, runner):
     """Stop a run in every thread of a pool at once, and return the outcomes."""
     barrier = threading.Barrier(STOP_THREADS)
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -291,7 +291,7 @@
             self.clock,
             self.log,
             can_schedule=self.can_schedule,
-            grant_seconds=get_grant_seconds(LONGEST_HOLD_SECONDS),
+            grant_seconds=simulation.grant_seconds,
         )
         self.stall = StallDetector()
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
@@ -315,7 +315,7 @@
             self.follower.state,
             self.freshness,
             self.directory,
-            get_grant_seconds(LONGEST_HOLD_SECONDS),
+            simulation.grant_seconds,
             InlineExecutor(),
             lambda seconds: None,
             self.clock,
@@ -381,7 +381,7 @@
         self.pause = simulation.clock.advance
         self.heartbeat_server = self.loop
         self.addresses = AddressReader(self.registry, self.log)
-        self.grant = RenewalGrant(get_grant_seconds(LONGEST_HOLD_SECONDS))
+        self.grant = RenewalGrant(simulation.grant_seconds)
         self.starts = self.stops = InlineExecutor()
         self.is_draining = False
         self.leader = ""
@@ -395,6 +395,7 @@
         self.run_manager = RunManager(
             runner,
             self.grant,
+            runner.longest_hold,
             self.clock,
             self._send_report,
             lambda *result: self._send_result(result),
@@ -439,6 +440,7 @@
     :param is_drifting: Whether each process and worker has a clock of its own, whose
         rate differs from that of the others by up to ``DRIFT_SHARE``.
     :param scheduling: ``Scheduling`` of all entries.
+    :param longest_hold: Longest lease of the workers, in seconds.
     """
 
     def __init__(
@@ -450,7 +452,9 @@
         has_operator=False,
         is_drifting=False,
         scheduling=NO_DECISIONS_UNDER_LOAD,
+        longest_hold=LONGEST_HOLD_SECONDS,
     ):
+        self.grant_seconds = get_grant_seconds(longest_hold)
         self.clock = clock
         self.scheduling = scheduling
         self.random = random.Random(seed)
@@ -473,6 +477,8 @@
             f"node-{index}": RunnerStandIn(clock, f"worker-{index}", self.ledger)
             for index in range(nodes)
         }
+        for runner in self.runner_by_node.values():
+            runner.longest_hold = longest_hold
         if is_drifting:
             for runner in self.runner_by_node.values():
                 runner.drift = self._draw_drift()
@@ -845,6 +851,7 @@
         for runner in self.runner_by_node.values():
             runner.is_cut = False
             runner.faults, runner.stop_faults = [], []
+            runner.renewal_faults = []
             runner.run_late()
         for name in self.entry_names:
             if name not in self.entry_by_name:
--- /dev/null
+++ b/tests/site/test_former_calls.py
@@ -0,0 +1,122 @@
+"""Calls that were meant for a former life of a worker, and answers of that life.
+
+A worker that restarts under its name takes what was meant for its former life, also
+seconds later; its fence, its clock and its numbers start anew.
+"""
+
+import pytest
+
+from bergamotshore.core.work.model import Step
+from tests.site.simulation import STEP_SECONDS, Simulation
+
+# Each task takes a whole worker.
+WHOLE = Step(tasks=1, cpu=16000, memory=100)
+LONGEST_HOLD_SECONDS = 10.0
+# Time after which a lease that its node may not extend has lapsed, in seconds.
+USUAL_LAPSE_SECONDS = 6.4
+# Time by which runs are placed again after the longest lease has lapsed, in seconds.
+LATEST_SECONDS = LONGEST_HOLD_SECONDS * 1.06 + 1.5
+
+
+@pytest.fixture
+def site(clock):
+    """Return a site whose workers accept leases that last longer than grants."""
+    simulation = Simulation(clock, nodes=2, longest_hold=LONGEST_HOLD_SECONDS)
+    simulation.advance(20.0)
+    return simulation
+
+
+def restart_with_long_lease(site):
+    """Restart a worker that takes a renewal for its former life.
+
+    :returns: Its node; a task of ``job`` runs on it.
+    """
+    site.submit("job", (WHOLE,))
+    site.advance(1.0)
+    site.submit("other", (WHOLE,))
+    site.advance(1.0)
+    node, runner = find_running(site, "job.0.0.0")
+    runner.renewal_faults = ["late"]
+    site.advance(STEP_SECONDS)
+    runner.restart()
+    runner.run_late()
+    assert runner.lease_end_ms > 1000 * (LONGEST_HOLD_SECONDS - STEP_SECONDS)
+    site.advance(1.0)
+    assert "job.0.0.0" in runner.run_by_task
+    # Room for the task, were it lost.
+    find_running(site, "other.0.0.0")[1].finish("other.0.0.0", "done")
+    site.advance(0.5)
+    return node
+
+
+def find_running(site, task):
+    """Return node and worker of a running task."""
+    return next(
+        (node, runner)
+        for node, runner in site.runner_by_node.items()
+        if task in runner.run_by_task
+    )
+
+
+def kill_scheduling_entry(site):
+    name = site.leader.name
+    site.kill_entry(name)
+    site.advance(STEP_SECONDS)
+    site.start_entry(name)
+
+
+def end_nothing(site):
+    """Let all entries go on."""
+
+
+# Guards against running a completed task again: a worker that had restarted was cut off
+# from its node, which counted the usual lease as over; the worker held a longer one,
+# taken from a call to its former life, so its end still counted later.
+@pytest.mark.parametrize("disturb", [end_nothing, kill_scheduling_entry])
+def test_task_is_not_repeated_before_a_lease_by_a_call_to_the_former_life_is_over(
+    site, disturb
+):
+    node = restart_with_long_lease(site)
+    runner = site.runner_by_node[node]
+    runner.is_cut = True
+    disturb(site)
+    site.advance(2.0)
+    runner.finish("job.0.0.0", "done")
+    site.advance(USUAL_LAPSE_SECONDS - 2.0)
+    runner.is_cut = False
+    site.advance(2.0)
+    assert site.get_state("job") == "done"
+    assert site.ledger.problems == []
+
+
+# Guards against waiting for a long lease though nothing can have taken one.
+def test_runs_of_a_worker_that_never_restarted_wait_for_the_usual_lease(site):
+    site.submit("job", (WHOLE,))
+    site.advance(LONGEST_HOLD_SECONDS + 1.0)
+    node, runner = find_running(site, "job.0.0.0")
+    runner.is_cut = True
+    site.advance(USUAL_LAPSE_SECONDS + 1.0)
+    assert find_running(site, "job.0.0.0")[0] != node
+
+
+# Guards against an end of a life that is taken for a repeated one of the life before: a
+# scheduling entry that takes over reads the stored end of the former one.
+@pytest.mark.parametrize("disturb", [end_nothing, kill_scheduling_entry])
+def test_ends_of_two_lives_with_the_same_number_both_count(site, disturb):
+    steps = (WHOLE, Step(tasks=1, cpu=16000, memory=100, after=(0,)))
+    site.submit("job", steps)
+    site.advance(1.0)
+    for runner in site.runner_by_node.values():
+        runner.is_draining = "job.0.0.0" not in runner.run_by_task
+    node, runner = find_running(site, "job.0.0.0")
+    runner.finish("job.0.0.0", "done")
+    site.advance(STEP_SECONDS)
+    runner.restart()
+    disturb(site)
+    site.advance(6.0)
+    assert runner.run_by_task.keys() == {"job.0.1.0"}
+    runner.finish("job.0.1.0", "done")
+    site.advance(1.0)
+    assert site.get_state("job") == "done"
+    assert [task for task, _, _ in site.ledger.starts].count("job.0.0.0") == 1
+    assert site.ledger.problems == []
--- a/tests/site/test_ledger_checks.py
+++ b/tests/site/test_ledger_checks.py
@@ -9,7 +9,7 @@
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.platform.operator import encode_wave_status, get_wave_status_id
 from bergamotshore.ports.rows import Put
-from bergamotshore.ports.runner import RunOrder
+from bergamotshore.ports.runner import Acknowledgement, RunOrder
 from standins.ledger import (
     CANCEL_SECONDS,
     CONTACT_SECONDS,
@@ -23,6 +23,7 @@
 from standins.machines import MachinesStandIn
 from standins.site import (
     CRASH_SECONDS,
+    LONGEST_HOLD_SECONDS,
     REDUCTION_NOTICE_SECONDS,
     SERVICE,
     Capacity,
@@ -60,7 +61,8 @@
 
 def start(runner, number, task=TASK, payload="", checkpoint=""):
     order = RunOrder(task, number, payload, checkpoint, "")
-    return runner.start(order, runner.clock_ms + 5000, 1, runner.name)
+    runner.update()
+    return runner.start(order, runner.clock_ms + 5000, 1, runner.incarnation)
 
 
 def is_refused(outcome):
@@ -379,7 +381,7 @@
 ):
     zone_runner.faults = ["late"]
     order = RunOrder(TASK, 1, "", "", "")
-    zone_runner.start(order, zone_runner.clock_ms + 6000, 1, zone_runner.name)
+    zone_runner.start(order, zone_runner.clock_ms + 6000, 1, zone_runner.incarnation)
     prohibit(ledger, zone_runner)
     clock.advance(seconds + 0.1)
     zone_runner.run_late()
@@ -559,3 +561,44 @@
     assert bool(ledger.live) != is_stopped_at_once
     runner.run_late()
     assert bool(ledger.live) != is_stopped_later
+
+
+# A run that has ended as done counts from then on, also if its end is acknowledged only
+# after another start of its task.
+@pytest.mark.parametrize(
+    ("fields", "is_reported"),
+    [({}, True), ({"is_speculative": True}, False), ({"is_lasting": True}, False)],
+)
+def test_start_between_an_end_as_done_and_its_acknowledgement_is_reported(
+    clock, ledger, runner, fields, is_reported
+):
+    record_job(ledger, Step(tasks=2, cpu=4000, memory=100, **fields))
+    start(runner, 1)
+    runner.finish(TASK, "done")
+    start(RunnerStandIn(clock, "worker-1", ledger), 2)
+    runner.renew_lease(None, 1, Acknowledgement(runner.born, 1), 0)
+    assert bool(ledger.problems) == is_reported
+
+
+# The end of a run whose lease has lapsed before it was acknowledged doesn't count.
+def test_start_after_an_end_that_lapsed_is_allowed(clock, ledger, runner):
+    record_job(ledger)
+    start(runner, 1)
+    runner.finish(TASK, "done")
+    clock.advance(LONGEST_HOLD_SECONDS)
+    start(RunnerStandIn(clock, "worker-1", ledger), 2)
+    runner.renew_lease(None, 1, Acknowledgement(runner.born, 1), 0)
+    assert ledger.problems == []
+
+
+# Calls without an answer are carried out late by whatever life of the worker is there.
+def test_late_calls_reach_the_next_life(ledger, runner):
+    record_job(ledger)
+    runner.faults, runner.renewal_faults = ["late"], ["late"]
+    start(runner, 1)
+    longest_ms = runner.clock_ms + 1000 * 60
+    runner.renew_lease(longest_ms, 1, Acknowledgement(runner.born, 0), 0)
+    runner.restart()
+    runner.run_late()
+    assert runner.run_by_task == {TASK: 1}
+    assert runner.lease_end_ms == runner.clock_ms + 1000 * LONGEST_HOLD_SECONDS
--- a/tests/site/test_new_life.py
+++ b/tests/site/test_new_life.py
@@ -26,7 +26,7 @@
     runner.restart()
     simulation.submit("second", TASK)
     order = RunOrder("second.0.0.0", 1, "payload", "")
-    runner.start(order, runner.clock_ms + 5000, 1, runner.name)
+    runner.start(order, runner.clock_ms + 5000, 1, runner.incarnation)
     runner.finish("second.0.0.0", "done")
     run_manager.hold()
     assert "second.0.0.0" not in simulation.ledger.acknowledged_done
--- a/tests/site/test_promises.py
+++ b/tests/site/test_promises.py
@@ -239,9 +239,7 @@
     simulation.submit("job1")
     simulation.advance(0.1)
     runner = next(r for r in simulation.runner_by_node.values() if r.late)
-    late, runner.late = runner.late, []
     runner.restart()
-    runner.late = [(*call[:3], runner.born) for call in late]
     simulation.advance(0.5)
     runner.run_late()
     simulation.advance(1.0)
--- a/tests/site/test_timeliness.py
+++ b/tests/site/test_timeliness.py
@@ -45,7 +45,7 @@
     def start(self, task, number=1, runner=0):
         worker = self.runners[runner]
         order = RunOrder(task, number, "", "", "")
-        worker.start(order, worker.clock_ms + 3_600_000, 1, worker.name)
+        worker.start(order, worker.clock_ms + 3_600_000, 1, worker.incarnation)
         worker.lease_end_ms += 3_600_000
 
     def advance(self, seconds):
--- a/tests/site/test_worker_size.py
+++ b/tests/site/test_worker_size.py
@@ -198,6 +198,7 @@
     return RunManager(
         RunnerStandIn(clock, "worker-0", Ledger()),
         RenewalGrant(GRANT_SECONDS),
+        LONGEST_HOLD_SECONDS,
         clock,
         lambda: changes.append(True),
         lambda *result: None,
--- a/tests/test_odd_content.py
+++ b/tests/test_odd_content.py
@@ -166,6 +166,9 @@
     def call(self, *arguments, **options):
         return self._answer
 
+    def is_open(self, number):
+        return True
+
 
 def build_runner(status, body):
     runner = PlatformRunner("127.0.0.1:1", 1.0)
@@ -173,6 +176,15 @@
     return runner
 
 
+def start_run(status, body):
+    """Start a run on an incarnation that has been confirmed."""
+    runner = build_runner(200, encode_json(LISTING))
+    incarnation = WorkerIncarnation("w", LISTING["born"])
+    assert isinstance(runner.confirm(incarnation.started_ms, 1), Success)
+    runner._client = FixedClient(status, body)
+    return runner.start(RunOrder("t", 1, ""), 1, 1, incarnation)
+
+
 def ask_advice(body):
     client = AdviceClient("127.0.0.1:1", 1.0)
     client._client = FixedClient(200, body)
@@ -236,7 +248,7 @@
     ),
     "accepted order": (
         {"clock_ms": 1, "born": 1},
-        lambda body: build_runner(200, body).start(RunOrder("t", 1, ""), 1, 1, "w"),
+        lambda body: start_run(200, body),
     ),
     "refused order": (
         {"clock_ms": 1, "reason": "fence"},
--- a/tests/test_soak_judges.py
+++ b/tests/test_soak_judges.py
@@ -98,7 +98,8 @@
 
     def start_task(self):
         order = RunOrder(f"{JOB}.0.0.0", 1, "", "", "")
-        self.worker.start(order, self.worker.clock_ms + 3_600_000, 1, "worker-0")
+        lease_end_ms = self.worker.clock_ms + 3_600_000
+        self.worker.start(order, lease_end_ms, 1, self.worker.incarnation)
 
     def advance(self, seconds):
         until = self.clock.now() + seconds
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -59,9 +59,12 @@
 
 
 def call(worker, runner, task):
-    """Send an order to start a task."""
+    """Send an order to start a task to the present incarnation."""
     lease_end_ms = worker.runner.clock_ms + 5000
-    return runner.start(RunOrder(task, 1, "", "", ""), lease_end_ms, 1, "worker-0")
+    order, incarnation = RunOrder(task, 1, "", "", ""), worker.runner.incarnation
+    return runner.confirm(incarnation.started_ms, 1).bind(
+        lambda _: runner.start(order, lease_end_ms, 1, incarnation)
+    )
 
 
 def is_refused(outcome):
