Let entries wait for leases that a worker took from calls to its former life

A worker that restarts may hold its longest lease by a call to the life before. Its node counts that, but the scheduling entry placed the runs of a silent node again after the usual lease, and of one whose process had restarted once that process found its own count over.

Nodes report how long such a lease may last; each change of life goes to all entries. Entries pass on what a node told them, so that one that starts later and takes over knows it too. What stays open: node and all entries that it told are lost together.

New tests fail before: a lost node (with and without another term), a restarted node; without passing on, the lost node with another term.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -509,8 +509,10 @@
         }
         self._record_crash(worker, lost_by_key, now)
         if not report.born:
-            # A node that restarted tells only that its worker's leases have expired.
-            self._release_worker(worker, "worker-lapsed", now)
+            # A node that restarted tells only that its worker's leases have expired,
+            # and doesn't know of those that its former process has told of.
+            if report.is_gone or now > self.directory.leases.get_end(worker.node):
+                self._release_worker(worker, "worker-lapsed", now)
             return
         if worker.stream is not stream:
             worker.stream = stream
@@ -614,7 +616,9 @@
                 (self.election.last_echo_at, "echoes"),
                 (last_heard, "node"),
             )
-            if worker.allocation_by_key and now - heard_at > lapse_seconds:
+            lease_until = self.directory.leases.get_end(worker.node)
+            is_lapsed = now > max(heard_at + lapse_seconds, lease_until)
+            if worker.allocation_by_key and is_lapsed:
                 self.log.write(
                     "node-silent", worker.node, counted=counted, seconds=now - heard_at
                 )
--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -182,6 +182,7 @@
     :param clock: ``Clock``.
     :param cancellations: ``RecentCancellations`` that are announced to the peers.
     :param worker_ends: ``WorkerEnds`` that are passed on to the peers.
+    :param worker_leases: ``WorkerLeases`` that are passed on to the peers.
     :param on_heartbeat: Called with the peer and each heartbeat that it sends.
     :param describe_terms: Function that returns the fields of a heartbeat to a peer
         that tell of the terms of scheduling entries.
@@ -200,6 +201,7 @@
         clock,
         cancellations,
         worker_ends,
+        worker_leases,
         on_heartbeat,
         describe_terms,
         encode_backlog=lambda: b"",
@@ -207,6 +209,7 @@
         self._encode_backlog = encode_backlog
         self._cancellations = cancellations
         self._worker_ends = worker_ends
+        self._worker_leases = worker_leases
         self._on_heartbeat = on_heartbeat
         self._describe_terms = describe_terms
         self._direct = direct
@@ -345,6 +348,7 @@
             echo=stream.peer_clock,
             cancelled=self._cancellations.list_announced(),
             worker_ends=self._worker_ends.list_announced(),
+            worker_leases=self._worker_leases.list_announced(),
             backlog=self._encode_backlog(),
             **(self._describe_terms(stream.peer) if stream.peer is not None else {}),
         )
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -209,6 +209,7 @@
             self.clock,
             self.cancellations,
             self.directory.ends,
+            self.directory.leases,
             self._handle_entry_heartbeat,
             self._describe_terms,
             self.admission.encode,
@@ -424,6 +425,8 @@
         self.admission.record_told(heartbeat.backlog, heartbeat.echo)
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
+        for node, remaining in heartbeat.worker_leases:
+            self.directory.leases.record_passed_on(node, remaining)
         for end in heartbeat.worker_ends:
             if self.directory.ends.record_passed_on(end):
                 self.log.write(
@@ -466,6 +469,7 @@
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
+            worker_leases=self.directory.leases.list_announced() if is_entry else [],
             backlog=self.admission.encode() if is_entry else b"",
             **(self._describe_terms(stream.peer) if is_entry else {}),
         )
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -5,6 +5,7 @@
 
 from bergamotshore.core.work.crashes import LostRun
 from bergamotshore.entry.workerends import WorkerEnds
+from bergamotshore.entry.workerleases import WorkerLeases
 
 # Nodes send a heartbeat every 0.5 s. One that was silent for longer was away, in
 # seconds.
@@ -94,7 +95,8 @@
     :param send_heartbeat: Called with a stream to send a heartbeat, which names the
         scheduling entry.
 
-    ``ends`` are the ends of workers that this entry was told of.
+    ``ends`` are the ends of workers that this entry was told of, and ``leases`` those
+    of their leases that do not end with the renewal grant.
     """
 
     def __init__(self, clock, send_heartbeat):
@@ -104,6 +106,7 @@
         self._stream_by_node = {}
         self._last_heartbeat_at_by_node = {}
         self.ends = WorkerEnds(clock)
+        self.leases = WorkerLeases(clock)
         self._contact_by_node = {}
 
     def open(self, stream):
@@ -164,6 +167,7 @@
                 (task, number): LostRun(seconds, contact.was_away(now - ago))
                 for task, number, seconds, ago in report.lost
             }
+        self.leases.record_report(node, report.lease_remaining)
         if report.born or not report.is_gone:
             return self.ends.record_report(node, report.born, report.is_gone)
         # A report on a former stream may be older than the last answer of the worker.
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -656,6 +656,7 @@
             has_missed_end=self._has_missed_end,
             is_complete=self._is_list_complete,
             lost=self._lost_runs.list_recent(now),
+            lease_remaining=self._lease.get_remaining_of_former_calls(now),
         )
 
 
--- a/src/bergamotshore/node/workerlease.py
+++ b/src/bergamotshore/node/workerlease.py
@@ -41,6 +41,7 @@
         self._grant = grant
         self._longest = longest
         self._clock_reading = None
+        self._former_calls_expire_at = -math.inf
         self._answered_at = now
         self._expires_at = now + get_lease_expiry_seconds(grant.duration)
 
@@ -56,8 +57,17 @@
         its clock, their ends may lie far ahead, and it cuts them to its longest lease.
         """
         self._clock_reading = None
-        expires_at = now + self._longest * (1.0 + 2 * DRIFT_SHARE)
-        self._expires_at = max(self._expires_at, expires_at)
+        self._former_calls_expire_at = now + self._longest * (1.0 + 2 * DRIFT_SHARE)
+        self._expires_at = max(self._expires_at, self._former_calls_expire_at)
+
+    def get_remaining_of_former_calls(self, now):
+        """Return how long a lease may last by calls to a former incarnation.
+
+        Such a lease does not end with the renewal grant.
+
+        :returns: Seconds.
+        """
+        return max(0.0, self._former_calls_expire_at - now)
 
     def extend(self, now):
         """Return the ``Extension`` for a call that is about to be sent."""
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -89,6 +89,32 @@
     assert site.ledger.problems == []
 
 
+# Guards against the same where the node itself is lost, so that only the entries know
+# of the lease, one that takes over in between included.
+@pytest.mark.parametrize("disturb", [end_nothing, kill_scheduling_entry])
+def test_entries_wait_for_a_lease_by_a_call_to_the_former_life_of_a_lost_node(
+    site, disturb
+):
+    node = restart_with_long_lease(site)
+    site.kill_node(node)
+    disturb(site)
+    site.advance(LATEST_SECONDS)
+    runner = site.runner_by_node[node]
+    assert find_running(site, "job.0.0.0")[1] is not runner
+    assert site.ledger.problems == []
+
+
+# Guards against the same where the node restarts while the worker is cut off, so that
+# its new process doesn't know of the lease.
+def test_restarted_node_does_not_end_a_lease_by_a_call_to_the_former_life(site):
+    node = restart_with_long_lease(site)
+    site.runner_by_node[node].is_cut = True
+    site.advance(STEP_SECONDS)
+    site.start_node(node)
+    site.advance(LATEST_SECONDS)
+    assert site.ledger.problems == []
+
+
 # Guards against waiting for a long lease though nothing can have taken one.
 def test_runs_of_a_worker_that_never_restarted_wait_for_the_usual_lease(site):
     site.submit("job", (WHOLE,))
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -8,6 +8,7 @@
 from bergamotshore.entry.cancellations import RecentCancellations
 from bergamotshore.entry.relay import PEER_BACKOFF_SECONDS, StoreRelay
 from bergamotshore.entry.workerends import WorkerEnds
+from bergamotshore.entry.workerleases import WorkerLeases
 from bergamotshore.generated.messages import Heartbeat, StoreAnswer
 from bergamotshore.timeline.recorder import LamportClock
 from tests.fakes import FakeStream
@@ -32,6 +33,7 @@
         clock,
         RecentCancellations(clock),
         WorkerEnds(clock),
+        WorkerLeases(clock),
         lambda peer, heartbeat: announced.extend(heartbeat.cancelled),
         lambda peer: {"superseded_epoch": 7, "permits_echo": peer.name == "permitted"},
     )
