Tell no list of the former life as that of the next one

When a worker has restarted, its node switched to the new life and applied the first list of it in two steps. A report built in between, for another thread, told the runs and ends of the life before as those of the new one: the scheduling entry would have moved runs to it and acknowledged its ends by the numbers of others.

Both are emptied with the switch, and the report says that it is incomplete. The new test builds a report at each release of the lock, and fails before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -554,6 +554,10 @@
                 self._has_seen_end = bool(self.incarnation)
                 self.incarnation = listing.started_ms
                 self._candidate_incarnation = None
+                # A report that is built before the new list is applied must not tell
+                # the former one as that of this incarnation.
+                self.running, self.ended = [], []
+                self._is_list_complete = False
                 self._lease.record_incarnation(self.clock.now())
                 self._started_at_by_key.clear()
                 if (
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -5,8 +5,20 @@
 """
 
 import pytest
+from returns.result import Success
 
+from bergamotshore.core.work.leases import RenewalGrant
 from bergamotshore.core.work.model import Step
+from bergamotshore.metrics.registry import Registry
+from bergamotshore.node.runs import RunManager
+from bergamotshore.ports.runner import (
+    ListedCompletion,
+    ListedRun,
+    WorkerListing,
+)
+from bergamotshore.utils.eventlog import EventLog
+from standins.ledger import Ledger
+from standins.site import RunnerStandIn
 from tests.site.simulation import STEP_SECONDS, Simulation
 
 # Each task takes a whole worker.
@@ -146,3 +158,81 @@
     assert site.get_state("job") == "done"
     assert [task for task, _, _ in site.ledger.starts].count("job.0.0.0") == 1
     assert site.ledger.problems == []
+
+
+class ReportingLock:
+    """Lock that builds a report each time it is released, as another thread may do."""
+
+    def __init__(self):
+        self.run_manager = None
+        self.reports = []
+        self._is_reporting = False
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        if not self._is_reporting:
+            self._is_reporting = True
+            self.reports.append(self.run_manager.build_report(1))
+            self._is_reporting = False
+
+
+@pytest.fixture
+def runner(clock):
+    return RunnerStandIn(clock, "worker-0", Ledger())
+
+
+@pytest.fixture
+def results():
+    return []
+
+
+@pytest.fixture
+def grant(clock):
+    grant = RenewalGrant(5.5)
+    grant.record_echo(1, clock.now())
+    return grant
+
+
+@pytest.fixture
+def run_manager(clock, runner, grant, results):
+    """Return a ``RunManager`` whose worker has answered."""
+    run_manager = RunManager(
+        runner,
+        grant,
+        LONGEST_HOLD_SECONDS,
+        clock,
+        lambda: None,
+        lambda *result: results.append(result),
+        Registry(),
+        EventLog(clock, emit=lambda line: None),
+    )
+    for _ in range(3):
+        run_manager.hold()
+    return run_manager
+
+
+def build_listing(started_ms, running=(), ended=()):
+    return Success(WorkerListing(1, started_ms, list(running), list(ended), True))
+
+
+# Guards against runs and ends of a life that are reported as those of the next: its
+# ends were then acknowledged by numbers that the next one gives to others.
+def test_no_report_tells_the_list_of_the_former_life_as_that_of_the_next(
+    run_manager, runner
+):
+    former, current = runner.born, runner.born + 1
+    ended = ListedCompletion(7, "job.0.0.0", 1, "done", "")
+    listed = build_listing(former, [ListedRun("job.0.0.1", 1, "", 0, 0.0)], [ended])
+    runner.renew_lease = lambda *_: listed
+    run_manager.hold()
+    lock = run_manager._lock = ReportingLock()
+    lock.run_manager = run_manager
+    runner.renew_lease = lambda *_: build_listing(current)
+    for _ in range(3):
+        run_manager.hold()
+    reports = [report for report in lock.reports if report.born == current]
+    assert reports
+    assert not any(report.running or report.ended for report in reports)
+    assert not reports[0].is_complete
