Acknowledge ends only until the worker has discarded them

Each renewal repeated the last acknowledged number for ever, so that any renewal without an answer, carried out late by the next life of the worker, could acknowledge an end that nobody had seen: its task ran again after it was done.

A renewal names a number only while the worker still lists an end up to it. The new test fails before (late start, end and late renewal in the unfenced life). What stays open: the one renewal that carries a fresh number.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -392,7 +392,7 @@
         with self._lock:
             fence = self._fence
             extension = self._lease.extend(sent_at) if is_confirmed else Extension()
-            acknowledgement = Acknowledgement(self.incarnation, self.acknowledged)
+            acknowledgement = self._build_acknowledgement()
         # Unless the incarnation is confirmed, the lease is extended by the next call.
         wait_ms = HOLD_WAIT_MS if self.is_answering and is_confirmed else 0
         outcome = self.runner.renew_lease(
@@ -416,6 +416,16 @@
                 self._record_failure(failure, sent_at)
                 return RETRY_SECONDS
 
+    def _build_acknowledgement(self):
+        """Return the ``Acknowledgement`` to send.
+
+        It names nothing that the worker has discarded already: a call may be carried
+        out late, by an incarnation whose completions have the same numbers.
+        """
+        acknowledged = self.acknowledged
+        is_due = any(end.sequence <= acknowledged for end in self.ended)
+        return Acknowledgement(self.incarnation, acknowledged if is_due else 0)
+
     def record_farewell(self, worker):
         """Record that the worker takes leave, which proves nothing by itself."""
         self.log.write("worker-left", worker)
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -137,6 +137,37 @@
     assert find_running(site, "job.0.0.0")[0] != node
 
 
+# Guards against repeating a completed task: a call to the former life that is carried
+# out late acknowledged an end that nobody had seen, as both have the same number.
+def test_late_call_to_the_former_life_acknowledges_no_end_of_the_next(site):
+    site.submit("first", (WHOLE,))
+    site.advance(1.0)
+    node, runner = find_running(site, "first.0.0.0")
+    runner.finish("first.0.0.0", "done")
+    site.advance(1.0)
+    runner.renewal_faults = ["late"]
+    site.advance(STEP_SECONDS)
+    late, runner.late_renewals = runner.late_renewals, []
+    for other in site.runner_by_node.values():
+        other.faults = ["late"] * (other is runner)
+        other.is_draining = other is not runner
+    site.advance(STEP_SECONDS)
+    site.submit("second", (WHOLE,))
+    while not runner.late:
+        site.advance(STEP_SECONDS)
+    runner.restart()
+    runner.run_late()
+    runner.finish("second.0.0.0", "done")
+    runner.late_renewals = late
+    runner.run_late()
+    for other in site.runner_by_node.values():
+        other.is_draining = False
+    site.advance(3.0)
+    assert site.get_state("second") == "done"
+    assert len(site.ledger.starts) == 2
+    assert site.ledger.problems == []
+
+
 # Guards against an end of a life that is taken for a repeated one of the life before: a
 # scheduling entry that takes over reads the stored end of the former one.
 @pytest.mark.parametrize("disturb", [end_nothing, kill_scheduling_entry])
