Start nothing on a life once a later one has answered

Between the first answer of the next life and its second one, a start for the life before went out under the fence that was just raised at the next one, which accepts it late. And a start that the life before had confirmed was told as started after the switch, as a run of the next life.

Such starts are refused as for another life, and such results told so. Both new tests fail before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -193,6 +193,11 @@
             starts.append((self._call_start, order, orders))
         return calls, starts
 
+    @property
+    def _has_successor(self):
+        """Return whether a later incarnation has answered, which isn't fenced yet."""
+        return self._candidate_incarnation not in (None, self.incarnation)
+
     @property
     def acknowledged(self):
         """Return the highest completion that the current incarnation may discard."""
@@ -255,7 +260,8 @@
     def _find_refusal_reason(self, orders, now):
         if now - orders.echo > MAX_ORDER_AGE_SECONDS:
             return "stale-order"
-        if orders.born != self.incarnation or not self.is_answering:
+        is_current = orders.born == self.incarnation and not self._has_successor
+        if not is_current or not self.is_answering:
             return "other-life"
         if self.grant.get_remaining(now) < MIN_LEASE_SECONDS:
             return "no-right"
@@ -311,7 +317,9 @@
             self._resolve(key, "job-cancelled")
             return
         with self._lock:
-            is_current = orders.born == self.incarnation
+            # A start under the fence that is raised at a successor would be accepted
+            # there.
+            is_current = orders.born == self.incarnation and not self._has_successor
             fence = self._fence
             extension = self._lease.extend(now) if is_current else Extension()
             is_allowed = extension.end_ms is not None
@@ -329,7 +337,7 @@
         match outcome:
             case Success(_):
                 self._speed_limits.send(key)
-                self._resolve(key, "started")
+                self._resolve(key, "started", orders.born)
             case Failure(RunRejected(reason=reason)):
                 self._resolve(key, reason)
             case Failure(WorkerFailure(is_certain=True)):
@@ -355,10 +363,17 @@
         with self._lock:
             self._fence = max(self._fence, fence + 1)
 
-    def _resolve(self, key, outcome):
+    def _resolve(self, key, outcome, born=0):
+        """Report the outcome of an order unless it is known already.
+
+        :param born: Start time of the incarnation that has started the run, in ms.
+        """
         with self._lock:
             if self._unresolved_by_key.pop(key, None) is None:
                 return
+            if outcome == "started" and born != self.incarnation:
+                # The worker has restarted since, so the run is over.
+                outcome = "other-life"
             if outcome == "started":
                 now = self._started_at_by_key[key] = self.clock.now()
                 self._lost_runs.record_started(key, now)
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -9,6 +9,7 @@
 
 from bergamotshore.core.work.leases import RenewalGrant
 from bergamotshore.core.work.model import Step
+from bergamotshore.generated.messages import RunOrders
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
 from bergamotshore.ports.runner import (
@@ -248,6 +249,23 @@
     return Success(WorkerListing(1, started_ms, list(running), list(ended), True))
 
 
+def order_start(run_manager):
+    """Return the call that executes an order for the present life."""
+    _, [(call, *arguments)] = run_manager.accept_orders(
+        RunOrders(
+            epoch=1,
+            echo=run_manager.clock.now(),
+            born=run_manager.incarnation,
+            starts=[("job.0.0.0", 1, "", "")],
+            payload_by_job={"job": "payload"},
+            stops=[],
+            paces=[],
+            acknowledged=0,
+        )
+    )
+    return lambda: call(*arguments)
+
+
 # Guards against runs and ends of a life that are reported as those of the next: its
 # ends were then acknowledged by numbers that the next one gives to others.
 def test_no_report_tells_the_list_of_the_former_life_as_that_of_the_next(
@@ -267,3 +285,41 @@
     assert reports
     assert not any(report.running or report.ended for report in reports)
     assert not reports[0].is_complete
+
+
+# Guards against a start that the next life accepts: it was sent under the fence that
+# had just been raised there.
+def test_no_start_is_sent_to_a_life_once_a_later_one_has_answered(
+    run_manager, runner, results
+):
+    sent = []
+    runner.start = lambda *arguments: sent.append(arguments)
+    start = order_start(run_manager)
+    runner.restart()
+    run_manager.hold()
+    runner.confirm = lambda *_: Success(None)
+    start()
+    assert sent == []
+    assert results == [("job.0.0.0", 1, "other-life")]
+
+
+# Guards against a run that is told as started on a life that never had it.
+def test_start_that_the_former_life_confirmed_is_not_told_of_the_next(
+    run_manager, runner, results
+):
+    start = order_start(run_manager)
+    start_at_worker = runner.start
+
+    def restart_after_start(*arguments):
+        outcome = start_at_worker(*arguments)
+        runner.restart()
+        for _ in range(3):
+            run_manager.hold()
+        return outcome
+
+    runner.ledger.get_crash_delay = lambda task: None
+    runner.ledger.record_start = lambda *_: None
+    runner.start = restart_after_start
+    start()
+    assert results == [("job.0.0.0", 1, "other-life")]
+    assert run_manager.build_report(1).running == []
