Take no reading of the clock from an answer that names no life

A refusal for a low fence carries the worker's clock, but not its life; its reading was used for lease ends all the same. The next list brings one that is known. The new test fails before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -417,12 +417,11 @@
             case Success(listing):
                 self._apply_listing(listing, fence, sent_at)
                 return 0.0
-            case Failure(RunRejected(reason="fence", clock_ms=clock_ms)):
+            case Failure(RunRejected(reason="fence")):
+                # The answer doesn't name the incarnation whose clock it tells.
                 with self._lock:
                     self._fence = max(self._fence, fence + FENCE_JUMP_MICROSECONDS)
                 self.log.write("fence-raised", "worker", fence=self._fence)
-                if clock_ms:
-                    self._lease.record_clock(self.clock.now(), clock_ms)
                 return 0.0
             case Failure(failure):
                 if isinstance(failure, WorkerFailure) and failure.is_certain:
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
 from bergamotshore.core.work.leases import RenewalGrant
 from bergamotshore.core.work.model import Step
@@ -15,6 +15,7 @@
 from bergamotshore.ports.runner import (
     ListedCompletion,
     ListedRun,
+    RunRejected,
     WorkerListing,
 )
 from bergamotshore.utils.eventlog import EventLog
@@ -323,3 +324,21 @@
     start()
     assert results == [("job.0.0.0", 1, "other-life")]
     assert run_manager.build_report(1).running == []
+
+
+# Guards against a lease end by the clock of another life: a refusal doesn't name it.
+def test_clock_of_an_answer_that_names_no_life_is_not_used(run_manager, runner, clock):
+    ends = []
+    renew_lease = runner.renew_lease
+
+    def record_end(lease_end_ms, *arguments):
+        ends.append(lease_end_ms)
+        return renew_lease(lease_end_ms, *arguments)
+
+    runner.renew_lease = lambda *_: Failure(RunRejected("fence", 10_000_000))
+    run_manager.hold()
+    runner.renew_lease = record_end
+    for _ in range(3):
+        run_manager.hold()
+    assert all(end is None or end < 10_000_000 for end in ends)
+    assert ends[-1] is not None
