Send the limits of runs again that the next life of a worker has

A run whose order was carried out by the next life began there at full speed, while the scheduling entry took the limit that the former life had accepted for the present one. The new test fails before.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -295,6 +295,8 @@
                 self._rebind(allocation, incarnation)
             else:
                 self.release(worker, allocation, "life-over", now)
+        # Runs that are moved to the new incarnation may not have their limits there.
+        worker.forget_limits()
         if worker.incarnation is not None:
             worker.last_recorded_sequence = 0
             worker.acknowledged = 0
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -7,8 +7,10 @@
 import pytest
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.leases import RenewalGrant
 from bergamotshore.core.work.model import Step
+from bergamotshore.core.work.presence import ReportedRuns
 from bergamotshore.generated.messages import RunOrders
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
@@ -16,12 +18,14 @@
     ListedCompletion,
     ListedRun,
     RunRejected,
+    WorkerIncarnation,
     WorkerListing,
 )
 from bergamotshore.utils.eventlog import EventLog
 from standins.ledger import Ledger
 from standins.site import RunnerStandIn
 from tests.site.simulation import STEP_SECONDS, Simulation
+from tests.site.workers import build_best_effort_step, build_worker, place_run
 
 # Each task takes a whole worker.
 WHOLE = Step(tasks=1, cpu=16000, memory=100)
@@ -342,3 +346,16 @@
         run_manager.hold()
     assert all(end is None or end < 10_000_000 for end in ends)
     assert ends[-1] is not None
+
+
+# Guards against a task that disturbs others at full speed: its order was carried out by
+# the next life, and the limit that had been accepted by the former one was not sent.
+def test_limits_of_runs_that_the_next_life_has_are_sent_again():
+    cluster = ClusterState(lambda name: None)
+    worker = cluster.worker_by_node["node-0"] = build_worker()
+    run = place_run(worker, build_best_effort_step(), "job.0.0.0")
+    run.throttle_percent = 30
+    present = ReportedRuns(frozenset([run.key]), is_complete=True)
+    cluster.record_incarnation(worker, WorkerIncarnation("worker", 2), present, 1.0)
+    assert run.key in worker.allocation_by_key
+    assert run.throttle_percent is None
