Ask for no more advice than tickets can be used, and let other steps ask

A query named up to 30 workers whatever the policy of the queue said of the time for each; where an answer takes as long as tickets are valid, no job of the queue ever ran. And since one query is in flight at a time, for the first step in order, a step whose tickets always come too late kept all others from being asked about.

A query names as many workers as the policy leaves time for, and tickets that come too late delay the next query of their step like a failure.

--- a/src/bergamotshore/core/work/advice.py
+++ b/src/bergamotshore/core/work/advice.py
@@ -26,6 +26,20 @@
     incarnation_by_node: dict
 
 
+def get_query_size(policy):
+    """Return how many workers a query may name at most.
+
+    The service works on a query for longer the more workers it names, and the answer
+    has to leave time to use its tickets.
+
+    :param policy: ``AdvicePolicy``.
+    """
+    usable = policy.ticket_seconds - 2 * TICKET_MARGIN_SECONDS - policy.decision_seconds
+    if policy.per_worker <= 0.0 or policy.per_worker * MAX_WORKERS_PER_QUERY <= usable:
+        return MAX_WORKERS_PER_QUERY
+    return max(1, int(usable / policy.per_worker))
+
+
 @dataclass(slots=True)
 class StepAdvice:
     """Answers of the advice service for one step.
@@ -65,40 +79,47 @@
         )
         return ticket if now + TICKET_MARGIN_SECONDS < expires_at else ""
 
-    def plan_query(self, step, name, workers, now):
+    def plan_query(self, step, name, workers, policy, now):
         """Return the ``AdviceQuery`` to send for a waiting step, or None.
 
         Has to be called in scheduling order.
 
         :param workers: Workers with free capacity for a task of the step, the best
             first.
+        :param policy: ``AdvicePolicy`` of its queue.
         """
         if self._query_in_flight is not None:
             return None
         advice = self._advice_by_step.setdefault(step, StepAdvice())
         if now < advice.retry_at:
             return None
+        most_workers = get_query_size(policy)
         incarnation_by_node = {}
         for worker in workers:
             is_refused = worker.incarnation.worker in advice.refused_workers
             if is_refused or self.get_ticket(step, worker.incarnation, now):
                 continue
             incarnation_by_node[worker.node] = worker.incarnation
-            if len(incarnation_by_node) >= MAX_WORKERS_PER_QUERY:
+            if len(incarnation_by_node) >= most_workers:
                 break
         if not incarnation_by_node:
             return None
         self._query_in_flight = AdviceQuery(step, name, incarnation_by_node)
         return self._query_in_flight
 
-    def record_answer(self, query, ticket_by_worker, expires_at):
+    def record_answer(self, query, ticket_by_worker, expires_at, now):
         """Store the answer to a query.
 
+        Tickets that come too late to be used delay the next query of the step like a
+        failure; otherwise no other step would ever be asked about.
+
         :param ticket_by_worker: Ticket by name of the workers that may run the step.
         :param expires_at: Time at which the tickets expire, in seconds.
         """
         self._query_in_flight = None
         advice = self._advice_by_step.setdefault(query.step, StepAdvice())
+        if ticket_by_worker and expires_at <= now + TICKET_MARGIN_SECONDS:
+            advice.retry_at = now + RETRY_SECONDS
         for incarnation in query.incarnation_by_node.values():
             ticket = ticket_by_worker.get(incarnation.worker)
             if ticket is None:
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -307,7 +307,8 @@
     fitting = [worker for worker in workers if worker.fits(item.step)]
     fitting.sort(key=lambda worker: worker.cpu_share)
     name = f"{item.progress.spec.job_id}.{item.occurrence}.{item.number}"
-    return view.cluster.advice.plan_query(item.key, name, fitting, view.now)
+    policy = view.cluster.get_queue(item.progress.spec.queue).advice
+    return view.cluster.advice.plan_query(item.key, name, fitting, policy, view.now)
 
 
 def _place_tasks(view, item, workers, starts):
--- a/src/bergamotshore/entry/advice.py
+++ b/src/bergamotshore/entry/advice.py
@@ -63,7 +63,7 @@
             case Success((ticket_by_worker, valid)):
                 valid_until = received.requested_at + valid
                 cluster.advice.record_answer(
-                    received.question, ticket_by_worker, valid_until
+                    received.question, ticket_by_worker, valid_until, self._clock.now()
                 )
                 self._log.write(
                     "advice",
--- a/tests/site/test_advice.py
+++ b/tests/site/test_advice.py
@@ -5,6 +5,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.advice import get_query_size
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.site import AdvicePolicy, SiteConfiguration
 from bergamotshore.exceptions import PlatformUnavailable
@@ -142,3 +143,76 @@
     assert states == ["done"] * jobs
     assert service.answers <= 1.1 * jobs
     assert simulation.ledger.problems == []
+
+
+def set_policy(simulation, policy):
+    site = simulation.entry_by_name["entry-0"].dispatcher.site
+    queue = replace(site.configuration.queues[0], advice=policy)
+    site.accept(SiteConfiguration(site.configuration.version + 1, (queue,), {}))
+
+
+class SlowPerWorkerService(SlowService):
+    """Service that needs most of a ticket's validity for each worker."""
+
+    def submit(self, function, *arguments):
+        question = arguments[0]
+        self._calls.append((function, arguments))
+        seconds = SLOW.decision_seconds + SLOW.per_worker * len(
+            question.incarnation_by_node
+        )
+        self._free_at = max(self._free_at, self._clock.now() + seconds)
+
+    def ask(self, step, workers):
+        self.answers += 1
+        taken = SLOW.decision_seconds + SLOW.per_worker * len(workers)
+        tickets = {worker: f"ticket of {worker}" for worker in workers}
+        return Success((tickets, max(0.0, TICKET_SECONDS - taken)))
+
+
+SLOW = AdvicePolicy(0.1, 1.2, TICKET_SECONDS)
+
+
+# Guards against jobs that never run because the service takes longer for all workers at
+# once than its tickets are valid.
+def test_a_query_names_no_more_workers_than_its_tickets_leave_time_for(
+    simulation, clock
+):
+    set_policy(simulation, SLOW)
+    dispatcher = simulation.entry_by_name["entry-0"].dispatcher
+    service = SlowPerWorkerService(clock)
+    dispatcher.questions.advisor = dispatcher.questions.calls = service
+    simulation.submit("job1", [Step(tasks=1, cpu=1, memory=1)])
+    for _ in range(60):
+        service.run_due()
+        simulation.advance(STEP_SECONDS)
+    assert [task for task, _ in simulation.running] == ["job1.0.0.0"]
+
+
+# Guards against a step whose tickets always come too late, which was asked about again
+# and again before all others.
+def test_a_step_whose_tickets_come_too_late_leaves_others_their_turn(simulation):
+    ask = simulation.advisor.ask
+
+    def ask_slowly(step, workers):
+        outcome = ask(step, workers)
+        is_first = step.startswith("job1.")
+        return outcome.map(lambda answer: (answer[0], 0.1 if is_first else answer[1]))
+
+    simulation.advisor.ask = ask_slowly
+    simulation.submit("job1", [Step(tasks=1, cpu=1, memory=1)])
+    simulation.submit("job2", [Step(tasks=1, cpu=1, memory=1)])
+    simulation.advance(2.0)
+    assert [task for task, _ in simulation.running] == ["job2.0.0.0"]
+
+
+@pytest.mark.parametrize(
+    ("policy", "size"),
+    [
+        (AdvicePolicy(0.13, 0.01, 3.0), 30),
+        (AdvicePolicy(0.1, 0.2, 3.0), 8),
+        (AdvicePolicy(5.0, 0.2, 3.0), 1),
+        (AdvicePolicy(5.0, 0.0, 3.0), 30),
+    ],
+)
+def test_size_of_a_query_by_policy(policy, size):
+    assert get_query_size(policy) == size
