Know where a new connection leads by the next renewal, without asking

A start on a new connection asked the worker first which life answers.

A connection that was open before a call began which a life answered leads to that life, or to none any more. So a thread opens its next connection as soon as a start has got no answer, and the next renewal tells where it leads. Two new tests, one for what the answer doesn't prove.

--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -99,15 +99,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class IdentifiedConnection:
-    """Connection on which the worker has named its incarnation.
+class NamedIncarnation:
+    """An answer in which the worker has named its incarnation.
 
-    :param number: Number of the connection.
     :param started_ms: Start time of the incarnation, in milliseconds.
+    :param connection: Number of the connection on which it was received.
+    :param called_at: When the call began, on the system's monotonic clock, in seconds.
     """
 
-    number: int
     started_ms: int
+    connection: int
+    called_at: float
 
 
 class PlatformRunner:
@@ -116,9 +118,11 @@
     A worker may restart under its name and address. Its next incarnation has another
     clock, numbers completions anew and may be of another size, and the platform's calls
     don't say which incarnation they are for. Starts, ends of leases and
-    acknowledgements are therefore sent only on a connection on which their incarnation
-    has answered before, as a connection ends with the process that accepted it.
-    Connections belong to threads, and so does what is known of them.
+    acknowledgements are therefore sent only on a connection that leads to their
+    incarnation, as it ends with the process that accepted it: the incarnation has
+    answered on it, or to a call that any thread began once it was open.
+
+    Connections belong to threads.
 
     :param address: Address of the worker as host:port.
     :param timeout: Timeout of one call, in seconds.
@@ -128,15 +132,23 @@
         self._client = HttpClient(address, timeout)
         self._timeout = timeout
         self._local = threading.local()
+        self._last_named = None
 
     def is_confirmed(self, started_ms):
         """Return whether a connection to an incarnation is open; see the port."""
-        identified = self._get_identified()
-        return (
-            identified is not None
-            and identified.started_ms == started_ms
-            and self._client.is_open(identified.number)
-        )
+        return self._find_connection(started_ms) is not None
+
+    def _find_connection(self, started_ms):
+        """Return the number of the connection to an incarnation; None without one."""
+        connection = self._client.get_connection()
+        if connection is None:
+            return None
+        named = getattr(self._local, "named", None)
+        if named is None or named.connection != connection.number:
+            named = self._last_named
+            if named is None or named.called_at <= connection.opened_at:
+                return None
+        return connection.number if named.started_ms == started_ms else None
 
     def confirm(self, started_ms, fence):
         """Ask the worker for its incarnation if necessary; see the port."""
@@ -153,7 +165,8 @@
 
     def start(self, order, lease_end_ms, fence, incarnation):
         """Start a run; see the port."""
-        if not self.is_confirmed(incarnation.started_ms):
+        connection = self._find_connection(incarnation.started_ms)
+        if connection is None:
             return Failure(WorkerFailure("incarnation not confirmed", is_certain=True))
         request = {
             "task": order.task,
@@ -167,8 +180,11 @@
         if order.ticket:
             request["ticket"] = order.ticket
         headers = {"X-Expect-Instance": incarnation.worker}
-        number = self._get_identified().number
-        return self._send_order("/run-start", request, headers, number)
+        outcome = self._send_order("/run-start", request, headers, connection)
+        # A new connection is known to lead to the incarnation once it has answered the
+        # next renewal, so that the next start of this thread need not ask.
+        self._client.connect(CONNECT_SECONDS)
+        return outcome
 
     def stop(self, task, number, fence):
         """Stop a run; see the port."""
@@ -183,13 +199,13 @@
 
     def renew_lease(self, lease_end_ms, fence, acknowledgement, wait_ms):
         """Extend the lease and return the listing of runs; see the port."""
-        if not self.is_confirmed(acknowledgement.started_ms):
+        connection = self._find_connection(acknowledgement.started_ms)
+        if connection is None:
             return self._list_runs(fence, wait_ms)
         request = {"ack_cursor": acknowledgement.sequence}
         if lease_end_ms is not None:
             request["until_ms"] = lease_end_ms
-        number = self._get_identified().number
-        answer = self._hold(request, fence, wait_ms, number)
+        answer = self._hold(request, fence, wait_ms, connection)
         if _is_connection_replaced(answer):
             return self._list_runs(fence, wait_ms)
         return self._read_listing(answer)
@@ -208,20 +224,16 @@
         return self._client.is_refusing(CONNECT_SECONDS)
 
     def _read_listing(self, answer):
-        """Decode a listing and record on which connection its incarnation answered."""
+        """Decode a listing and record which incarnation has answered where."""
         outcome = _read_answer(answer, WireListing).map(_decode_listing)
         match answer, outcome:
-            case Success(HttpAnswer(connection=number)), Success(listing):
-                identified = IdentifiedConnection(number, listing.started_ms)
-            case _:
-                identified = None
-        self._local.identified = identified
+            case Success(HttpAnswer() as http_answer), Success(listing):
+                named = NamedIncarnation(
+                    listing.started_ms, http_answer.connection, http_answer.called_at
+                )
+                self._local.named = self._last_named = named
         return outcome
 
-    def _get_identified(self):
-        """Return the ``IdentifiedConnection`` of this thread, or None."""
-        return getattr(self._local, "identified", None)
-
     def _send_order(self, path, request, headers=None, connection=None):
         answer = self._call(path, request, headers or {}, self._timeout, connection)
         return _read_answer(answer, WireAnswer).map(
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -147,6 +147,34 @@
     assert runner.is_confirmed(FORMER_MS)
 
 
+# Guards against a question before each start at a worker that leaves starts without an
+# answer: its connection is replaced at once, and the next renewal tells where it leads.
+def test_connection_that_was_open_before_a_renewal_is_confirmed_by_its_answer(worker):
+    runner = PlatformRunner(worker.address, SHORT_TIMEOUT_SECONDS)
+    incarnation = WorkerIncarnation("worker", FORMER_MS)
+    with ThreadPoolExecutor(1) as threads:
+        assert threads.submit(runner.confirm, FORMER_MS, 1).result() == Success(None)
+        worker.unanswered = 1
+        outcome = threads.submit(runner.start, ORDER, LEASE_END_MS, 1, incarnation)
+        assert not outcome.result().failure().is_certain
+        assert not threads.submit(runner.is_confirmed, FORMER_MS).result()
+        renew(runner, Acknowledgement())
+        assert threads.submit(runner.is_confirmed, FORMER_MS).result()
+
+
+# The same answer proves nothing about connections that were opened later.
+def test_connection_that_was_opened_after_a_renewal_is_not_confirmed_by_it(
+    runner, worker
+):
+    renew(runner, Acknowledgement())
+    incarnation = WorkerIncarnation("worker", FORMER_MS)
+    with ThreadPoolExecutor(1) as threads:
+        threads.submit(runner.stop, "job.0.0.0", 1, 1).result()
+        outcome = threads.submit(runner.start, ORDER, LEASE_END_MS, 1, incarnation)
+    assert outcome.result().failure().is_certain
+    assert worker.lease_ends_by_incarnation[FORMER_MS] == []
+
+
 def stop_in_each_thread(threads, runner):
     """Stop a run in every thread of a pool at once, and return the outcomes."""
     barrier = threading.Barrier(STOP_THREADS)
