Count no crash for an order that the worker's lists show as not carried out

An order without an answer counts as a run when its worker is lost, as a task may crash a worker at its start; the lists that the worker had answered since didn't matter.

They do now: a complete list that was asked for after the order, without it, shows that it had not been carried out. The new test fails before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -52,12 +52,19 @@
 
     :param fence: Fencing token of the call.
     :param is_in_flight: Whether the call to the worker has not returned.
-    :param is_sent: Whether the call has been made.
+    :param sent_at: When the call was made, in seconds; infinite before that.
+    :param was_absent: Whether the worker has listed all its runs since, without it.
     """
 
     fence: int
     is_in_flight: bool = True
-    is_sent: bool = False
+    sent_at: float = math.inf
+    was_absent: bool = False
+
+    @property
+    def may_have_run(self):
+        """Return whether the worker may have carried it out as far as is known."""
+        return self.sent_at < math.inf and not self.was_absent
 
 
 class RunManager:
@@ -323,7 +330,8 @@
             fence = self._fence
             extension = self._lease.extend(now) if is_current else Extension()
             is_allowed = extension.end_ms is not None
-            self._unresolved_by_key[key] = UnresolvedOrder(fence, is_sent=is_allowed)
+            sent_at = now if is_allowed else math.inf
+            self._unresolved_by_key[key] = UnresolvedOrder(fence, sent_at=sent_at)
             worker = (
                 self.worker_report.incarnation.worker
                 if self.worker_report is not None
@@ -529,6 +537,8 @@
             }
             for key, order in list(self._unresolved_by_key.items()):
                 is_decided = key in listed_keys or listing.is_complete
+                if is_decided and order.sent_at < sent_at:
+                    order.was_absent = key not in listed_keys
                 if not order.is_in_flight and order.fence < fence and is_decided:
                     del self._unresolved_by_key[key]
                     outcomes.append(
@@ -604,7 +614,9 @@
         has_taken_leave = now - self._farewell_at < FAREWELL_SECONDS
         if not is_draining and not has_taken_leave and self.incarnation:
             doubtful = [
-                key for key, order in self._unresolved_by_key.items() if order.is_sent
+                key
+                for key, order in self._unresolved_by_key.items()
+                if order.may_have_run
             ]
             self._lost_runs.record_end(doubtful, now)
 
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -11,6 +11,7 @@
 from bergamotshore.core.work.leases import RenewalGrant
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.presence import ReportedRuns
+from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunOrders
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.node.runs import RunManager
@@ -359,3 +360,27 @@
     cluster.record_incarnation(worker, WorkerIncarnation("worker", 2), present, 1.0)
     assert run.key in worker.allocation_by_key
     assert run.throttle_percent is None
+
+
+# Guards against a harmless job that is shown as failed: an order that the worker leaves
+# without an answer was counted as a run at each crash, though its lists showed none.
+@pytest.mark.parametrize(("lists", "is_counted"), [(0, True), (2, False)])
+def test_order_that_the_worker_has_not_carried_out_counts_no_crash(
+    run_manager, runner, clock, lists, is_counted
+):
+    start = order_start(run_manager)
+
+    def crash_without_answer(*_):
+        for _ in range(lists):
+            clock.advance(0.4)
+            run_manager.hold()
+        runner.restart()
+        for _ in range(3):
+            clock.advance(0.1)
+            run_manager.hold()
+        return Failure(WorkerFailure("no answer", is_certain=False))
+
+    runner.start = crash_without_answer
+    start()
+    lost = [key for *key, _, _ in run_manager.build_report(1).lost]
+    assert (["job.0.0.0", 1] in lost) == is_counted
