--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -7,10 +7,12 @@
 import pytest
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.advice import AdviceTracker
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.leases import RenewalGrant
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.presence import ReportedRuns
+from bergamotshore.core.work.site import AdvicePolicy
 from bergamotshore.exceptions import WorkerFailure
 from bergamotshore.generated.messages import RunOrders
 from bergamotshore.metrics.registry import Registry
@@ -31,6 +33,7 @@
 # Each task takes a whole worker.
 WHOLE = Step(tasks=1, cpu=16000, memory=100)
 LONGEST_HOLD_SECONDS = 10.0
+POLICY = AdvicePolicy(0.1, 0.01, 3.0)
 # Time after which a lease that its node may not extend has lapsed, in seconds.
 USUAL_LAPSE_SECONDS = 6.4
 # Time by which runs are placed again after the longest lease has lapsed, in seconds.
@@ -384,3 +387,68 @@
     start()
     lost = [key for *key, _, _ in run_manager.build_report(1).lost]
     assert (["job.0.0.0", 1] in lost) == is_counted
+
+
+# Guards against a second run of a task whose order the next life has carried out: the
+# stored claim still names the former life when another entry takes over.
+@pytest.mark.parametrize("disturb", [end_nothing, kill_scheduling_entry])
+def test_run_that_the_next_life_began_is_taken_over_and_not_repeated(site, disturb):
+    runner = next(iter(site.runner_by_node.values()))
+    for other in site.runner_by_node.values():
+        other.is_draining = other is not runner
+    site.advance(STEP_SECONDS)
+    start_at_worker = runner.start
+
+    def restart_before_start(*arguments):
+        runner.faults, runner.start = ["late"], start_at_worker
+        outcome = start_at_worker(*arguments)
+        runner.restart()
+        runner.run_late()
+        return outcome
+
+    runner.start = restart_before_start
+    site.submit("job", (WHOLE,))
+    while not runner.run_by_task:
+        site.advance(STEP_SECONDS)
+    for other in site.runner_by_node.values():
+        other.is_draining = False
+    disturb(site)
+    site.advance(8.0)
+    assert [number for _, number, _ in site.ledger.starts] == [1]
+    runner.finish("job.0.0.0", "done")
+    site.advance(1.0)
+    assert site.get_state("job") == "done"
+    assert site.ledger.problems == []
+
+
+# Guards against a ticket that another life of the worker rejects.
+def test_ticket_of_the_former_life_is_not_used_for_the_next():
+    advice, step = AdviceTracker(), ("queue/job", 0, 0)
+    worker = build_worker()
+    query = advice.plan_query(step, "job.0.0", [worker], POLICY, 1.0)
+    advice.record_answer(query, {worker.incarnation.worker: "ticket"}, 9.0, 1.1)
+    assert advice.get_ticket(step, worker.incarnation, 1.2) == "ticket"
+    worker.incarnation = WorkerIncarnation(worker.incarnation.worker, 2)
+    assert advice.get_ticket(step, worker.incarnation, 1.2) == ""
+
+
+# Guards against a second run of a task whose order a worker carries out seconds later,
+# after a restart that its node could not see: no fence is known to it, its clock takes
+# the old lease end for one far ahead, and the pages bound neither.
+def test_late_order_to_a_worker_that_restarted_unseen_begins_no_second_run(site):
+    node, runner = next(iter(site.runner_by_node.items()))
+    for other in site.runner_by_node.values():
+        other.is_draining = other is not runner
+    site.advance(STEP_SECONDS)
+    runner.faults = ["late"]
+    site.submit("job", (WHOLE,))
+    while not runner.late:
+        site.advance(STEP_SECONDS)
+    runner.restart()
+    runner.is_cut = True
+    for other in site.runner_by_node.values():
+        other.is_draining = False
+    site.advance(USUAL_LAPSE_SECONDS + 1.0)
+    runner.run_late()
+    site.advance(2.0)
+    assert site.ledger.problems == []
