Judge orders without an answer by the worker's last sign of life

Traces: an order had got no answer 2.9 s before the crash, with no list in between, as renewals were left without an answer too; it counted like a run that had just begun, though the worker had sent heartbeats for 2 s since. And each order that never ran raised the number of the task's runs, which made the next one look like a run after a lost one.

An order without an answer counts as worked until the worker's last sign of life, and orders that certainly never began are no earlier runs. Both new tests fail before.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -248,6 +248,14 @@
                 )
         self._record_outcome(worker, allocation, outcome, now)
 
+    @changes_state
+    def release_unstarted(self, worker, allocation, outcome, now):
+        """Release a run that has not begun, as far as is known, and never will."""
+        progress = self.job_by_key.get(allocation.ref.job)
+        if progress is not None and not allocation.is_started:
+            progress.record_unstarted(allocation.ref)
+        self.release(worker, allocation, outcome, now)
+
     @changes_state
     def release_all(self, worker, outcome, now):
         """Release all runs of a worker that restarted or whose lease has expired."""
@@ -418,7 +426,7 @@
             allocation.started_at = allocation.progressed_at = now
             worker.is_throttle_stale = True
         else:
-            self.release(worker, allocation, outcome, now)
+            self.release_unstarted(worker, allocation, outcome, now)
 
     @changes_state
     def advance_acknowledged(self, worker, is_written):
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -38,6 +38,8 @@
     :param failed_run: Number of the latest run of its gang that was counted as failed;
         0 for tasks outside gangs.
     :param crashes: Number of crashes of workers that one of its runs may have caused.
+    :param unstarted_runs: Number of runs that certainly never began, as far as this
+        term knows.
     """
 
     is_done: bool = False
@@ -47,6 +49,7 @@
     runs: list = field(default_factory=list)
     failed_run: int = 0
     crashes: int = 0
+    unstarted_runs: int = 0
 
 
 class JobProgress:
@@ -267,6 +270,12 @@
         self._record_change(ref)
         return True
 
+    def record_unstarted(self, ref):
+        """Record that a run of a task has never begun."""
+        task = self.get_task(ref)
+        if task is not None:
+            task.unstarted_runs += 1
+
     def record_checkpoint(self, ref, number, checkpoint):
         """Record a checkpoint; it is persisted together with the next change."""
         task = self.get_task(ref)
--- a/src/bergamotshore/entry/orders.py
+++ b/src/bergamotshore/entry/orders.py
@@ -106,7 +106,7 @@
 
     def _release_all(self, worker, allocations, now):
         for allocation in allocations:
-            self._board.release(worker, allocation, "order-failed", now)
+            self._board.release_unstarted(worker, allocation, "order-failed", now)
 
     def _release_blocked(self, due, blocking_reason, now):
         """Release the claims whose orders may not be sent; return the others.
@@ -121,7 +121,7 @@
                     worker, allocation
                 )
             if reason:
-                self._board.release(worker, allocation, reason, now)
+                self._board.release_unstarted(worker, allocation, reason, now)
             else:
                 left.append((worker, allocation))
         return left
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -127,6 +127,8 @@
         self._refused_since = math.inf
         self._is_worker_down = False
         self._state_known_at = -math.inf
+        # When the current incarnation last gave a sign of life.
+        self._alive_at = -math.inf
         self._farewell_at = -math.inf
         self._speed_limits = SpeedLimits(
             runner, lambda: self._fence, self._void_fence, registry, log
@@ -153,6 +155,7 @@
             if is_other_incarnation or is_out_of_order:
                 return
             previous, self.worker_report = self.worker_report, report
+            self._alive_at = self.clock.now()
             self._reported_size.record(report, self.clock.now())
         is_new = previous is None or previous.is_draining != report.is_draining
         has_new_size = previous is None or previous.size != report.size
@@ -524,7 +527,7 @@
             self._reported_size.record_clock(sent_at, listing.clock_ms)
             self._refused_since, self._is_worker_down = math.inf, False
             self._candidate_incarnation = None
-            self._state_known_at = now
+            self._state_known_at = self._alive_at = now
             self.is_answering = True
             listed_keys = {(run.task, run.number) for run in listing.running}
             listed_keys |= {
@@ -613,12 +616,12 @@
         is_draining = self.worker_report is not None and self.worker_report.is_draining
         has_taken_leave = now - self._farewell_at < FAREWELL_SECONDS
         if not is_draining and not has_taken_leave and self.incarnation:
-            doubtful = [
-                key
+            worked_by_doubtful_key = {
+                key: max(0.0, self._alive_at - order.sent_at)
                 for key, order in self._unresolved_by_key.items()
                 if order.may_have_run
-            ]
-            self._lost_runs.record_end(doubtful, now)
+            }
+            self._lost_runs.record_end(worked_by_doubtful_key, now)
 
     @property
     def ended_incarnation(self):
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -9,8 +9,9 @@
 
 from bergamotshore.core.work.advice import AdviceTracker
 from bergamotshore.core.work.cluster import ClusterState
+from bergamotshore.core.work.crashes import LostRun, record_crash
 from bergamotshore.core.work.leases import RenewalGrant
-from bergamotshore.core.work.model import Step
+from bergamotshore.core.work.model import JobSpec, Step, TaskRef
 from bergamotshore.core.work.presence import ReportedRuns
 from bergamotshore.core.work.site import AdvicePolicy
 from bergamotshore.exceptions import WorkerFailure
@@ -27,7 +28,7 @@
 from bergamotshore.utils.eventlog import EventLog
 from standins.ledger import Ledger
 from standins.site import RunnerStandIn
-from tests.site.simulation import STEP_SECONDS, Simulation
+from tests.site.simulation import SERVICE, STEP_SECONDS, Simulation
 from tests.site.workers import build_best_effort_step, build_worker, place_run
 
 # Each task takes a whole worker.
@@ -452,3 +453,45 @@
     runner.run_late()
     site.advance(2.0)
     assert site.ledger.problems == []
+
+
+# Guards against the same where no list came, but the worker lived on: a task that
+# crashes its worker at its start does so before the worker's next sign of life.
+@pytest.mark.parametrize("seconds", [0.0, 2.0])
+def test_order_without_an_answer_counts_by_the_last_sign_of_life(
+    run_manager, runner, clock, seconds
+):
+    start = order_start(run_manager)
+
+    def crash_without_answer(*_):
+        clock.advance(seconds)
+        run_manager.record_heartbeat(runner.build_report("zone-0"))
+        clock.advance(1.0)
+        runner.restart()
+        for _ in range(3):
+            run_manager.hold()
+        return Failure(WorkerFailure("no answer", is_certain=False))
+
+    runner.start = crash_without_answer
+    start()
+    [(_, _, worked_seconds, _)] = run_manager.build_report(1).lost
+    assert worked_seconds == seconds
+
+
+# Guards against orders that never ran and are taken for runs that crashed workers.
+def test_runs_that_never_began_make_no_later_run_a_suspect():
+    cluster = ClusterState(lambda name: None)
+    step = Step(tasks=1, cpu=1000, memory=100)
+    cluster.add_job(JobSpec("queue", "job", SERVICE, "", (step,)))
+    worker = cluster.worker_by_node["node-0"] = build_worker()
+    progress = cluster.job_by_key["queue/job"]
+    progress.open_due_occurrences(1.0)
+    ref = TaskRef("queue/job", 0, 0, 0)
+    for outcome in ("not-run", "not-reached"):
+        run = cluster.claim(ref, worker, 1.0)
+        cluster.record_order_result(worker, run.key, outcome, 1.0)
+    run = cluster.claim(ref, worker, 1.0)
+    young = place_run(worker, step, "other.0.0.0", job="queue/other")
+    lost_by_key = {run.key: LostRun(5.0, False), young.key: LostRun(0.5, False)}
+    record_crash(cluster, worker, lost_by_key)
+    assert cluster.count_crashes(ref) == 0
