Count no crash for an order that its worker has outlived without an answer

A worker on the same VM answers within a few milliseconds, and a task that crashes it at its start does so before it gives another sign of life.

An order without an answer counts no crash if the worker gave a sign of life 0.3 s after it or later: a list, a heartbeat, or the end of a connection, which a process that crashes closes. Tasks that crash their worker at the start or later are counted as before (tests of the crash budget).

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -55,6 +55,8 @@
     :param was_sent: False when the server cannot have received the request.
     :param is_refused: Whether the connection was refused: no process listens at the
         address.
+    :param has_ended: Whether the connection ended during the call, so that the server
+        was there until then.
     :param was_reused: Whether the request was sent on a connection that had been used
         before, so that the server may still answer on a new one.
     """
@@ -63,6 +65,7 @@
     was_sent: bool
     is_refused: bool = False
     was_reused: bool = False
+    has_ended: bool = False
     code: str = "http"
 
 
@@ -169,14 +172,20 @@
             content = _read_body(response)
         except (OSError, http.client.HTTPException) as error:
             was_reused = connection is former_connection
-            if isinstance(error, TimeoutError) and was_reused:
+            is_timeout = isinstance(error, TimeoutError)
+            if is_timeout and was_reused:
                 # An earlier call may time out later.
                 self._timed_out_call_sent_at = max(
                     self._timed_out_call_sent_at, started_at
                 )
             self._discard_connection()
             return Failure(
-                HttpFailure(repr(error), was_sent=True, was_reused=was_reused)
+                HttpFailure(
+                    repr(error),
+                    was_sent=True,
+                    was_reused=was_reused,
+                    has_ended=not is_timeout,
+                )
             )
         self._local.answered_at = time.monotonic()
         if response.will_close:
--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -30,8 +30,8 @@
 class LostRun:
     """A run that was lost with its worker, as told by the node.
 
-    :param worked_seconds: How long it had worked, in seconds; at most that, if its
-        order got no answer.
+    :param worked_seconds: How long it had worked, in seconds; 0 if its order got no
+        answer.
     :param was_away: Whether the node was away as well.
     """
 
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -214,11 +214,14 @@
         taken effect.
     :param is_refused: Whether the connection was refused: no process of the worker
         listens.
+    :param has_ended: Whether the connection ended during the call, so that the worker
+        was there until then.
     """
 
     detail: str
     is_certain: bool
     is_refused: bool = False
+    has_ended: bool = False
     code: str = "worker"
 
 
--- a/src/bergamotshore/node/lostruns.py
+++ b/src/bergamotshore/node/lostruns.py
@@ -43,18 +43,16 @@
         """Record that the worker has confirmed the start of a run."""
         self._seen_at_by_key.setdefault(key, now)
 
-    def record_end(self, worked_by_doubtful_key, now):
+    def record_end(self, doubtful, now):
         """Record that the worker has ended with all its runs.
 
-        :param worked_by_doubtful_key: Seconds from its order to the worker's last sign
-            of life, by key of each run whose order got no answer.
+        :param doubtful: Keys of runs whose order got no answer.
         """
-        worked_by_key = dict(worked_by_doubtful_key)
-        for key, seen_at in self._seen_at_by_key.items():
-            worked_by_key[key] = max(0.0, self._listed_at - seen_at)
-        self._seen_at_by_key = {}
-        for key, worked_seconds in worked_by_key.items():
-            self._lost_by_key.setdefault(key, LostRun(now, worked_seconds))
+        seen, self._seen_at_by_key = self._seen_at_by_key, {}
+        for key in {*seen, *doubtful}:
+            seen_at = seen.get(key, now)
+            lost_run = LostRun(now, max(0.0, self._listed_at - seen_at))
+            self._lost_by_key.setdefault(key, lost_run)
 
     def withdraw(self, keys):
         """Record that runs are there after all."""
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -39,6 +39,9 @@
 # still listed after this margin are stopped, in time for the scheduler, which waits
 # 0.5 s more.
 OVERDUE_MARGIN_SECONDS = 0.25
+# A worker on the same VM answers an order in a few milliseconds. One that it has left
+# without an answer for this time, in seconds, while it lived on, hasn't crashed it.
+PROMPT_SECONDS = 0.3
 # Starts are queued for 1.5 s at most; a node receives far fewer stops in that time.
 MAX_STOPS_KEPT = 2000
 # Raising the fence by this much exceeds the fences of any earlier node process: fences
@@ -61,10 +64,15 @@
     sent_at: float = math.inf
     was_absent: bool = False
 
-    @property
-    def may_have_run(self):
-        """Return whether the worker may have carried it out as far as is known."""
-        return self.sent_at < math.inf and not self.was_absent
+    def may_have_crashed(self, alive_at):
+        """Return whether its run may have crashed the worker.
+
+        :param alive_at: When the worker gave its last sign of life, in seconds.
+        """
+        is_sent = self.sent_at < math.inf
+        return (
+            is_sent and not self.was_absent and alive_at - self.sent_at < PROMPT_SECONDS
+        )
 
 
 class RunManager:
@@ -356,6 +364,8 @@
                     self._lease.withdraw(extension)
                 self._resolve(key, "not-reached")
             case Failure(failure):
+                if failure.has_ended:
+                    self._alive_at = self.clock.now()
                 self.log.write(
                     "start-in-doubt", order.task, run=order.number, why=failure.detail
                 )
@@ -491,9 +501,12 @@
         gone, or that it answers.
         """
         is_refused = isinstance(failure, WorkerFailure) and failure.is_refused
+        has_ended = isinstance(failure, WorkerFailure) and failure.has_ended
         with self._lock:
             if sent_at < self._state_known_at:
                 return
+            if has_ended:
+                self._alive_at = self.clock.now()
             refused_seconds = sent_at - self._refused_since
             self._refused_since = (
                 min(self._refused_since, self.clock.now()) if is_refused else math.inf
@@ -616,12 +629,12 @@
         is_draining = self.worker_report is not None and self.worker_report.is_draining
         has_taken_leave = now - self._farewell_at < FAREWELL_SECONDS
         if not is_draining and not has_taken_leave and self.incarnation:
-            worked_by_doubtful_key = {
-                key: max(0.0, self._alive_at - order.sent_at)
+            doubtful = [
+                key
                 for key, order in self._unresolved_by_key.items()
-                if order.may_have_run
-            }
-            self._lost_runs.record_end(worked_by_doubtful_key, now)
+                if order.may_have_crashed(self._alive_at)
+            ]
+            self._lost_runs.record_end(doubtful, now)
 
     @property
     def ended_incarnation(self):
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -267,9 +267,14 @@
         case Success(HttpAnswer(status=status)):
             return Failure(WorkerFailure(f"status {status}", is_certain=False))
         case Failure(
-            HttpFailure(detail=detail, was_sent=was_sent, is_refused=is_refused)
+            HttpFailure(
+                detail=detail,
+                was_sent=was_sent,
+                is_refused=is_refused,
+                has_ended=has_ended,
+            )
         ):
-            return Failure(WorkerFailure(detail, not was_sent, is_refused))
+            return Failure(WorkerFailure(detail, not was_sent, is_refused, has_ended))
 
 
 def _decode(body, answer_type):
