Refuse starts before asking for the life of their worker, and wait as long as before

An order that is too old, or for another life, was refused only after a question to the worker; and a worker that closes each connection would have been called without a pause. An order without an answer counts no crash after 0.5 s of its worker's life instead of 0.3, as a slow node notices the end of a connection late.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -39,9 +39,10 @@
 # still listed after this margin are stopped, in time for the scheduler, which waits
 # 0.5 s more.
 OVERDUE_MARGIN_SECONDS = 0.25
-# A worker on the same VM answers an order in a few milliseconds. One that it has left
-# without an answer for this time, in seconds, while it lived on, hasn't crashed it.
-PROMPT_SECONDS = 0.3
+# A worker on the same VM answers an order in a few milliseconds, and a slow node takes
+# longer to notice. An order that it has left without an answer for this time, in
+# seconds, while it lived on, hasn't crashed it.
+PROMPT_SECONDS = 0.5
 # Starts are queued for 1.5 s at most; a node receives far fewer stops in that time.
 MAX_STOPS_KEPT = 2000
 # Raising the fence by this much exceeds the fences of any earlier node process: fences
@@ -314,16 +315,12 @@
 
     def _start(self, order, orders):
         key = (order.task, order.number)
-        match self.runner.confirm(orders.born, self._fence):
-            case Failure(RunRejected(reason=reason)):
-                self._resolve(key, reason)
-                return
-            case Failure(_):
-                self._resolve(key, "not-reached")
-                return
+        # Calls without an answer may have delayed this one, so it is checked again, and
+        # once more after the worker has been asked for its incarnation.
+        reason = self._find_refusal_reason(orders, self.clock.now())
+        reason = reason or self._confirm(orders.born)
         now = self.clock.now()
-        # Calls without an answer may have delayed this one, so it is checked again.
-        if reason := self._find_refusal_reason(orders, now):
+        if reason := reason or self._find_refusal_reason(orders, now):
             self._resolve(key, reason)
             return
         if order.number <= self._stopped_run_by_task.get(order.task, 0):
@@ -371,6 +368,15 @@
                 )
                 self._mark_in_doubt(key, fence)
 
+    def _confirm(self, born):
+        """Return why no start can be sent to an incarnation; empty if it can."""
+        match self.runner.confirm(born, self._fence):
+            case Failure(RunRejected(reason=reason)):
+                return reason
+            case Failure(_):
+                return "not-reached"
+        return ""
+
     def _mark_in_doubt(self, key, fence):
         """Let the next list of runs show whether an order was carried out."""
         with self._lock:
@@ -429,8 +435,7 @@
             fence = self._fence
             extension = self._lease.extend(sent_at) if is_confirmed else Extension()
             acknowledgement = self._build_acknowledgement()
-        # Unless the incarnation is confirmed, the lease is extended by the next call.
-        wait_ms = HOLD_WAIT_MS if self.is_answering and is_confirmed else 0
+        wait_ms = HOLD_WAIT_MS if self.is_answering else 0
         outcome = self.runner.renew_lease(
             extension.end_ms, fence, acknowledgement, wait_ms
         )
