--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -179,7 +179,8 @@
             request["checkpoint_token"] = order.checkpoint
         if order.ticket:
             request["ticket"] = order.ticket
-        headers = {"X-Expect-Instance": incarnation.worker}
+        name = incarnation.worker
+        headers = {"X-Expect-Instance": name} if name else {}
         outcome = self._send_order("/run-start", request, headers, connection)
         # A new connection is known to lead to the incarnation once it has answered the
         # next renewal, so that the next start of this thread need not ask.
