Know where a renewal's new connection leads by answers to orders

Beside a worker that leaves half of its calls without an answer, each lost renewal was followed by one that carried no lease end, as its connection was new, and often got no answer either.

A renewal that gets no answer opens the next connection at once, and any answer on a connection that is known to lead to a life shows that connections opened before that call do too.

--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -99,8 +99,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NamedIncarnation:
-    """An answer in which the worker has named its incarnation.
+class KnownAnswer:
+    """An answer of which it is known what incarnation of the worker has given it.
 
     :param started_ms: Start time of the incarnation, in milliseconds.
     :param connection: Number of the connection on which it was received.
@@ -120,7 +120,8 @@
     don't say which incarnation they are for. Starts, ends of leases and
     acknowledgements are therefore sent only on a connection that leads to their
     incarnation, as it ends with the process that accepted it: the incarnation has
-    answered on it, or to a call that any thread began once it was open.
+    answered on it, or to a call that any thread began once it was open. Only listings
+    name their incarnation; other answers are known by their connection.
 
     Connections belong to threads.
 
@@ -132,7 +133,7 @@
         self._client = HttpClient(address, timeout)
         self._timeout = timeout
         self._local = threading.local()
-        self._last_named = None
+        self._last_answer = None
 
     def is_confirmed(self, started_ms):
         """Return whether a connection to an incarnation is open; see the port."""
@@ -140,15 +141,24 @@
 
     def _find_connection(self, started_ms):
         """Return the number of the connection to an incarnation; None without one."""
+        number, connected_ms = self._get_connection()
+        return number if number and connected_ms == started_ms else None
+
+    def _get_connection(self):
+        """Return the number of this thread's open connection and where it leads.
+
+        :returns: Pair of the number, 0 without a connection, and the start time of the
+            incarnation in milliseconds, None if that isn't known.
+        """
         connection = self._client.get_connection()
         if connection is None:
-            return None
-        named = getattr(self._local, "named", None)
-        if named is None or named.connection != connection.number:
-            named = self._last_named
-            if named is None or named.called_at <= connection.opened_at:
-                return None
-        return connection.number if named.started_ms == started_ms else None
+            return 0, None
+        answer = getattr(self._local, "answer", None)
+        if answer is None or answer.connection != connection.number:
+            answer = self._last_answer
+            if answer is None or answer.called_at <= connection.opened_at:
+                return connection.number, None
+        return connection.number, answer.started_ms
 
     def confirm(self, started_ms, fence):
         """Ask the worker for its incarnation if necessary; see the port."""
@@ -182,9 +192,7 @@
         name = incarnation.worker
         headers = {"X-Expect-Instance": name} if name else {}
         outcome = self._send_order("/run-start", request, headers, connection)
-        # A new connection is known to lead to the incarnation once it has answered the
-        # next renewal, so that the next start of this thread need not ask.
-        self._client.connect(CONNECT_SECONDS)
+        self._reconnect(outcome)
         return outcome
 
     def stop(self, task, number, fence):
@@ -209,7 +217,19 @@
         answer = self._hold(request, fence, wait_ms, connection)
         if _is_connection_replaced(answer):
             return self._list_runs(fence, wait_ms)
-        return self._read_listing(answer)
+        outcome = self._read_listing(answer)
+        self._reconnect(outcome)
+        return outcome
+
+    def _reconnect(self, outcome):
+        """Replace a connection that was lost by a call without an answer.
+
+        By the time of the next call of this thread, an answer to another one may have
+        shown where the new connection leads.
+        """
+        match outcome:
+            case Failure(WorkerFailure(is_certain=False)):
+                self._client.connect(CONNECT_SECONDS)
 
     def _list_runs(self, fence, wait_ms):
         """List the runs of whatever incarnation answers, without any effect on it."""
@@ -229,14 +249,27 @@
         outcome = _read_answer(answer, WireListing).map(_decode_listing)
         match answer, outcome:
             case Success(HttpAnswer() as http_answer), Success(listing):
-                named = NamedIncarnation(
-                    listing.started_ms, http_answer.connection, http_answer.called_at
-                )
-                self._local.named = self._last_named = named
+                self._record_answer(http_answer, listing.started_ms)
         return outcome
 
+    def _record_answer(self, answer, started_ms):
+        """Record which incarnation has given an answer.
+
+        :param answer: ``HttpAnswer``.
+        """
+        known = KnownAnswer(started_ms, answer.connection, answer.called_at)
+        self._local.answer = known
+        last = self._last_answer
+        if last is None or last.called_at < known.called_at:
+            self._last_answer = known
+
     def _send_order(self, path, request, headers=None, connection=None):
+        number, started_ms = self._get_connection()
         answer = self._call(path, request, headers or {}, self._timeout, connection)
+        match answer:
+            case Success(HttpAnswer(connection=answered)) if answered == number:
+                if started_ms is not None:
+                    self._record_answer(answer.unwrap(), started_ms)
         return _read_answer(answer, WireAnswer).map(
             lambda item: RunAccepted(item.clock_ms)
         )
