Ask shortly and repeatedly which life a start would reach

A question that got no answer kept a start for the whole timeout of 1.5 s, though it does no harm if it is carried out late.

Up to three questions of 0.3 s. The new test fails before.

--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -22,6 +22,11 @@
 
 # Time for a connection to the worker, which is on the same VM, in seconds.
 CONNECT_SECONDS = 0.3
+# Time for an answer to a question which incarnation is there, in seconds, and number of
+# such questions before a start: a late answer is of no use, and one that is carried out
+# late does no harm.
+QUESTION_SECONDS = 0.3
+MAX_QUESTIONS = 3
 HEARTBEAT_PATH = "/instances/"
 REASON_BY_STATUS = {400: "invalid", 421: "other-life", 429: "busy", 503: "busy"}
 STATE_DRAINING = "draining"
@@ -164,14 +169,25 @@
         """Ask the worker for its incarnation if necessary; see the port."""
         if self.is_confirmed(started_ms):
             return Success(None)
-        match self._list_runs(fence, 0):
+        for _ in range(MAX_QUESTIONS):
+            outcome = self._ask(fence)
+            match outcome:
+                case Failure(WorkerFailure(is_certain=False)):
+                    continue
+            break
+        match outcome:
             case Success(listing) if listing.started_ms != started_ms:
                 return Failure(RunRejected("other-life"))
             case Failure(WorkerFailure() as failure):
                 # The call had no effect: it neither extends nor acknowledges anything.
                 return Failure(replace(failure, is_certain=True))
-            case outcome:
-                return outcome.map(lambda listing: None)
+        return outcome.map(lambda listing: None)
+
+    def _ask(self, fence):
+        """List the runs at once or not at all."""
+        timeout = min(self._timeout, QUESTION_SECONDS)
+        answer = self._call("/hold", _build_renewal(fence, 0), {}, timeout)
+        return self._read_listing(answer)
 
     def start(self, order, lease_end_ms, fence, incarnation):
         """Start a run; see the port."""
@@ -211,10 +227,11 @@
         connection = self._find_connection(acknowledgement.started_ms)
         if connection is None:
             return self._list_runs(fence, wait_ms)
-        request = {"ack_cursor": acknowledgement.sequence}
+        request = _build_renewal(fence, wait_ms, acknowledgement.sequence)
         if lease_end_ms is not None:
             request["until_ms"] = lease_end_ms
-        answer = self._hold(request, fence, wait_ms, connection)
+        timeout = self._timeout + wait_ms / 1000
+        answer = self._call("/hold", request, {}, timeout, connection)
         if _is_connection_replaced(answer):
             return self._list_runs(fence, wait_ms)
         outcome = self._read_listing(answer)
@@ -233,12 +250,9 @@
 
     def _list_runs(self, fence, wait_ms):
         """List the runs of whatever incarnation answers, without any effect on it."""
-        return self._read_listing(self._hold({"ack_cursor": 0}, fence, wait_ms))
-
-    def _hold(self, request, fence, wait_ms, connection=None):
-        request = {**request, "fence": fence, "wait_ms": wait_ms}
         timeout = self._timeout + wait_ms / 1000
-        return self._call("/hold", request, {}, timeout, connection)
+        answer = self._call("/hold", _build_renewal(fence, wait_ms), {}, timeout)
+        return self._read_listing(answer)
 
     def is_refusing(self):
         """Return whether a new connection is refused; see the port."""
@@ -280,6 +294,11 @@
         return self._client.call("POST", path, body, headers, timeout, connection)
 
 
+def _build_renewal(fence, wait_ms, acknowledged=0):
+    """Return the body of a renewal that leaves the lease as it is."""
+    return {"fence": fence, "ack_cursor": acknowledged, "wait_ms": wait_ms}
+
+
 def _is_connection_replaced(answer):
     """Return whether a call wasn't sent because its connection is gone."""
     match answer:
--- a/tests/adapters/test_runner.py
+++ b/tests/adapters/test_runner.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.node.site import STOP_THREADS
-from bergamotshore.platform.runner import PlatformRunner
+from bergamotshore.platform.runner import MAX_QUESTIONS, PlatformRunner
 from bergamotshore.ports.runner import (
     Acknowledgement,
     ListedRun,
@@ -204,6 +204,15 @@
         assert not threads.submit(runner.is_confirmed, FORMER_MS).result()
 
 
+# Guards against starts that wait for the whole timeout of a question which would do no
+# harm if it were carried out late.
+def test_question_without_an_answer_is_soon_asked_again(runner, worker):
+    worker.unanswered = MAX_QUESTIONS - 1
+    started_at = time.monotonic()
+    assert runner.confirm(FORMER_MS, 1) == Success(None)
+    assert time.monotonic() - started_at < TIMEOUT_SECONDS
+
+
 def stop_in_each_thread(threads, runner):
     """Stop a run in every thread of a pool at once, and return the outcomes."""
     barrier = threading.Barrier(STOP_THREADS)
