--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -9,31 +9,20 @@
 
 from bergamotshore.core.work.advice import AdviceTracker
 from bergamotshore.core.work.cluster import ClusterState
-from bergamotshore.core.work.crashes import LostRun, record_crash
-from bergamotshore.core.work.leases import RenewalGrant
-from bergamotshore.core.work.model import JobSpec, Step, TaskRef
+from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.presence import ReportedRuns
 from bergamotshore.core.work.site import AdvicePolicy
-from bergamotshore.exceptions import WorkerFailure
-from bergamotshore.generated.messages import RunOrders
-from bergamotshore.metrics.registry import Registry
-from bergamotshore.node.runs import RunManager
 from bergamotshore.ports.runner import (
-    ListedCompletion,
-    ListedRun,
     RunRejected,
     WorkerIncarnation,
     WorkerListing,
 )
-from bergamotshore.utils.eventlog import EventLog
-from standins.ledger import Ledger
-from standins.site import RunnerStandIn
-from tests.site.simulation import SERVICE, STEP_SECONDS, Simulation
+from tests.site.onenode import LONGEST_HOLD_SECONDS, order_start
+from tests.site.simulation import STEP_SECONDS, Simulation
 from tests.site.workers import build_best_effort_step, build_worker, place_run
 
 # Each task takes a whole worker.
 WHOLE = Step(tasks=1, cpu=16000, memory=100)
-LONGEST_HOLD_SECONDS = 10.0
 POLICY = AdvicePolicy(0.1, 0.01, 3.0)
 # Time after which a lease that its node may not extend has lapsed, in seconds.
 USUAL_LAPSE_SECONDS = 6.4
@@ -220,83 +209,10 @@
             self._is_reporting = False
 
 
-@pytest.fixture
-def runner(clock):
-    return RunnerStandIn(clock, "worker-0", Ledger())
-
-
-@pytest.fixture
-def results():
-    return []
-
-
-@pytest.fixture
-def grant(clock):
-    grant = RenewalGrant(5.5)
-    grant.record_echo(1, clock.now())
-    return grant
-
-
-@pytest.fixture
-def run_manager(clock, runner, grant, results):
-    """Return a ``RunManager`` whose worker has answered."""
-    run_manager = RunManager(
-        runner,
-        grant,
-        LONGEST_HOLD_SECONDS,
-        clock,
-        lambda: None,
-        lambda *result: results.append(result),
-        Registry(),
-        EventLog(clock, emit=lambda line: None),
-    )
-    for _ in range(3):
-        run_manager.hold()
-    return run_manager
-
-
 def build_listing(started_ms, running=(), ended=()):
     return Success(WorkerListing(1, started_ms, list(running), list(ended), True))
 
 
-def order_start(run_manager):
-    """Return the call that executes an order for the present life."""
-    _, [(call, *arguments)] = run_manager.accept_orders(
-        RunOrders(
-            epoch=1,
-            echo=run_manager.clock.now(),
-            born=run_manager.incarnation,
-            starts=[("job.0.0.0", 1, "", "")],
-            payload_by_job={"job": "payload"},
-            stops=[],
-            paces=[],
-            acknowledged=0,
-        )
-    )
-    return lambda: call(*arguments)
-
-
-# Guards against runs and ends of a life that are reported as those of the next: its
-# ends were then acknowledged by numbers that the next one gives to others.
-def test_no_report_tells_the_list_of_the_former_life_as_that_of_the_next(
-    run_manager, runner
-):
-    former, current = runner.born, runner.born + 1
-    ended = ListedCompletion(7, "job.0.0.0", 1, "done", "")
-    listed = build_listing(former, [ListedRun("job.0.0.1", 1, "", 0, 0.0)], [ended])
-    runner.renew_lease = lambda *_: listed
-    run_manager.hold()
-    lock = run_manager._lock = ReportingLock()
-    lock.run_manager = run_manager
-    runner.renew_lease = lambda *_: build_listing(current)
-    for _ in range(3):
-        run_manager.hold()
-    reports = [report for report in lock.reports if report.born == current]
-    assert reports
-    assert not any(report.running or report.ended for report in reports)
-    assert not reports[0].is_complete
-
-
 # Guards against a start that the next life accepts: it was sent under the fence that
 # had just been raised there.
 def test_no_start_is_sent_to_a_life_once_a_later_one_has_answered(
@@ -366,30 +282,6 @@
     assert run.throttle_percent is None
 
 
-# Guards against a harmless job that is shown as failed: an order that the worker leaves
-# without an answer was counted as a run at each crash, though its lists showed none.
-@pytest.mark.parametrize(("lists", "is_counted"), [(0, True), (2, False)])
-def test_order_that_the_worker_has_not_carried_out_counts_no_crash(
-    run_manager, runner, clock, lists, is_counted
-):
-    start = order_start(run_manager)
-
-    def crash_without_answer(*_):
-        for _ in range(lists):
-            clock.advance(0.4)
-            run_manager.hold()
-        runner.restart()
-        for _ in range(3):
-            clock.advance(0.1)
-            run_manager.hold()
-        return Failure(WorkerFailure("no answer", is_certain=False))
-
-    runner.start = crash_without_answer
-    start()
-    lost = [key for *key, _, _ in run_manager.build_report(1).lost]
-    assert (["job.0.0.0", 1] in lost) == is_counted
-
-
 # Guards against a second run of a task whose order the next life has carried out: the
 # stored claim still names the former life when another entry takes over.
 @pytest.mark.parametrize("disturb", [end_nothing, kill_scheduling_entry])
@@ -453,53 +345,3 @@
     runner.run_late()
     site.advance(2.0)
     assert site.ledger.problems == []
-
-
-# Guards against the same where no list came, but the worker lived on: a task that
-# crashes its worker at its start does so before the worker's next sign of life.
-@pytest.mark.parametrize(("seconds", "is_counted"), [(0.0, True), (2.0, False)])
-@pytest.mark.parametrize("sign", ["heartbeat", "end of the connection"])
-def test_order_that_its_worker_outlived_counts_no_crash(
-    run_manager, runner, clock, seconds, is_counted, sign
-):
-    start = order_start(run_manager)
-
-    def crash_without_answer(*_):
-        clock.advance(seconds)
-        if sign == "heartbeat":
-            run_manager.record_heartbeat(runner.build_report("zone-0"))
-        else:
-            renew_lease = runner.renew_lease
-            failure = WorkerFailure("reset", is_certain=False, has_ended=True)
-            runner.renew_lease = lambda *_: Failure(failure)
-            run_manager.hold()
-            runner.renew_lease = renew_lease
-        clock.advance(1.0)
-        runner.restart()
-        for _ in range(3):
-            run_manager.hold()
-        return Failure(WorkerFailure("no answer", is_certain=False))
-
-    runner.start = crash_without_answer
-    start()
-    lost = [key for *key, _, _ in run_manager.build_report(1).lost]
-    assert (["job.0.0.0", 1] in lost) == is_counted
-
-
-# Guards against orders that never ran and are taken for runs that crashed workers.
-def test_runs_that_never_began_make_no_later_run_a_suspect():
-    cluster = ClusterState(lambda name: None)
-    step = Step(tasks=1, cpu=1000, memory=100)
-    cluster.add_job(JobSpec("queue", "job", SERVICE, "", (step,)))
-    worker = cluster.worker_by_node["node-0"] = build_worker()
-    progress = cluster.job_by_key["queue/job"]
-    progress.open_due_occurrences(1.0)
-    ref = TaskRef("queue/job", 0, 0, 0)
-    for outcome in ("not-run", "not-reached"):
-        run = cluster.claim(ref, worker, 1.0)
-        cluster.record_order_result(worker, run.key, outcome, 1.0)
-    run = cluster.claim(ref, worker, 1.0)
-    young = place_run(worker, step, "other.0.0.0", job="queue/other")
-    lost_by_key = {run.key: LostRun(5.0, False), young.key: LostRun(0.5, False)}
-    record_crash(cluster, worker, lost_by_key)
-    assert cluster.count_crashes(ref) == 0
