Take no reset of a connection for a sign of life of the process before

A task that crashes its worker at the start would not have been counted where the next process resets the connection half a second later. Only a connection that its server closes shows it alive until then. The new test fails before for the reset.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -55,8 +55,8 @@
     :param was_sent: False when the server cannot have received the request.
     :param is_refused: Whether the connection was refused: no process listens at the
         address.
-    :param has_ended: Whether the connection ended during the call, so that the server
-        was there until then.
+    :param has_ended: Whether the server ended the connection during the call, so that
+        it was there until then. A reset shows less: it may come from a later process.
     :param was_reused: Whether the request was sent on a connection that had been used
         before, so that the server may still answer on a new one.
     """
@@ -184,7 +184,7 @@
                     repr(error),
                     was_sent=True,
                     was_reused=was_reused,
-                    has_ended=not is_timeout,
+                    has_ended=isinstance(error, http.client.HTTPException),
                 )
             )
         self._local.answered_at = time.monotonic()
--- a/src/bergamotshore/exceptions.py
+++ b/src/bergamotshore/exceptions.py
@@ -214,8 +214,8 @@
         taken effect.
     :param is_refused: Whether the connection was refused: no process of the worker
         listens.
-    :param has_ended: Whether the connection ended during the call, so that the worker
-        was there until then.
+    :param has_ended: Whether the worker ended the connection during the call, so that
+        it was there until then.
     """
 
     detail: str
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -4,6 +4,7 @@
 import http.client
 import resource
 import socket
+import struct
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -175,3 +176,42 @@
     started_at = time.monotonic()
     assert isinstance(client.call("GET", "/x"), Failure)
     assert time.monotonic() - started_at < TIMEOUT_SECONDS + SLACK_SECONDS
+
+
+def serve_once(end):
+    """Return the address of a server that ends its first connection after a request."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        connection, _ = listener.accept()
+        connection.recv(65536)
+        end(connection)
+        listener.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def reset(connection):
+    """Close a connection with a reset, as a later process at the address does."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+def keep_open(connection):
+    time.sleep(2 * TIMEOUT_SECONDS)
+    connection.close()
+
+
+# Guards against a crash that is not counted: a reset by the process that came after it
+# would show the former one alive.
+@pytest.mark.parametrize(
+    ("end", "has_ended"),
+    [(socket.socket.close, True), (reset, False), (keep_open, False)],
+)
+def test_only_a_connection_that_its_server_closes_shows_it_alive(end, has_ended):
+    client = HttpClient(serve_once(end), TIMEOUT_SECONDS)
+    failure = client.call("POST", "/", b"{}").failure()
+    assert failure.was_sent
+    assert failure.has_ended == has_ended
