Fence a worker's next life at once, and take no orders before

The worker counts as not answering until its new life is fenced, so that the next renewal doesn't wait. The new test fails before.

--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -626,7 +626,11 @@
             self._candidate_incarnation = listing.started_ms
             self._fence += 1
             self._incarnation_fence = self._fence
-            return False
+            # Without a wait for completions, the next call fences it at once.
+            was_answering, self.is_answering = self.is_answering, False
+        if was_answering:
+            self.on_change()
+        return False
 
     def _record_worker_end(self):
         """Record which runs are lost with a worker; one that drains ends by itself."""
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -229,6 +229,27 @@
     assert results == [("job.0.0.0", 1, "other-life")]
 
 
+# Guards against orders that are refused again and again, and against late calls that
+# the next life carries out meanwhile: it was fenced only once the next renewal had
+# waited for a completion.
+def test_next_life_is_fenced_at_once_and_takes_no_orders_before(run_manager, runner):
+    waits = []
+    renew_lease = runner.renew_lease
+
+    def record_wait(*arguments):
+        waits.append(arguments[-1])
+        return renew_lease(*arguments)
+
+    runner.renew_lease = record_wait
+    runner.restart()
+    run_manager.hold()
+    assert not run_manager.build_report(1).is_answering
+    run_manager.hold()
+    assert waits[-1] == 0
+    assert run_manager.build_report(1).is_answering
+    assert run_manager.incarnation == runner.born
+
+
 # Guards against a run that is told as started on a life that never had it.
 def test_start_that_the_former_life_confirmed_is_not_told_of_the_next(
     run_manager, runner, results
