Take out the inference where a new connection leads

It was meant to spare questions before starts and renewals without an end beside workers that leave calls without an answer.

--- a/src/bergamotshore/adapters/http.py
+++ b/src/bergamotshore/adapters/http.py
@@ -25,26 +25,12 @@
     :param body: Body.
     :param connection: Number of the connection it was received on, unique within the
         client.
-    :param called_at: When the call began, on the system's monotonic clock, in seconds.
     """
 
     status: int
     content_type: str
     body: bytes
     connection: int = 0
-    called_at: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class OpenConnection:
-    """Connection of a thread that is open.
-
-    :param number: Number of the connection, as in ``HttpAnswer``.
-    :param opened_at: When it was open, on the system's monotonic clock, in seconds.
-    """
-
-    number: int
-    opened_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,25 +103,17 @@
                 )
         return outcome
 
-    def get_connection(self):
-        """Return the calling thread's ``OpenConnection``; None if none is open."""
-        connection = getattr(self._local, "connection", None)
-        if connection is None or self._is_to_be_replaced(connection):
-            return None
-        return OpenConnection(self._local.number, self._local.opened_at)
-
-    def connect(self, timeout):
-        """Open a connection for the calling thread unless one is open.
+    def is_open(self, number):
+        """Return whether the calling thread's connection is open and has this number.
 
-        :param timeout: Time for the connection, in seconds.
-        :returns: ``Result`` of None or ``HttpFailure``.
+        :param number: Number of the connection, as in ``HttpAnswer``.
         """
-        try:
-            self._connect(timeout, None)
-        except OSError as error:
-            is_refused = isinstance(error, ConnectionRefusedError)
-            return Failure(HttpFailure(repr(error), False, is_refused))
-        return Success(None)
+        connection = getattr(self._local, "connection", None)
+        return (
+            connection is not None
+            and self._local.number == number
+            and not self._is_to_be_replaced(connection)
+        )
 
     def is_refusing(self, timeout):
         """Return whether the server refuses a new connection, which is closed at once.
@@ -192,9 +170,7 @@
             self._discard_connection()
         content_type = response.getheader("Content-Type", "")
         return Success(
-            HttpAnswer(
-                response.status, content_type, content, self._local.number, started_at
-            )
+            HttpAnswer(response.status, content_type, content, self._local.number)
         )
 
     def _connect(self, timeout, required):
@@ -213,7 +189,7 @@
             connection.connect()
             self._local.connection = connection
             self._local.number = next(self._connection_numbers)
-            self._local.opened_at = self._local.answered_at = time.monotonic()
+            self._local.answered_at = time.monotonic()
         return connection
 
     def _is_to_be_replaced(self, connection):
--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -104,17 +104,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class KnownAnswer:
-    """An answer of which it is known what incarnation of the worker has given it.
+class IdentifiedConnection:
+    """Connection on which the worker has named its incarnation.
 
+    :param number: Number of the connection.
     :param started_ms: Start time of the incarnation, in milliseconds.
-    :param connection: Number of the connection on which it was received.
-    :param called_at: When the call began, on the system's monotonic clock, in seconds.
     """
 
+    number: int
     started_ms: int
-    connection: int
-    called_at: float
 
 
 class PlatformRunner:
@@ -123,10 +121,8 @@
     A worker may restart under its name and address. Its next incarnation has another
     clock, numbers completions anew and may be of another size, and the platform's calls
     don't say which incarnation they are for. Starts, ends of leases and
-    acknowledgements are therefore sent only on a connection that leads to their
-    incarnation, as it ends with the process that accepted it: the incarnation has
-    answered on it, or to a call that any thread began once it was open. Only listings
-    name their incarnation; other answers are known by their connection.
+    acknowledgements are therefore sent only on a connection on which their incarnation
+    has answered before, as a connection ends with the process that accepted it.
 
     Connections belong to threads.
 
@@ -138,7 +134,6 @@
         self._client = HttpClient(address, timeout)
         self._timeout = timeout
         self._local = threading.local()
-        self._last_answer = None
 
     def is_confirmed(self, started_ms):
         """Return whether a connection to an incarnation is open; see the port."""
@@ -146,48 +141,38 @@
 
     def _find_connection(self, started_ms):
         """Return the number of the connection to an incarnation; None without one."""
-        number, connected_ms = self._get_connection()
-        return number if number and connected_ms == started_ms else None
-
-    def _get_connection(self):
-        """Return the number of this thread's open connection and where it leads.
-
-        :returns: Pair of the number, 0 without a connection, and the start time of the
-            incarnation in milliseconds, None if that isn't known.
-        """
-        connection = self._client.get_connection()
-        if connection is None:
-            return 0, None
-        answer = getattr(self._local, "answer", None)
-        if answer is None or answer.connection != connection.number:
-            answer = self._last_answer
-            if answer is None or answer.called_at <= connection.opened_at:
-                return connection.number, None
-        return connection.number, answer.started_ms
+        identified = getattr(self._local, "identified", None)
+        if identified is None or identified.started_ms != started_ms:
+            return None
+        is_open = self._client.is_open(identified.number)
+        return identified.number if is_open else None
 
     def confirm(self, started_ms, fence):
         """Ask the worker for its incarnation if necessary; see the port."""
         if self.is_confirmed(started_ms):
             return Success(None)
-        for _ in range(MAX_QUESTIONS):
-            outcome = self._ask(fence)
-            match outcome:
-                case Failure(WorkerFailure(is_certain=False)):
-                    continue
-            break
-        match outcome:
+        match self._ask(fence):
             case Success(listing) if listing.started_ms != started_ms:
                 return Failure(RunRejected("other-life"))
             case Failure(WorkerFailure() as failure):
                 # The call had no effect: it neither extends nor acknowledges anything.
                 return Failure(replace(failure, is_certain=True))
-        return outcome.map(lambda listing: None)
+            case Failure() as failure:
+                return failure
+        return Success(None)
 
     def _ask(self, fence):
-        """List the runs at once or not at all."""
+        """Return the listing of whatever incarnation is there; see ``_list_runs``.
+
+        A question without an answer is soon repeated.
+        """
         timeout = min(self._timeout, QUESTION_SECONDS)
-        answer = self._call("/hold", _build_renewal(fence, 0), {}, timeout)
-        return self._read_listing(answer)
+        for _ in range(MAX_QUESTIONS):
+            answer = self._call("/hold", _build_renewal(fence, 0), {}, timeout)
+            outcome = self._read_listing(answer)
+            if not _is_unanswered(outcome):
+                break
+        return outcome
 
     def start(self, order, lease_end_ms, fence, incarnation):
         """Start a run; see the port."""
@@ -207,9 +192,7 @@
             request["ticket"] = order.ticket
         name = incarnation.worker
         headers = {"X-Expect-Instance": name} if name else {}
-        outcome = self._send_order("/run-start", request, headers, connection)
-        self._reconnect(outcome)
-        return outcome
+        return self._send_order("/run-start", request, headers, connection)
 
     def stop(self, task, number, fence):
         """Stop a run; see the port."""
@@ -234,19 +217,7 @@
         answer = self._call("/hold", request, {}, timeout, connection)
         if _is_connection_replaced(answer):
             return self._list_runs(fence, wait_ms)
-        outcome = self._read_listing(answer)
-        self._reconnect(outcome)
-        return outcome
-
-    def _reconnect(self, outcome):
-        """Replace a connection that was lost by a call without an answer.
-
-        By the time of the next call of this thread, an answer to another one may have
-        shown where the new connection leads.
-        """
-        match outcome:
-            case Failure(WorkerFailure(is_certain=False)):
-                self._client.connect(CONNECT_SECONDS)
+        return self._read_listing(answer)
 
     def _list_runs(self, fence, wait_ms):
         """List the runs of whatever incarnation answers, without any effect on it."""
@@ -259,31 +230,16 @@
         return self._client.is_refusing(CONNECT_SECONDS)
 
     def _read_listing(self, answer):
-        """Decode a listing and record which incarnation has answered where."""
+        """Decode a listing and record on which connection its incarnation answered."""
         outcome = _read_answer(answer, WireListing).map(_decode_listing)
         match answer, outcome:
-            case Success(HttpAnswer() as http_answer), Success(listing):
-                self._record_answer(http_answer, listing.started_ms)
+            case Success(HttpAnswer(connection=number)), Success(listing):
+                identified = IdentifiedConnection(number, listing.started_ms)
+                self._local.identified = identified
         return outcome
 
-    def _record_answer(self, answer, started_ms):
-        """Record which incarnation has given an answer.
-
-        :param answer: ``HttpAnswer``.
-        """
-        known = KnownAnswer(started_ms, answer.connection, answer.called_at)
-        self._local.answer = known
-        last = self._last_answer
-        if last is None or last.called_at < known.called_at:
-            self._last_answer = known
-
     def _send_order(self, path, request, headers=None, connection=None):
-        number, started_ms = self._get_connection()
         answer = self._call(path, request, headers or {}, self._timeout, connection)
-        match answer:
-            case Success(HttpAnswer(connection=answered)) if answered == number:
-                if started_ms is not None:
-                    self._record_answer(answer.unwrap(), started_ms)
         return _read_answer(answer, WireAnswer).map(
             lambda item: RunAccepted(item.clock_ms)
         )
@@ -294,6 +250,13 @@
         return self._client.call("POST", path, body, headers, timeout, connection)
 
 
+def _is_unanswered(outcome):
+    match outcome:
+        case Failure(WorkerFailure(is_certain=False)):
+            return True
+    return False
+
+
 def _build_renewal(fence, wait_ms, acknowledged=0):
     """Return the body of a renewal that leaves the lease as it is."""
     return {"fence": fence, "ack_cursor": acknowledged, "wait_ms": wait_ms}
