--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -7,7 +7,6 @@
 
 import math
 import queue
-from dataclasses import dataclass
 
 import msgspec
 from returns.result import Failure, Success
@@ -17,19 +16,24 @@
 from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.crashes import LostRun, record_crash
 from bergamotshore.core.work.decisions import make_plan
-from bergamotshore.core.work.downtime import DowntimeTracker
 from bergamotshore.core.work.durations import SampleAccepted
 from bergamotshore.core.work.fullspeed import UnusableDuration
 from bergamotshore.core.work.jobstate import restore_crashes
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
-from bergamotshore.core.work.order import Band
-from bergamotshore.core.work.outlasting import OutlastingRunTracker
 from bergamotshore.core.work.presence import get_reported_runs
 from bergamotshore.core.work.progress import JobProgress
 from bergamotshore.core.work.suspicion import WorkerQuarantine
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
 from bergamotshore.entry.background import run_background_call
+from bergamotshore.entry.decisionlog import DecisionLog
+from bergamotshore.entry.dispatchevents import (
+    JobCancelled,
+    NodeMessage,
+    RowsChanged,
+    StreamClosed,
+    WriteFinished,
+)
 from bergamotshore.entry.jobrows import (
     CANCEL_SUFFIX,
     COUNTS_ROW,
@@ -79,8 +83,6 @@
 # Time from the begin of a term until it tells its first estimate, in seconds: nodes
 # report within two heartbeats, and workers that are not known yet look like lost ones.
 BACKLOG_DELAY_SECONDS = 2.0
-# Interval of the checks for long-running tasks without a run, in seconds.
-DOWNTIME_INTERVAL_SECONDS = 1.0
 # A job or worker that caused an unexpected error is left out of planning for this time,
 # in seconds. It bounds the repeated work and the log.
 LEFT_OUT_SECONDS = 1.0
@@ -90,55 +92,6 @@
 NO_DECISIONS_UNDER_LOAD = Scheduling()
 
 
-@dataclass(frozen=True, slots=True)
-class NodeMessage:
-    """A message received from a node.
-
-    :param stream: ``Stream`` on which it was received.
-    :param message: ``RunReport`` or ``RunResults``.
-    """
-
-    stream: object
-    message: object
-
-
-@dataclass(frozen=True, slots=True)
-class StreamClosed:
-    """The stream to a node was closed or lost."""
-
-    stream: object
-
-
-@dataclass(frozen=True, slots=True)
-class RowsChanged:
-    """Rows of the job table changed, or the whole table was read again.
-
-    :param rows: Rows; empty when nothing changed.
-    :param requested_at: When the read was sent, on this entry's clock.
-    :param epoch: Term in which it was sent.
-    """
-
-    rows: list
-    requested_at: float
-    epoch: int
-
-
-@dataclass(frozen=True, slots=True)
-class JobCancelled:
-    """The cancellation of a job was stored, here or by another entry."""
-
-    key: str
-
-
-@dataclass(frozen=True, slots=True)
-class WriteFinished:
-    """A transaction of the job writer finished or failed."""
-
-    part: str
-    batch: object
-    outcome: object
-
-
 class Dispatcher:
     """Schedule submitted jobs while this entry holds the scheduling lease.
 
@@ -189,7 +142,7 @@
         self.scheduling = scheduling
         self.spread_factor = spread_factor
         self._on_backlog = on_backlog
-        self._was_overloaded = False
+        self.decision_log = DecisionLog(registry, log)
         self.machines = machines
         self.machine_calls = machine_calls
         self.store = store
@@ -238,9 +191,7 @@
         self._interference_row = self._build_row(INTERFERENCE_ROW)
         self._checked_at = 0.0
         self._slow_keys = frozenset()
-        self._downtime = DowntimeTracker()
-        self._downtime_checked_at = 0.0
-        self._outlasting = OutlastingRunTracker()
+        self.decision_log.begin_term(self.epoch)
         self._backlog = BacklogTracker(self.epoch)
         self._backlog_measured_at = 0.0
 
@@ -666,7 +617,7 @@
             with self.collector.containing("maintenance", "waves"):
                 self.maintenance.step(self.cluster, self.site.wave_by_number, now)
             with self.collector.containing("outlasting", "runs"):
-                self._log_outlasting(now)
+                self.decision_log.log_outlasting(self.cluster, now)
         view = PlanView(
             self.cluster,
             self.site,
@@ -685,10 +636,10 @@
         may_start = self._may_start(now) and not self.is_shutting_down
         plan = make_plan(view, may_start, is_check_due)
         self._record_errors(view.collector, now)
-        self._log_plan(plan)
+        self.decision_log.log_plan(plan)
         log_place_waits(self.cluster.place_waits, self.registry, self.log)
-        self._log_order()
-        self._log_downtime(view)
+        self.decision_log.log_order(self.cluster.job_order)
+        self.decision_log.log_downtime(view)
         with self.collector.containing("backlog", "estimate"):
             self._measure_backlog(view)
         for question in plan.questions:
@@ -759,101 +710,6 @@
             allocation.key for worker in slow for allocation in worker.runs_to_move
         )
 
-    def _log_plan(self, plan):
-        for stop in plan.stops:
-            self.registry.count("run_stops_total", reason=stop.reason)
-            self.log.write("run-stopped", stop.name, run=stop.number, why=stop.reason)
-        for throttle in plan.paces:
-            self.log.write(
-                "run-paced",
-                throttle.name,
-                run=throttle.number,
-                percent=throttle.percent,
-            )
-        for straggler, worker, allocation in plan.copies:
-            self.registry.count("run_copies_total", sign=straggler.sign)
-            self.log.write(
-                "run-copied",
-                allocation.name,
-                run=allocation.number,
-                node=worker.node,
-                first=straggler.allocation.number,
-                first_node=straggler.worker.node,
-                why=straggler.sign,
-            )
-            if straggler.lateness is not None:
-                self._log_lateness(straggler)
-
-    def _log_lateness(self, straggler):
-        lateness = straggler.lateness
-        self.log.write(
-            "run-past-high",
-            straggler.allocation.name,
-            run=straggler.allocation.number,
-            node=straggler.worker.node,
-            seconds=round(lateness.worked, 2),
-            remaining=round(lateness.remaining, 2),
-            expected=round(lateness.estimate.expected, 2),
-            high=round(lateness.estimate.high, 2),
-            basis=lateness.estimate.source,
-            place=round(lateness.place.ratio, 2),
-        )
-
-    def _log_order(self):
-        """Log when jobs begin to be late, or all can be in time again."""
-        order = self.cluster.job_order
-        if order.is_overloaded != self._was_overloaded:
-            self._was_overloaded = order.is_overloaded
-            timely, useful, rest = (order.jobs_by_band.get(band, 0) for band in Band)
-            self.log.write(
-                "jobs-ordered",
-                self.epoch,
-                timely=timely,
-                useful=useful,
-                rest=rest,
-                fallbacks=order.fallbacks,
-            )
-
-    def _log_downtime(self, view):
-        """Log the long-running tasks that have been down for long, or run again."""
-        if view.now - self._downtime_checked_at < DOWNTIME_INTERVAL_SECONDS:
-            return
-        self._downtime_checked_at = view.now
-        downtimes, resumed = self._downtime.update(view)
-        for downtime in downtimes:
-            self.registry.count("tasks_down_total", reason=downtime.reason)
-            self.log.write(
-                "task-down",
-                downtime.name,
-                seconds=downtime.seconds,
-                why=downtime.reason,
-                node=downtime.node,
-            )
-        for name, seconds in resumed:
-            self.log.write("task-up", name, seconds=seconds)
-
-    def _log_outlasting(self, now):
-        """Log the runs that go on long after the end of their jobs, and their ends."""
-        outlasting, gone = self._outlasting.update(self.cluster, now)
-        for run in outlasting:
-            self.registry.count("runs_outlasting_total", reason=run.reason)
-            self.log.write(
-                "run-outlasting",
-                run.name,
-                run=run.number,
-                node=run.node,
-                seconds=run.seconds,
-                why=run.reason,
-            )
-        for run in gone:
-            self.log.write(
-                "run-gone",
-                run.name,
-                run=run.number,
-                node=run.node,
-                seconds=run.seconds,
-            )
-
     def _record_outcome(self, completion):
         """Log the end of a run, and learn from it.
 
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -24,8 +24,8 @@
 from bergamotshore.core.work.stall import StallDetector
 from bergamotshore.entry.admission import Admission
 from bergamotshore.entry.cancellations import RecentCancellations
-from bergamotshore.entry.dispatcher import (
-    Dispatcher,
+from bergamotshore.entry.dispatcher import Dispatcher
+from bergamotshore.entry.dispatchevents import (
     JobCancelled,
     NodeMessage,
     RowsChanged,
--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -3,7 +3,6 @@
 import math
 import threading
 from collections import OrderedDict
-from dataclasses import dataclass
 
 from returns.result import Failure, Success
 
@@ -14,6 +13,7 @@
 from bergamotshore.node.lostruns import LostRuns
 from bergamotshore.node.reportedsize import ReportedSize
 from bergamotshore.node.speedlimits import SpeedLimits
+from bergamotshore.node.unresolvedorder import UnresolvedOrder
 from bergamotshore.node.workerlease import Extension, WorkerLease
 from bergamotshore.ports.runner import (
     Acknowledgement,
@@ -39,10 +39,6 @@
 # still listed after this margin are stopped, in time for the scheduler, which waits
 # 0.5 s more.
 OVERDUE_MARGIN_SECONDS = 0.25
-# A worker on the same VM answers an order in a few milliseconds, and a slow node takes
-# longer to notice. An order that it has left without an answer for this time, in
-# seconds, while it lived on, hasn't crashed it.
-PROMPT_SECONDS = 0.5
 # Starts are queued for 1.5 s at most; a node receives far fewer stops in that time.
 MAX_STOPS_KEPT = 2000
 # Raising the fence by this much exceeds the fences of any earlier node process: fences
@@ -50,32 +46,6 @@
 FENCE_JUMP_MICROSECONDS = 10_000_000
 
 
-@dataclass(slots=True)
-class UnresolvedOrder:
-    """An order to start a run whose outcome is not known yet.
-
-    :param fence: Fencing token of the call.
-    :param is_in_flight: Whether the call to the worker has not returned.
-    :param sent_at: When the call was made, in seconds; infinite before that.
-    :param was_absent: Whether the worker has listed all its runs since, without it.
-    """
-
-    fence: int
-    is_in_flight: bool = True
-    sent_at: float = math.inf
-    was_absent: bool = False
-
-    def may_have_crashed(self, alive_at):
-        """Return whether its run may have crashed the worker.
-
-        :param alive_at: When the worker gave its last sign of life, in seconds.
-        """
-        is_sent = self.sent_at < math.inf
-        return (
-            is_sent and not self.was_absent and alive_at - self.sent_at < PROMPT_SECONDS
-        )
-
-
 class RunManager:
     """Execute orders on one worker and renew its lease.
 
--- a/tests/site/test_feed.py
+++ b/tests/site/test_feed.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bergamotshore.entry.dispatcher import RowsChanged
+from bergamotshore.entry.dispatchevents import RowsChanged
 from bergamotshore.entry.jobrows import JOBS
 from tests.site.simulation import Simulation
 
