--- a/src/bergamotshore/node/runs.py
+++ b/src/bergamotshore/node/runs.py
@@ -182,11 +182,6 @@
             starts.append((self._call_start, order, orders))
         return calls, starts
 
-    @property
-    def _has_successor(self):
-        """Return whether a later incarnation has answered, which isn't fenced yet."""
-        return self._candidate_incarnation not in (None, self.incarnation)
-
     @property
     def acknowledged(self):
         """Return the highest completion that the current incarnation may discard."""
@@ -249,8 +244,7 @@
     def _find_refusal_reason(self, orders, now):
         if now - orders.echo > MAX_ORDER_AGE_SECONDS:
             return "stale-order"
-        is_current = orders.born == self.incarnation and not self._has_successor
-        if not is_current or not self.is_answering:
+        if orders.born != self.incarnation or not self.is_answering:
             return "other-life"
         if self.grant.get_remaining(now) < MIN_LEASE_SECONDS:
             return "no-right"
@@ -302,9 +296,9 @@
             self._resolve(key, "job-cancelled")
             return
         with self._lock:
-            # A start under the fence that is raised at a successor would be accepted
-            # there.
-            is_current = orders.born == self.incarnation and not self._has_successor
+            # A later incarnation, once it has answered, accepts starts under the fence
+            # that is raised for it.
+            is_current = orders.born == self.incarnation and self.is_answering
             fence = self._fence
             extension = self._lease.extend(now) if is_current else Extension()
             is_allowed = extension.end_ms is not None
