--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,18 @@
 """Fixtures shared by all tests."""
 
+import sys
 from pathlib import Path
 
 import pytest
+import yaml
 from hypothesis import settings
 
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.timeline.recorder import LamportClock, Recorder
+from demo.cluster import Cluster
+from demo.sites import SITE_BY_NAME
+from soak.site import SoakSite
+from tests import crowds
 from tests.fakes import (
     FakeClock,
     FakeLinks,
@@ -64,6 +70,42 @@
     return stream
 
 
+@pytest.fixture
+def start_site(tmp_path):
+    """Return a function that starts a site with the given limits."""
+    sites = []
+
+    def start(**limits):
+        site = SoakSite(tmp_path, entries=1, nodes=1, seed=0)
+        sites.append(site)
+        for path in tmp_path.glob("*.yaml"):
+            settings = yaml.safe_load(path.read_text())
+            settings["intake"] = limits
+            path.write_text(yaml.safe_dump(settings))
+        site.start()
+        crowds.wait_for_processes(site, tmp_path)
+        return site
+
+    yield start
+    for site in sites:
+        site.close()
+
+
+@pytest.fixture
+def declared_entry(tmp_path):
+    """Return the cluster of an entry that serves declared work, and its settings."""
+    program = [sys.executable, "-m", "bergamotshore"]
+    cluster = Cluster(SITE_BY_NAME["tsehay"], tmp_path, program)
+    cluster.intake = {"memory_mb": crowds.MEMORY_MB}
+    try:
+        cluster.start_platform()
+        cluster.start_entry(crowds.ENTRY)
+        settings = yaml.safe_load((tmp_path / f"{crowds.ENTRY}.yaml").read_text())
+        yield cluster, settings["entry"]
+    finally:
+        cluster.kill_all()
+
+
 def read_known_red():
     """Return the entries of KNOWN-RED.txt by test id.
 
