Bound what connections to the address for streams hold

Seen: 40 connections that each send a message of 4 MB and stop just short of its end took an entry to 205 MB where its machine has 96; nested empty lists took it to 431 MB. Callers don't reach this address, but nothing else bounded it.

Cause: each connection could hold a message of the largest size before it had said who it is, the decoder built values while a message was arriving, and nothing counted over all connections.

--- a/src/bergamotshore/entry/role.py
+++ b/src/bergamotshore/entry/role.py
@@ -40,6 +40,7 @@
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.timeline.recorder import LamportClock, Recorder, merge_events
+from bergamotshore.transport.intake import StreamIntake
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
 from bergamotshore.utils.addresses import split_address
@@ -93,8 +94,14 @@
         self.presence = self._build_presence()
         self.router = self._build_router()
         self.scheduler = self._build_scheduler()
-        self.intake = Intake(
-            settings.intake, self.clock, self.registry, EventLog(self.clock)
+        log = EventLog(self.clock)
+        self.intake = Intake(settings.intake, self.clock, self.registry, log)
+        self.stream_intake = StreamIntake(
+            settings.intake,
+            settings.stream.largest_message,
+            self.clock,
+            self.registry,
+            log,
         )
         self.caller_server = self._build_caller_server()
         self.operator_server = HttpServer(
@@ -230,7 +237,15 @@
             incarnation=self.incarnation,
             zone=self.settings.zone,
         )
-        Stream(self.loop, sock, hello, self.settings.stream, self.lamport, self)
+        Stream(
+            self.loop,
+            sock,
+            hello,
+            self.settings.stream,
+            self.lamport,
+            self,
+            self.stream_intake,
+        )
 
     def on_open(self, stream):
         """Add a node that completed the handshake."""
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -63,6 +63,7 @@
 from bergamotshore.ports.clock import SystemClock
 from bergamotshore.ports.rows import HistoryLost
 from bergamotshore.timeline.recorder import LamportClock
+from bergamotshore.transport.intake import StreamIntake
 from bergamotshore.transport.loop import Loop
 from bergamotshore.transport.stream import PROTOCOL_VERSION, Stream, listen
 from bergamotshore.utils.addresses import Address, AddressReader, split_address
@@ -181,6 +182,13 @@
             self.admission,
         )
         self.intake = Intake(settings.intake, self.clock, self.registry, self.log)
+        self.stream_intake = StreamIntake(
+            settings.intake,
+            settings.stream.largest_message,
+            self.clock,
+            self.registry,
+            self.log,
+        )
         self.caller_server = HttpServer(
             self.app,
             split_address(self.entry.callers),
@@ -369,7 +377,15 @@
             incarnation=self.incarnation,
             zone=self.settings.zone,
         )
-        Stream(self.loop, sock, hello, self.settings.stream, self.lamport, self)
+        Stream(
+            self.loop,
+            sock,
+            hello,
+            self.settings.stream,
+            self.lamport,
+            self,
+            self.stream_intake,
+        )
 
     def on_open(self, stream):
         """Register the stream of a node after its handshake."""
--- a/src/bergamotshore/transport/stream.py
+++ b/src/bergamotshore/transport/stream.py
@@ -8,6 +8,7 @@
 from bergamotshore.exceptions import AddressInUseError, StreamError
 from bergamotshore.generated.messages import Goodbye, Heartbeat, Hello
 from bergamotshore.transport.codec import Decoder, encode_message
+from bergamotshore.transport.intake import MAX_HELLO_BYTES
 
 PROTOCOL_VERSION = 1
 READ_BYTES = 256 * 1024
@@ -28,9 +29,10 @@
     :param timing: ``settings.Stream``.
     :param lamport: ``LamportClock``.
     :param handler: Receiver of the callbacks above.
+    :param intake: ``StreamIntake`` of a stream that the peer opened; None for others.
     """
 
-    def __init__(self, loop, sock, hello, timing, lamport, handler):
+    def __init__(self, loop, sock, hello, timing, lamport, handler, intake=None):
         self.loop = loop
         self.sock = sock
         self.timing = timing
@@ -40,7 +42,10 @@
         self.peer_clock = 0.0
         self.peer_clock_received_at = 0.0
         self.close_reason = ""
-        self._decoder = Decoder(timing.largest_message)
+        self._decoder = Decoder(
+            timing.largest_message, min(MAX_HELLO_BYTES, timing.largest_message)
+        )
+        self._intake = intake
         self._output = bytearray()
         self._lock = threading.Lock()
         self._silence = SilenceDetector(
@@ -49,6 +54,8 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.register(sock, selectors.EVENT_READ, self._handle_events)
+        if intake is not None:
+            intake.open(self)
         self.send(hello)
         self._send_heartbeat()
 
@@ -57,6 +64,11 @@
         """Return whether messages can be sent."""
         return not self.close_reason
 
+    @property
+    def waiting_bytes(self):
+        """Return the number of received bytes that wait for the rest of a message."""
+        return self._decoder.waiting_bytes
+
     def send(self, message):
         """Send a message; safe to call from any thread.
 
@@ -91,6 +103,8 @@
             self.close_reason = reason
         self.loop.unregister(self.sock)
         self.sock.close()
+        if self._intake is not None:
+            self._intake.close(self)
         self.handler.on_close(self)
 
     def _flush(self):
@@ -149,6 +163,8 @@
                 # The messages behind this one are lost, so the stream must end.
                 self.close("message-error")
                 raise
+        if self._intake is not None and not self.close_reason:
+            self._intake.update(self)
 
     def _handle_message(self, message):
         match message:
@@ -176,6 +192,9 @@
             self.close("protocol-version")
             return
         self.peer = hello
+        self._decoder.limit = self.timing.largest_message
+        if self._intake is not None:
+            self._intake.identify(self)
         self.handler.on_open(self)
 
     def _send_heartbeat(self):
