Decode names and labels of a heartbeat only if they are short

Seen: 8 heartbeats of legal size (4 MB) with 830,000 labels took a node to 177 MB where its machine has 96.

Cause: a short label takes 60 bytes and more once it is decoded, five on the wire, and what is decoded lives beside what the budget of bodies counts.

Change: names and labels stay undecoded until their size is known; above 64 KB, which two labels and six names never take, the heartbeat is invalid (400). The rest of a heartbeat is numbers, or skipped, and can't grow.

--- a/src/bergamotshore/platform/runner.py
+++ b/src/bergamotshore/platform/runner.py
@@ -9,7 +9,7 @@
 from bergamotshore.adapters.decoding import Amount, Count, read_json
 from bergamotshore.adapters.http import HttpAnswer, HttpClient, HttpFailure
 from bergamotshore.core.work.model import build_worker_size
-from bergamotshore.exceptions import ReportInvalid, WorkerFailure
+from bergamotshore.exceptions import DecodingError, ReportInvalid, WorkerFailure
 from bergamotshore.ports.runner import (
     ListedCompletion,
     ListedRun,
@@ -31,6 +31,19 @@
 REASON_BY_STATUS = {400: "invalid", 421: "other-life", 429: "busy", 503: "busy"}
 STATE_DRAINING = "draining"
 WORKER_STATES = {"ready", STATE_DRAINING}
+# Names and labels of a heartbeat, all together, in bytes.
+MAX_TEXT_BYTES = 64 * 1024
+TEXT_TYPE_BY_FIELD = {
+    "service": str,
+    "zone": str,
+    "state": str,
+    "addr": str,
+    "version": str,
+    "machine": str,
+    "labels": list[str],
+}
+NO_TEXT = msgspec.Raw(b'""')
+NO_LABELS = msgspec.Raw(b"[]")
 # A worker lists at most this many ends at a time.
 MAX_LISTED_ENDS = 500
 
@@ -84,23 +97,39 @@
     ``warmup_left_ms`` counts down to 0 after a start. ``remaining_ms`` is the minimum
     time left while draining. ``labels`` are the worker's kind and its rack, in this
     order. ``born`` is the start time of its incarnation, ``seq`` the number of the
-    report, ``clock_ms`` the worker's clock.
+    report, ``clock_ms`` the worker's clock. ``read_texts`` decodes names and labels:
+    many short ones take a multiple of a heartbeat's size.
     """
 
-    service: str
-    zone: str
-    state: str
+    service: msgspec.Raw
+    zone: msgspec.Raw
+    state: msgspec.Raw
     capacity: WireCapacity
     born: Count = 0
-    addr: str = ""
-    version: str = ""
-    machine: str = ""
+    addr: msgspec.Raw = NO_TEXT
+    version: msgspec.Raw = NO_TEXT
+    machine: msgspec.Raw = NO_TEXT
     seq: Count = 0
     clock_ms: Amount | None = None
     slots: Count = 0
     warmup_left_ms: Amount = 0
     remaining_ms: Amount = 0
-    labels: list[str] = []
+    labels: msgspec.Raw = NO_LABELS
+
+    def read_texts(self):
+        """Return ``Result`` of names and labels by field, or of a ``DecodingError``."""
+        raw_by_field = {name: getattr(self, name) for name in TEXT_TYPE_BY_FIELD}
+        size = sum(memoryview(raw).nbytes for raw in raw_by_field.values())
+        if size > MAX_TEXT_BYTES:
+            return Failure(DecodingError(f"{size} bytes of names and labels"))
+        texts = {}
+        for name, raw in raw_by_field.items():
+            match read_json(raw, TEXT_TYPE_BY_FIELD[name]):
+                case Success(text):
+                    texts[name] = text
+                case failure:
+                    return failure
+        return Success(texts)
 
 
 @dataclass(frozen=True, slots=True)
@@ -318,22 +347,24 @@
     :param worker: Name of the worker, from the path.
     :param body: Request body.
     """
-    match read_json(body, WireReport):
-        case Success(report):
-            pass
+    report = read_json(body, WireReport)
+    match report.bind(WireReport.read_texts):
+        case Success(texts):
+            report = report.unwrap()
         case Failure(error):
             return Failure(ReportInvalid(str(error)))
-    if not worker or report.state not in WORKER_STATES:
+    state, labels = texts["state"], texts["labels"]
+    if not worker or state not in WORKER_STATES:
         return Failure(
-            ReportInvalid(f"invalid worker name or state: {worker!r}, {report.state!r}")
+            ReportInvalid(f"invalid worker name or state: {worker!r}, {state!r}")
         )
     return Success(
         WorkerReport(
             incarnation=WorkerIncarnation(worker, report.born),
-            service=report.service,
-            zone=report.zone,
-            version=report.version,
-            is_draining=report.state == STATE_DRAINING,
+            service=texts["service"],
+            zone=texts["zone"],
+            version=texts["version"],
+            is_draining=state == STATE_DRAINING,
             remaining=report.remaining_ms / 1000,
             warmup=report.warmup_left_ms / 1000,
             size=build_worker_size(
@@ -341,9 +372,9 @@
                 int(report.capacity.mem_mb),
                 int(report.capacity.gpu),
             ),
-            labels=tuple(report.labels),
-            rack=report.labels[1] if len(report.labels) > 1 else "",
-            machine=report.machine,
+            labels=tuple(labels),
+            rack=labels[1] if len(labels) > 1 else "",
+            machine=texts["machine"],
             sequence=report.seq,
             clock_ms=report.clock_ms,
         )
