--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -8,8 +8,14 @@
 from dataclasses import dataclass
 
 from waitress.parser import HTTPRequestParser
+from waitress.utilities import RequestEntityTooLarge
 
 from bergamotshore.core.bodybudget import RESERVED_SHARE, SMALL_BYTES, BodyBudget
+from bergamotshore.entry.bodies import (
+    MAX_FRAMING_PER_BYTE,
+    ChunkedBody,
+    SizedBody,
+)
 from bergamotshore.utils.problems import (
     PROBLEM_TYPE,
     build_problem,
@@ -193,7 +199,10 @@
 
     def received(self, data):
         """Take received bytes; return how many of them belong to this request."""
-        consumed = super().received(data)
+        if self.body_rcv is None:
+            consumed = super().received(data)
+        else:
+            consumed = self._receive_body(data)
         if self.completed:
             # Otherwise the channel would ask for a body and never queue the request.
             self.expect_continue = False
@@ -205,6 +214,31 @@
         self._refuse()
         return len(data)
 
+    def parse_header(self, header_plus):
+        """Parse the first line and the fields, and prepare to receive the body."""
+        super().parse_header(header_plus)
+        if self.chunked:
+            self.body_rcv = ChunkedBody()
+        elif self.content_length:
+            self.body_rcv = SizedBody(self.content_length)
+
+    def _receive_body(self, data):
+        body = self.body_rcv
+        consumed = body.received(data)
+        # Waitress is configured to refuse bodies that reach its limit.
+        largest = self.adj.max_request_body_size - 1
+        if body.error:
+            self.error = body.error
+        elif len(body) > largest:
+            self.error = RequestEntityTooLarge(f"exceeds {largest} bytes")
+        elif body.framing > largest + MAX_FRAMING_PER_BYTE * len(body):
+            self.error = RequestEntityTooLarge("the framing exceeds the body")
+        self.completed = body.completed or self.error is not None
+        if body.completed and not self.error and self.chunked:
+            # The application sees a body with a length.
+            self.headers["CONTENT_LENGTH"] = str(len(body))
+        return consumed
+
     def get_cost(self):
         """Return the memory that the request holds, in bytes."""
         cost = (
@@ -212,11 +246,9 @@
             + HEADER_COPIES * self.header_bytes_received
             + HEADER_FIELD_BYTES * len(self.headers)
         )
-        receiver = self.body_rcv
-        if receiver is not None:
-            cost += BODY_COPIES * len(receiver)
-            if self.chunked:
-                cost += len(receiver.control_line) + len(receiver.trailer)
+        body = self.body_rcv
+        if body is not None:
+            cost += BODY_COPIES * (len(body) + body.pending)
         return cost
 
     def close(self):
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bergamotshore.core.bodybudget import RESERVED_SHARE
+from bergamotshore.entry.bodies import MAX_FRAMING_PER_BYTE
 from bergamotshore.entry.intake import BODY_COPIES, Intake
 from bergamotshore.entry.wsgi import HttpServer, reply
 from bergamotshore.generated.settings import Intake as IntakeSettings
@@ -66,7 +67,8 @@
     started = []
 
     def start(largest_body, intake):
-        server = HttpServer(app, ("127.0.0.1", 0), 2, largest_body, intake)
+        address = ("127.0.0.1", 0)
+        server = HttpServer(app, address, 2, largest_body, intake)
         thread = threading.Thread(target=server.run)
         thread.start()
         started.append((server, thread))
@@ -320,3 +322,39 @@
     wait_until(lambda: any(channel.discard for channel in list_channels(server)))
     clock.advance(IntakeSettings().body_stall)
     wait_until(lambda: len(list_channels(server)) == FITTING)
+
+
+def send_chunked(sock, content, extension=b""):
+    sock.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+    chunks = (b"1%s\r\n%c\r\n" % (extension, byte) for byte in content)
+    sock.sendall(b"".join(chunks) + b"0\r\n\r\n")
+
+
+def test_largest_body_in_chunks_of_one_byte_is_served(app, connect):
+    sock = connect()
+    send_chunked(sock, b"x" * LARGEST_BODY)
+    assert read_body(sock) == b"served"
+    assert app.sizes == [LARGEST_BODY]
+
+
+def test_body_that_is_too_large_without_its_framing_is_refused(app, connect):
+    sock = connect()
+    try:
+        send_chunked(sock, b"x" * (LARGEST_BODY + 1))
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        assert answer.status == 413
+    except OSError:
+        # The connection was reset before the client had sent all.
+        pass
+    assert app.sizes == []
+
+
+def test_body_of_endless_framing_is_refused(app, connect):
+    sock = connect()
+    sock.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+    chunk = b"1;" + b"x" * 1000 + b"\r\nx\r\n"
+    with pytest.raises(OSError, match="reset|pipe"):
+        for _ in range(LARGEST_BODY // 1000 * MAX_FRAMING_PER_BYTE):
+            sock.sendall(chunk * 10)
+    assert app.sizes == []
