Reserve the memory that decoding a submission may take

Seen: 40 clients that each send a legal body of 195 KB with 65,000 empty steps took an entry to 483 MB where its machine has 96; 20,000 valid steps of 12 bytes each to 186 MB.

Cause: a body was counted while it arrived and was served, what it was decoded to never. The count of braces before the decoder let 65,536 steps pass, which take hundreds of bytes each, and encoding a job for its row built all fields of all steps at once.

Change: a complete body is charged with what decoding it may take, from its braces, commas and letters, against the budget of bodies; without room it is refused with 503 not-run before it reaches the application. The decoder ends at the step that the row of the job can't hold, instead of building all of them: a step takes 8 bytes of a row at least, a dependency one. Steps are encoded one by one. The budget always has room for one largest body with its decoding.

--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -1,6 +1,6 @@
 """Job specifications that callers submit, task references, and sizes of workers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -188,8 +188,9 @@
 
 def encode_spec(spec):
     """Encode a job specification, leaving out step fields that have their default."""
-    value = msgspec.to_builtins(spec)
-    value["steps"] = [_drop_defaults(step) for step in value["steps"]]
+    value = msgspec.to_builtins(replace(spec, steps=()))
+    # One by one: the fields of a step take many times its memory.
+    value["steps"] = [_drop_defaults(msgspec.to_builtins(step)) for step in spec.steps]
     return msgspec.msgpack.encode(value)
 
 
--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -22,8 +22,8 @@
     format_retry_after,
 )
 
-# Share of the memory of the VM for requests in flight; the rest is for the program, its
-# state, decoded bodies and answers.
+# Share of the memory of the VM for requests in flight and what they are decoded to; the
+# rest is for the program, its state and answers.
 MEMORY_SHARE = 1 / 8
 BYTES_PER_MB = 1_000_000
 # Cost of a request besides its content: channel, parser and buffers, in bytes.
@@ -101,13 +101,16 @@
         self._log = log
         registry.watch("request_memory_bytes", lambda: self._budget.held)
 
-    def ensure_room(self, largest_body, count=1):
+    def ensure_room(self, largest_body, count=1, decoding=0):
         """Raise the limit to what the largest requests of a server may need.
 
         :param largest_body: Largest body that the server accepts, in bytes.
         :param count: Number of such requests that are served at once in any case.
+        :param decoding: Memory that decoding such a body may take, in bytes.
         """
-        largest_cost = REQUEST_BYTES + MAX_HEADER_COST + BODY_COPIES * largest_body
+        largest_cost = (
+            REQUEST_BYTES + MAX_HEADER_COST + BODY_COPIES * largest_body + decoding
+        )
         needed = count * largest_cost + 2 * SMALL_BYTES
         with self._lock:
             self._budget.limit = max(
@@ -193,6 +196,9 @@
     :param channel: Channel of the request.
     """
 
+    # Memory that decoding the body may take, once it is complete.
+    decoding_bytes = 0
+
     def __init__(self, adj, channel):
         super().__init__(adj)
         self.channel = channel
@@ -234,13 +240,15 @@
         elif body.framing > largest + MAX_FRAMING_PER_BYTE * len(body):
             self.error = RequestEntityTooLarge("the framing exceeds the body")
         self.completed = body.completed or self.error is not None
-        if body.completed and not self.error and self.chunked:
-            # The application sees a body with a length.
-            self.headers["CONTENT_LENGTH"] = str(len(body))
+        if body.completed and not self.error:
+            if self.chunked:
+                # The application sees a body with a length.
+                self.headers["CONTENT_LENGTH"] = str(len(body))
+            self.decoding_bytes = self.channel.server.estimate_decoding(body.content)
         return consumed
 
     def get_cost(self):
-        """Return the memory that the request holds, in bytes."""
+        """Return the memory that the request holds, or will when it is decoded."""
         cost = (
             REQUEST_BYTES
             + HEADER_COPIES * self.header_bytes_received
@@ -248,7 +256,7 @@
         )
         body = self.body_rcv
         if body is not None:
-            cost += BODY_COPIES * (len(body) + body.pending)
+            cost += BODY_COPIES * (len(body) + body.pending) + self.decoding_bytes
         return cost
 
     def close(self):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -45,7 +45,7 @@
 from bergamotshore.entry.streams import StreamDirectory
 from bergamotshore.entry.submissions import ReadinessApp, SubmissionApp
 from bergamotshore.entry.takeover import read_job_rows
-from bergamotshore.entry.wsgi import HttpServer
+from bergamotshore.entry.wsgi import DecodingMemory, HttpServer
 from bergamotshore.generated.messages import (
     Heartbeat,
     Hello,
@@ -58,6 +58,7 @@
 from bergamotshore.metrics.memory import read_processor_seconds, read_resident_bytes
 from bergamotshore.metrics.registry import Registry
 from bergamotshore.platform.advice import AdviceClient
+from bergamotshore.platform.jobs import estimate_decoding, estimate_largest_decoding
 from bergamotshore.platform.machines import PlatformMachines
 from bergamotshore.platform.store import PlatformRowStore
 from bergamotshore.ports.clock import SystemClock
@@ -195,6 +196,7 @@
             CALLER_THREADS,
             self.entry.largest_body,
             self.intake,
+            decoding=DecodingMemory(estimate_decoding, estimate_largest_decoding),
         )
         self.ready_server = self._build_small_server(
             ReadinessApp(self.is_ready), self.site.ready
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -5,6 +5,8 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from waitress import create_server, wasyncore
 from waitress.channel import HTTPChannel
@@ -35,6 +37,21 @@
 MAX_BUFFER_BYTES = 1 << 30
 
 
+@dataclass(frozen=True, slots=True)
+class DecodingMemory:
+    """Memory that the application takes to decode a body.
+
+    :param estimate: Returns it for a body, in bytes; never less than is taken.
+    :param estimate_largest: Returns the most that any body of a size takes, in bytes.
+    """
+
+    estimate: Callable[[bytearray], int]
+    estimate_largest: Callable[[int], int]
+
+
+NO_DECODING = DecodingMemory(lambda content: 0, lambda size: 0)
+
+
 class DrainingTask(WSGITask):
     """Task that closes keep-alive connections while the server drains."""
 
@@ -149,18 +166,29 @@
     :param intake: ``Intake`` of the process.
     :param max_connections: Maximum number of open connections; None for that of the
         intake.
+    :param decoding: ``DecodingMemory``; None where bodies are not decoded.
     """
 
     def __init__(
-        self, app, address, threads, largest_body, intake=None, max_connections=None
+        self,
+        app,
+        address,
+        threads,
+        largest_body,
+        intake=None,
+        max_connections=None,
+        decoding=None,
     ):
         host, port = address
+        decoding = decoding or NO_DECODING
         self._socket_map = {}
         self._is_stopped = threading.Event()
         self._has_ended = threading.Event()
         self._finish_deadline = 0.0
         intake = intake or _build_intake()
-        intake.ensure_room(largest_body)
+        intake.ensure_room(
+            largest_body, decoding=decoding.estimate_largest(largest_body)
+        )
         max_connections = min(
             intake.max_connections, max_connections or intake.max_connections
         )
@@ -171,6 +199,7 @@
         except OSError as error:
             raise AddressInUseError(f"{host}:{port}", str(error)) from error
         self._server.intake = intake
+        self._server.estimate_decoding = decoding.estimate
         self._server.max_connections = max_connections
         self._server.is_draining = False
         self._server.is_finishing = False
--- a/src/bergamotshore/platform/jobs.py
+++ b/src/bergamotshore/platform/jobs.py
@@ -1,5 +1,7 @@
 """Wire formats of job submissions and of the job states returned to callers."""
 
+import threading
+
 import msgspec
 from returns.result import Failure, Success
 
@@ -8,8 +10,22 @@
 from bergamotshore.exceptions import SubmissionInvalid
 
 MAX_SPEC_BYTES = 4000
-# Each step takes a byte or more of a job's row, which the store limits to this size.
-MAX_STEPS = 65_536
+# What the store takes of a job's row, and what each step and each of its dependencies
+# take of it at least, in bytes. A job that can't be stored is not decoded to its end.
+MAX_ROW_BYTES = 65_536
+MIN_STEP_BYTES = 8
+MIN_DEPENDENCY_BYTES = 1
+MAX_STEPS = MAX_ROW_BYTES // MIN_STEP_BYTES
+# Memory of a step while it is decoded and encoded for its row, in bytes: on its own,
+# and for each value in it. Commas separate the values.
+STEP_DECODING_BYTES = 1024
+VALUE_DECODING_BYTES = 48
+# Shortest text of a value with its name and comma.
+MIN_VALUE_BYTES = 8
+# Copies of a text that are alive at once; one letter beyond ASCII makes all of a text
+# take four bytes each.
+TEXT_COPIES = 2
+WIDE_TEXT_COPIES = 9
 WIRE_STATE_BY_STATE = {
     "pending": "pending",
     "running": "active",
@@ -19,14 +35,36 @@
 }
 
 
-class WireStep(msgspec.Struct, frozen=True):
+class RowLimit(threading.local):
+    """Row bytes that the steps of the job being decoded by this thread take at least.
+
+    The decoder would otherwise build all steps of a body before they can be counted.
+    """
+
+    taken = 0
+
+    def add(self, size):
+        """Add the least size of a step.
+
+        :raises ValueError: when the row of the job can't hold it.
+        """
+        self.taken += size
+        if self.taken > MAX_ROW_BYTES:
+            raise ValueError(f"the steps take more than {MAX_ROW_BYTES} bytes")
+
+
+ROW_LIMIT = RowLimit()
+
+
+class WireStep(msgspec.Struct, frozen=True, gc=False):
     """One step of a job; callers may omit fields that are 0, false or empty.
 
     ``cpu`` is in thousandths of a core. ``affinity`` is the preferred rack,
     ``requires`` a label that the worker must have, ``anti_affinity`` the maximum
     number of tasks on one worker. ``fills`` marks best-effort tasks; ``goal_ms`` bounds
     the tail latency. ``may_miss`` is the maximum number of tasks that the scheduler may
-    have interrupted at once; None sets no limit.
+    have interrupted at once; None sets no limit. ``after`` is decoded by
+    ``read_dependencies``.
     """
 
     count: int = 1
@@ -34,7 +72,7 @@
     mem_mb: int = 0
     gpu: int = 0
     est_ms: float = 0
-    after: list[int] = []
+    after: msgspec.Raw = msgspec.Raw(b"[]")
     checkpoint: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -48,6 +86,14 @@
     fills: bool = False
     may_miss: int | None = None
 
+    def __post_init__(self):
+        dependencies = bytes(self.after).count(b",")
+        ROW_LIMIT.add(MIN_STEP_BYTES + MIN_DEPENDENCY_BYTES * dependencies)
+
+    def read_dependencies(self):
+        """Return ``Result`` of ``after`` as a tuple, or of a ``DecodingError``."""
+        return read_json(self.after, tuple[int, ...])
+
 
 class WireJob(msgspec.Struct, frozen=True):
     """Body of a submission; ``spec`` is the payload that its tasks run."""
@@ -59,22 +105,51 @@
     interval_ms: Count = 0
 
 
+def estimate_decoding(content):
+    """Return the memory that decoding a submission may take, in bytes.
+
+    Never less than it takes, and often more: braces and commas count within texts, too.
+
+    :param content: Body of the submission, as bytes or ``bytearray``.
+    """
+    return _estimate(
+        len(content),
+        content.count(b"{"),
+        content.count(b","),
+        TEXT_COPIES if content.isascii() else WIDE_TEXT_COPIES,
+    )
+
+
+def estimate_largest_decoding(size):
+    """Return the memory that decoding any submission of a size may take, in bytes.
+
+    :param size: Size of the body, in bytes.
+    """
+    return _estimate(size, size, size, WIDE_TEXT_COPIES)
+
+
+def _estimate(size, braces, commas, text_copies):
+    most_values = MAX_ROW_BYTES // MIN_DEPENDENCY_BYTES + size // MIN_VALUE_BYTES
+    return (
+        min(braces, MAX_STEPS) * STEP_DECODING_BYTES
+        + min(commas, most_values) * VALUE_DECODING_BYTES
+        + text_copies * size
+    )
+
+
 def decode_submission(body, queue, job_id, now):
     """Return ``Result`` of the ``JobSpec`` that a submission describes.
 
     :param queue: ``Queue`` that the job was submitted to.
     :param now: Current wall-clock time, in seconds.
     """
-    # Decoded steps take hundreds of times their size, so they are counted before. The
-    # text of ``spec`` may hold braces as well.
-    if body.count(b"{") > MAX_STEPS + MAX_SPEC_BYTES:
-        return Failure(SubmissionInvalid(f"more than {MAX_STEPS} steps"))
-    match read_json(body, WireJob):
-        case Success(job):
+    ROW_LIMIT.taken = 0
+    match read_json(body, WireJob).bind(_decode_steps):
+        case Success((job, steps)):
             pass
         case Failure(error):
             return Failure(SubmissionInvalid(str(error)))
-    problem = _find_problem(job)
+    problem = _find_problem(job, steps)
     if problem:
         return Failure(SubmissionInvalid(problem))
     spec = JobSpec(
@@ -82,7 +157,7 @@
         job_id=job_id,
         service=queue.service,
         payload=job.spec,
-        steps=tuple(_decode_step(step) for step in job.steps),
+        steps=steps,
         retries=queue.retries,
         repeats=job.repeats,
         first_at=job.start_at_ms / 1000,
@@ -94,27 +169,38 @@
     return Success(spec)
 
 
-def _find_problem(job):
-    if not job.steps:
+def _decode_steps(job):
+    steps = []
+    for step in job.steps:
+        match step.read_dependencies():
+            case Success(after):
+                steps.append(_decode_step(step, after))
+            case failure:
+                return failure
+    return Success((job, tuple(steps)))
+
+
+def _find_problem(job, steps):
+    if not steps:
         return "steps is empty: a job needs at least one step"
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         return f"spec is longer than {MAX_SPEC_BYTES} bytes"
-    for number, step in enumerate(job.steps):
-        if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
+    for number, step in enumerate(steps):
+        if step.tasks < 1 or min(step.cpu, step.memory, step.accelerators) < 0:
             return f"step {number}: count must be positive; cpu, mem_mb, gpu at least 0"
         if any(not 0 <= dependency < number for dependency in step.after):
             return f"step {number}: after may only list the numbers of earlier steps"
     return ""
 
 
-def _decode_step(step):
+def _decode_step(step, after):
     return Step(
         tasks=step.count,
         cpu=step.cpu,
         memory=step.mem_mb,
         accelerators=step.gpu,
         estimate=step.est_ms / 1000,
-        after=tuple(step.after),
+        after=after,
         has_checkpoints=step.checkpoint,
         is_gang=step.gang,
         is_tight=step.same_rack,
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -12,7 +12,7 @@
 from bergamotshore.core.bodybudget import RESERVED_SHARE
 from bergamotshore.entry.bodies import MAX_FRAMING_PER_BYTE
 from bergamotshore.entry.intake import BODY_COPIES, Intake
-from bergamotshore.entry.wsgi import HttpServer, reply
+from bergamotshore.entry.wsgi import DecodingMemory, HttpServer, reply
 from bergamotshore.generated.settings import Intake as IntakeSettings
 from bergamotshore.node.site import HEARTBEAT_THREADS, MAX_HEARTBEAT_BYTES
 from bergamotshore.utils.eventlog import EventLog
@@ -66,9 +66,9 @@
     """Return a function that starts a server, stopped after the test."""
     started = []
 
-    def start(largest_body, intake):
+    def start(largest_body, intake, decoding=None):
         address = ("127.0.0.1", 0)
-        server = HttpServer(app, address, 2, largest_body, intake)
+        server = HttpServer(app, address, 2, largest_body, intake, decoding=decoding)
         thread = threading.Thread(target=server.run)
         thread.start()
         started.append((server, thread))
@@ -324,6 +324,34 @@
     wait_until(lambda: len(list_channels(server)) == FITTING)
 
 
+def test_body_whose_decoding_has_no_room_is_refused_and_never_runs(
+    app, serve, intake, registry
+):
+    # Each byte is decoded to a hundred.
+    decoding = DecodingMemory(lambda content: 100 * len(content), lambda size: 0)
+    address = ("127.0.0.1", serve(LARGEST_BODY, intake, decoding).port)
+    largest = int(64_000_000 / 8 * (1 - RESERVED_SHARE) / 102)
+    statuses = []
+    for size in (largest + 1000, largest - 1000):
+        call = http.client.HTTPConnection(*address, timeout=CALL_TIMEOUT_SECONDS)
+        call.request("POST", "/", b"x" * size)
+        answer = call.getresponse()
+        statuses.append(answer.status)
+        answer.read()
+        call.close()
+    assert statuses == [503, 200]
+    assert app.sizes == [largest - 1000]
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_largest_decoding_has_room_on_the_smallest_vm(app, serve, intake):
+    decoding = DecodingMemory(lambda content: 30_000_000, lambda size: 30_000_000)
+    address = ("127.0.0.1", serve(LARGEST_BODY, intake, decoding).port)
+    call = http.client.HTTPConnection(*address, timeout=CALL_TIMEOUT_SECONDS)
+    call.request("POST", "/", b"x" * LARGEST_BODY)
+    assert call.getresponse().status == 200
+
+
 def send_chunked(sock, content, extension=b""):
     sock.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
     chunks = (b"1%s\r\n%c\r\n" % (extension, byte) for byte in content)
