Read ordinary requests first, and costly ones in turns

Seen: beside 240 connections with bodies in chunks of one byte, an ordinary request was answered when 97 of 100 bytes of the crowd had been read, at every address of entry and node.

Cause: a server accepted one connection in each pass over all sockets, and each pass read 8 KB of every one, whatever they cost to parse. A packet of many small requests was parsed as a whole, too.

Of a packet only the first request is parsed; the rest waits until that was served, and doesn't run behind a refused one.

--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -198,6 +198,8 @@
 
     # Memory that decoding the body may take, once it is complete.
     decoding_bytes = 0
+    # Bytes behind the request, which are parsed when it was served.
+    following_bytes = 0
 
     def __init__(self, adj, channel):
         super().__init__(adj)
@@ -207,17 +209,27 @@
         """Take received bytes; return how many of them belong to this request."""
         if self.body_rcv is None:
             consumed = super().received(data)
+            # Counted before they are parsed, all at once when the last has arrived.
+            fields = data.count(b"\n", 0, consumed)
+            self.channel.work.record(consumed, fields=fields)
         else:
             consumed = self._receive_body(data)
         if self.completed:
             # Otherwise the channel would ask for a body and never queue the request.
             self.expect_continue = False
+            self.following_bytes = len(data) - consumed
         if self.empty:
             # The channel drops blank lines without a word.
             self.close()
-        if self.error or self.empty or self.channel.server.intake.admit(self):
+        elif self.error:
+            # The connection is closed after the answer, whatever follows.
+            return len(data)
+        elif not self.channel.server.intake.admit(self):
+            self._refuse()
+            return len(data)
+        if not self.completed:
             return consumed
-        self._refuse()
+        self.channel.unparsed = data[consumed:]
         return len(data)
 
     def parse_header(self, header_plus):
@@ -230,7 +242,10 @@
 
     def _receive_body(self, data):
         body = self.body_rcv
+        framing = body.framing
         consumed = body.received(data)
+        framing = body.framing - framing
+        self.channel.work.record(consumed - framing, framing)
         # Waitress is configured to refuse bodies that reach its limit.
         largest = self.adj.max_request_body_size - 1
         if body.error:
@@ -253,6 +268,7 @@
             REQUEST_BYTES
             + HEADER_COPIES * self.header_bytes_received
             + HEADER_FIELD_BYTES * len(self.headers)
+            + self.following_bytes
         )
         body = self.body_rcv
         if body is not None:
--- a/src/bergamotshore/entry/wsgi.py
+++ b/src/bergamotshore/entry/wsgi.py
@@ -2,6 +2,7 @@
 
 import functools
 import http
+import select
 import socket
 import threading
 import time
@@ -12,6 +13,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from bergamotshore.core.readturns import ReadingWork, ReadTurns
 from bergamotshore.entry.intake import MAX_HEADER_BYTES, BudgetedParser, Intake
 from bergamotshore.exceptions import AddressInUseError
 from bergamotshore.generated.settings import Intake as IntakeSettings
@@ -71,9 +73,12 @@
     # Whether a request didn't fit; what still comes is discarded after its answer.
     is_refused = False
     discard = None
+    # Received bytes behind the request that is being served.
+    unparsed = b""
 
     def __init__(self, server, sock, addr, adj, map=None):
         super().__init__(server, sock, addr, adj, map)
+        self.work = ReadingWork()
         self.parser_class = functools.partial(BudgetedParser, channel=self)
         server.intake.limit_connections(server, self)
 
@@ -98,6 +103,12 @@
             self.requests_lock.release()
         self.server.pull_trigger()
 
+    def received(self, data):
+        """Take received bytes."""
+        super().received(data)
+        if self.request is None:
+            self.work.start_request()
+
     def service(self):
         """Execute one request."""
         self.has_served = True
@@ -123,6 +134,10 @@
 
     def handle_read(self):
         """Receive data, which is not kept after a refusal."""
+        if self.unparsed:
+            data, self.unparsed = self.unparsed, b""
+            self.received(data)
+            return
         if self.discard is None:
             super().handle_read()
             return
@@ -132,6 +147,7 @@
         except OSError:
             self.handle_close()
             return
+        self.work.record(len(data))
         self.discard.size_left -= len(data)
 
     def handle_close(self):
@@ -182,6 +198,7 @@
         host, port = address
         decoding = decoding or NO_DECODING
         self._socket_map = {}
+        self._turns = ReadTurns()
         self._is_stopped = threading.Event()
         self._has_ended = threading.Event()
         self._finish_deadline = 0.0
@@ -249,7 +266,56 @@
             self._has_ended.set()
 
     def _poll(self, timeout):
-        wasyncore.loop(timeout=timeout, use_poll=True, map=self._socket_map, count=1)
+        """Wait for events of the sockets and handle them.
+
+        As ``wasyncore.poll2`` does, but new connections come first, and requests that
+        are costly to read come last and take turns.
+        """
+        poller = select.poll()
+        flags_by_descriptor = {}
+        for descriptor, item in list(self._socket_map.items()):
+            flags = 0
+            if item.readable():
+                flags |= select.POLLIN | select.POLLPRI
+                if isinstance(item, DrainableChannel) and item.unparsed:
+                    flags_by_descriptor[descriptor] = select.POLLIN
+            # The listener must not be asked for output.
+            if item.writable() and not item.accepting:
+                flags |= select.POLLOUT
+            if flags:
+                poller.register(descriptor, flags)
+        if flags_by_descriptor:
+            timeout = 0
+        for descriptor, flags in poller.poll(int(timeout * 1000)):
+            flags_by_descriptor[descriptor] = (
+                flags_by_descriptor.get(descriptor, 0) | flags
+            )
+        if flags_by_descriptor.pop(self._server._fileno, 0):
+            self._accept()
+        work_by_descriptor = {}
+        for descriptor, flags in flags_by_descriptor.items():
+            item = self._socket_map.get(descriptor)
+            if item is None:
+                continue
+            if flags & select.POLLIN and isinstance(item, DrainableChannel):
+                work_by_descriptor[descriptor] = item.work
+            else:
+                wasyncore.readwrite(item, flags)
+        for descriptor in self._turns.take(work_by_descriptor):
+            item = self._socket_map.get(descriptor)
+            if item is not None:
+                wasyncore.readwrite(item, flags_by_descriptor[descriptor])
+
+    def _accept(self):
+        """Accept the connections that wait, as many as there may be at once."""
+        server = self._server
+        for _ in range(SPARE_CONNECTIONS):
+            connections = len(self._socket_map)
+            if connections >= server.adj.connection_limit:
+                return
+            wasyncore.read(server)
+            if len(self._socket_map) == connections:
+                return
 
     def _is_finish_overdue(self):
         return time.monotonic() >= self._finish_deadline
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -324,6 +324,47 @@
     wait_until(lambda: len(list_channels(server)) == FITTING)
 
 
+def read_answers(sock, count):
+    """Read so many answers of the application, one after the other."""
+    received = b""
+    while received.count(b"\r\n\r\nserved") < count:
+        received += sock.recv(4096)
+    assert received.count(b"HTTP/1.1 200 OK") == count
+
+
+def test_requests_in_one_packet_are_answered_in_turn(app, connect, registry):
+    sock = connect()
+    chunked = (
+        b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\n\r\n"
+    )
+    sized = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"
+    empty = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    sock.sendall(chunked + sized + b"\r\n\r\n" + empty + sized)
+    read_answers(sock, 4)
+    assert app.sizes == [3, 2, 0, 2]
+    wait_until(lambda: read_held(registry) == 0)
+
+
+def test_only_one_request_of_a_packet_is_parsed_at_a_time(app, server, connect):
+    may_serve = threading.Event()
+
+    def wait_and_serve(environ, start_response):
+        may_serve.wait(CALL_TIMEOUT_SECONDS)
+        return app(environ, start_response)
+
+    server._server.application = wait_and_serve
+    sock = connect()
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    sock.sendall(request * 50)
+    wait_until(lambda: any(channel.requests for channel in list_channels(server)))
+    (channel,) = list_channels(server)
+    assert len(channel.requests) == 1
+    assert len(channel.unparsed) == len(request) * 49
+    may_serve.set()
+    read_answers(sock, 50)
+
+
 def test_body_whose_decoding_has_no_room_is_refused_and_never_runs(
     app, serve, intake, registry
 ):
@@ -386,3 +427,16 @@
         for _ in range(LARGEST_BODY // 1000 * MAX_FRAMING_PER_BYTE):
             sock.sendall(chunk * 10)
     assert app.sizes == []
+
+
+def test_request_behind_a_refused_one_never_runs(app, connect, registry):
+    fill(connect, registry)
+    sock = connect()
+    size = 100_000
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+    sock.sendall(head + b"x" * size + b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+    received = b""
+    while part := sock.recv(4096):
+        received += part
+    assert received.count(b"HTTP/1.1") == 1
+    assert app.sizes == []
