Return the memory of large bodies to the system

Seen: six crowds of 60 clients, one after the other, whose bodies of 1 MB reached the endpoints, took an entry of declared work to 140 MB where its machine has 96, and each further crowd added more. About six bodies were in flight at a time.

Cause: the allocator of the C library raises the size from which it maps blocks one by one to the largest block freed so far. Bodies then come from the heap of whichever thread serves them, and each of the threads keeps what its largest body took.

Change: processes fix it at 512 KB at their start, above the buffers of reads.

Evidence: test_bodies_that_are_passed_on_leave_memory_and_answers, new here, failed with the call taken out (140 MB) and passes with it (58 MB).

--- a/src/bergamotshore/management/commands/entry.py
+++ b/src/bergamotshore/management/commands/entry.py
@@ -5,6 +5,7 @@
 from bergamotshore.conf.settings import read_settings
 from bergamotshore.exceptions import SettingsError
 from bergamotshore.management import exitcodes
+from bergamotshore.utils.heap import return_large_blocks
 
 
 def add_arguments(parser):
@@ -27,6 +28,7 @@
             ]
         )
     configure_logging(settings)
+    return_large_blocks()
     is_success = _build_role(settings, options.settings).run()
     return exitcodes.DONE if is_success else exitcodes.FAILED
 
--- a/src/bergamotshore/management/commands/node.py
+++ b/src/bergamotshore/management/commands/node.py
@@ -50,7 +50,9 @@
     """Return the role object, importing only the modules that it needs."""
     if settings.site is not None:
         from bergamotshore.node.site import SiteNodeRole
+        from bergamotshore.utils.heap import return_large_blocks
 
+        return_large_blocks()
         return SiteNodeRole(settings, path)
     from bergamotshore.node.role import NodeRole
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -106,6 +106,19 @@
         cluster.kill_all()
 
 
+@pytest.fixture
+def declared_site(tmp_path):
+    """Return the cluster of a whole site of declared work with one entry."""
+    program = [sys.executable, "-m", "bergamotshore"]
+    cluster = Cluster(SITE_BY_NAME["tsehay"], tmp_path, program)
+    cluster.intake = {"memory_mb": crowds.MEMORY_MB}
+    try:
+        cluster.start_site([crowds.ENTRY], document=cluster.write_idle_document())
+        yield cluster
+    finally:
+        cluster.kill_all()
+
+
 def read_known_red():
     """Return the entries of KNOWN-RED.txt by test id.
 
--- a/tests/test_costly_clients.py
+++ b/tests/test_costly_clients.py
@@ -39,6 +39,9 @@
 DECODED_CROWD = 40
 HEARTBEAT_CROWD = 8
 LARGEST_HEARTBEAT = 4 * MIB
+# Crowds, one after the other, whose bodies reach the endpoints.
+PASSED_CROWD = 60
+PASSED_ROUNDS = 6
 # Bodies in chunks of one byte. Sender and receiver hold one of them in their buffers.
 CHUNKED_CROWD = 240
 CHUNKED_BYTES = 24 * 1024
@@ -95,9 +98,9 @@
     return b"".join(b"1\r\n%c\r\n" % byte for byte in content) + b"0\r\n\r\n"
 
 
-def send_complete_bodies(stack, target, content, clients):
+def send_complete_bodies(stack, target, content, clients, headers="X-Crowd: 1"):
     """Send whole bodies that end at nearly the same time."""
-    length = f"Content-Length: {len(content)}"
+    length = f"Content-Length: {len(content)}\r\n{headers}"
     sockets = []
     for number in range(clients):
         sock = socket.create_connection(target.address, SEND_TIMEOUT_SECONDS)
@@ -132,6 +135,26 @@
         check_process(site, target, "heartbeats", HEARTBEAT_CROWD)
 
 
+def test_bodies_that_are_passed_on_leave_memory_and_answers(declared_site):
+    """Each thread that had served a largest body kept its memory."""
+    entry = declared_site.member_by_name[ENTRY]
+    address = split_address(entry.address)
+    path = f"POST /services/{declared_site.site.service}/"
+    target = Target(ENTRY, address, path, PASSED_CROWD, MIB)
+    headers = "X-Request-Deadline-Ms: 2000\r\nX-Request-Repeatable: true"
+    for _ in range(PASSED_ROUNDS):
+        with contextlib.ExitStack() as stack:
+            content = b"x" * target.body_bytes
+            send_complete_bodies(stack, target, content, PASSED_CROWD, headers)
+            wait_until_read(address[1])
+        assert repeat_until({200}, address, "GET", "/live")
+    assert entry.process.poll() is None
+    peak = read_peak_mb(entry.process)
+    print(f"peak {peak:.0f} MB")
+    assert peak < MEMORY_MB
+    assert count_descriptors(entry.process) < PASSED_CROWD + OWN_DESCRIPTORS
+
+
 def count_queued_bytes(port):
     """Return the bytes sent to a listener that its process hasn't read.
 
