Parse headers in time by their length

Seen: one request hangs a process. A legal field of 32,000 spaces before its value took the thread that reads connections 8.8 s, a first line of 4,000 digits after a scheme 2.7 s, rising with the square or the cube of the length, and the interpreter runs nothing else meanwhile: not the thread that schedules, nor those that keep leases.

Cause: waitress's patterns for first lines and fields try each way to part a run of spaces, or an address, before they fail.

Change: a first line that can't match is refused by a pattern that takes each character once, and each run of spaces in fields, folded lines included, is one space before waitress sees it. Hosts in brackets that are no address and lengths of thousands of digits are answered 400; they ended in an exception, and the connection without an answer.

A property test compares the parser with waitress's for ordinary headers.

Not a separate case: spaces inside a value reach the application as one.

--- a/src/bergamotshore/entry/intake.py
+++ b/src/bergamotshore/entry/intake.py
@@ -4,10 +4,11 @@
 accounts for what it holds, from its first byte until it was served.
 """
 
+import re
 import threading
 from dataclasses import dataclass
 
-from waitress.parser import HTTPRequestParser
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.utilities import RequestEntityTooLarge
 
 from bergamotshore.core.bodybudget import RESERVED_SHARE, SMALL_BYTES, BodyBudget
@@ -38,6 +39,10 @@
     HEADER_COPIES * MAX_HEADER_BYTES
     + HEADER_FIELD_BYTES * MAX_HEADER_BYTES // MIN_FIELD_LINE_BYTES
 )
+# Waitress's patterns for first lines and fields take time by the square of a line's
+# length, or more, where these don't match or leave long spaces.
+FIRST_LINE_PATTERN = re.compile(rb"[^ \r\n]+ [^ \r\n]+(?: HTTP/[0-9]\.[0-9])? *\r\n")
+SPACES_PATTERN = re.compile(rb"(?:(?:\r\n)?[ \t])+")
 # A body is kept in a buffer and handed to the application as a copy.
 BODY_COPIES = 2
 RETRY_AFTER_SECONDS = 1
@@ -234,7 +239,15 @@
 
     def parse_header(self, header_plus):
         """Parse the first line and the fields, and prepare to receive the body."""
-        super().parse_header(header_plus)
+        first_line = FIRST_LINE_PATTERN.match(header_plus)
+        if first_line is None:
+            raise ParsingError("Start line is invalid")
+        fields = SPACES_PATTERN.sub(b" ", header_plus[first_line.end() :])
+        try:
+            super().parse_header(first_line[0] + fields)
+        except ValueError as error:
+            # A host in brackets that is no address, or a length of thousands of digits.
+            raise ParsingError(str(error)) from error
         if self.chunked:
             self.body_rcv = ChunkedBody()
         elif self.content_length:
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -8,10 +8,15 @@
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from waitress.adjustments import Adjustments
+from waitress.parser import HTTPRequestParser
 
 from bergamotshore.core.bodybudget import RESERVED_SHARE
+from bergamotshore.core.readturns import ReadingWork
 from bergamotshore.entry.bodies import MAX_FRAMING_PER_BYTE
-from bergamotshore.entry.intake import BODY_COPIES, Intake
+from bergamotshore.entry.intake import BODY_COPIES, BudgetedParser, Intake
 from bergamotshore.entry.wsgi import DecodingMemory, HttpServer, reply
 from bergamotshore.generated.settings import Intake as IntakeSettings
 from bergamotshore.node.site import HEARTBEAT_THREADS, MAX_HEARTBEAT_BYTES
@@ -429,6 +434,75 @@
     assert app.sizes == []
 
 
+def parse(parser_class, content):
+    """Return the parser of a request after it has received the content."""
+    intake = SimpleNamespace(admit=lambda request: True, release=lambda request: None)
+    server = SimpleNamespace(intake=intake, estimate_decoding=lambda content: 0)
+    parser = parser_class(Adjustments())
+    parser.channel = SimpleNamespace(work=ReadingWork(), server=server)
+    parser.received(content)
+    return parser
+
+
+def build_parser(adjustments):
+    return BudgetedParser(adjustments, None)
+
+
+FIELD = st.builds(
+    lambda name, value: f"{name}: {value}",
+    st.from_regex(r"[A-Za-z][A-Za-z-]{0,8}", fullmatch=True),
+    st.from_regex(r"(?:[!-~]{1,9}(?: [!-~]{1,9}){0,3})?", fullmatch=True),
+)
+
+
+@given(
+    st.from_regex(
+        r"[A-Z]{1,7} (?:x://)?[!-Z\\^-~]{1,20}( HTTP/1\.[01])?", fullmatch=True
+    ),
+    st.lists(FIELD, max_size=5),
+)
+def test_header_is_parsed_as_waitress_does(first_line, fields):
+    content = "\r\n".join([first_line, *fields, "", ""]).encode()
+    parser = parse(build_parser, content)
+    expected = parse(HTTPRequestParser, content)
+    assert type(parser.error) is type(expected.error)
+    assert parser.headers == expected.headers
+    if expected.error is None:
+        for name in ("command", "path", "query", "version", "connection_close"):
+            assert getattr(parser, name) == getattr(expected, name)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (b"a:" + b" " * 30_000 + b"x", "x"),
+        (b"a: x" + b" \t" * 15_000, "x"),
+        (b"a: x" + b" " * 30_000 + b"y", "x y"),
+        (b"a:" + b"\r\n " * 10_000 + b"x", "x"),
+        (b"a: x\r\n\ty", "x y"),
+    ],
+)
+def test_spaces_in_a_field_count_as_one(field, value):
+    parser = parse(build_parser, b"GET / HTTP/1.1\r\n" + field + b"\r\n\r\n")
+    assert parser.error is None
+    assert parser.headers == {"A": value}
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"GET x://" + b"1" * 30_000 + b" HTTP/1.1 x",
+        b"GET",
+        b"GET / x",
+        b"GET  / HTTP/1.1",
+        b"GET x://[ HTTP/1.1",
+    ],
+)
+def test_invalid_first_line_is_an_error(line):
+    parser = parse(build_parser, line + b"\r\nHost: a\r\n\r\n")
+    assert parser.error.code == 400
+
+
 def test_request_behind_a_refused_one_never_runs(app, connect, registry):
     fill(connect, registry)
     sock = connect()
--- a/tests/test_costly_clients.py
+++ b/tests/test_costly_clients.py
@@ -50,6 +50,7 @@
 CHUNKED_MEMORY_MB = 168
 # Steps that the row of a job can hold if they are as short as can be.
 STORABLE_STEPS = 5000
+HEADER_CROWD = 200
 STREAM_CROWD = 40
 SILENT_STREAMS = 400
 CONNECTIONS = 64
@@ -254,6 +255,31 @@
     assert count_descriptors(process) < CHUNKED_CROWD + OWN_DESCRIPTORS
 
 
+COSTLY_HEADER = {
+    "spaces": b"GET / HTTP/1.1\r\na:" + b" " * 32_000 + b"x\r\n\r\n",
+    "first line": b"GET x://" + b"1" * 32_000 + b" HTTP/1.1 x\r\n\r\n",
+    "folded lines": b"GET / HTTP/1.1\r\na:" + b"\r\n " * 10_000 + b"x\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("pattern", COSTLY_HEADER)
+@pytest.mark.parametrize("listener", ["callers", "heartbeats"])
+def test_headers_that_are_costly_to_parse_do_not_hang_a_listener(
+    start_site, tmp_path, listener, pattern
+):
+    site = start_site(memory_mb=MEMORY_MB)
+    target = find_target(site, tmp_path, listener)
+    with contextlib.ExitStack() as stack:
+        for _ in range(HEADER_CROWD):
+            sock = socket.create_connection(target.address, SEND_TIMEOUT_SECONDS)
+            send_bytes(stack.enter_context(sock), COSTLY_HEADER[pattern])
+        connection = http.client.HTTPConnection(*target.address, HANG_SECONDS)
+        stack.callback(connection.close)
+        connection.request("GET", PREFIX + "absent", headers={"Host": HOST_NAME})
+        assert connection.getresponse().status
+        check_process(site, target, listener, HEADER_CROWD)
+
+
 def build_largest_job():
     """Return the largest job that a caller may send and the store can hold."""
     steps = build_steps(b'{"count":1}', STORABLE_STEPS)
