Reserve the memory of wide texts that a submission spells in escapes

Seen, by reading: a text in ASCII whose first letter is an escape beyond ASCII is decoded to four bytes a letter, and was reserved for as if it took one.

Change: a body with such escapes counts as wide. The new case of test_decoding_takes_no_more_than_is_reserved failed before.

--- a/src/bergamotshore/platform/jobs.py
+++ b/src/bergamotshore/platform/jobs.py
@@ -112,11 +112,12 @@
 
     :param content: Body of the submission, as bytes or ``bytearray``.
     """
+    is_wide = not content.isascii() or b"\\u" in content
     return _estimate(
         len(content),
         content.count(b"{"),
         content.count(b","),
-        TEXT_COPIES if content.isascii() else WIDE_TEXT_COPIES,
+        WIDE_TEXT_COPIES if is_wide else TEXT_COPIES,
     )
 
 
--- a/tests/site/test_decoding_memory.py
+++ b/tests/site/test_decoding_memory.py
@@ -75,6 +75,7 @@
     "many dependencies": build_body([{"after": [1000] * 200_000}]),
     "text": build_body([{}], spec="x" * MIB),
     "wide text": build_body([{}], spec="\N{WATER WAVE}" + "x" * MIB),
+    "escaped text": b'{"steps":[{}],"spec":"\\ud83c\\udf0a' + b"x" * MIB + b'"}',
     "wide labels": build_body([{"requires": "\N{WATER WAVE}" + "x" * 200}] * 4000),
     "unknown": build_body([{}], unknown=[[{}] * 1000] * 100),
     "nested": b'{"steps":' + b"[" * MIB,
