Log which entry knows of a lease that outlasts its node's grant

A run that is placed again too early may follow from a longer lease that nobody counted, or from one that the placing entry was not told. node-silent named the last heartbeat in both cases, and no line showed that an entry had learned of a longer lease. Now worker-lease-heard does, with its source, and node-silent says when such a lease bounds the wait. The wait itself is unchanged.

The two tests fail without the change: the line does not exist, and node-silent says counted=node.

--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -563,13 +563,13 @@
             worker.is_reachable = now - last_heard < HEARTBEAT_TIMEOUT_SECONDS
             if worker.allocation_by_key:
                 self._release_ended(worker, now)
-            heard_at, counted = max(
-                (self.election.last_echo_at, "echoes"),
-                (last_heard, "node"),
+            lapses_at, counted = max(
+                (self.election.last_echo_at + lapse_seconds, "echoes"),
+                (last_heard + lapse_seconds, "node"),
+                (self.directory.leases.get_end(worker.node), "lease"),
             )
-            lease_until = self.directory.leases.get_end(worker.node)
-            is_lapsed = now > max(heard_at + lapse_seconds, lease_until)
-            if worker.allocation_by_key and is_lapsed:
+            if worker.allocation_by_key and now > lapses_at:
+                heard_at = max(self.election.last_echo_at, last_heard)
                 self.log.write(
                     "node-silent", worker.node, counted=counted, seconds=now - heard_at
                 )
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -428,10 +428,15 @@
                 self.registry.count("messages_unexpected_total")
 
     def _record_report(self, stream, report):
+        node = stream.peer.name
+        if self.directory.leases.record_report(node, report.lease_remaining):
+            self._log_lease(node, report.lease_remaining, "node")
         if self.directory.record_report(stream, report):
-            node = stream.peer.name
             self.log.write("worker-end-heard", node, born=report.born, source="node")
 
+    def _log_lease(self, node, remaining, source):
+        self.log.write("worker-lease-heard", node, seconds=remaining, source=source)
+
     def _handle_entry_heartbeat(self, peer, heartbeat):
         self.election.record_entry(
             peer.name,
@@ -444,7 +449,8 @@
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
         for node, remaining in heartbeat.worker_leases:
-            self.directory.leases.record_passed_on(node, remaining)
+            if self.directory.leases.record_passed_on(node, remaining):
+                self._log_lease(node, remaining, peer.name)
         for end in heartbeat.worker_ends:
             if self.directory.ends.record_passed_on(end):
                 self.log.write(
--- a/src/bergamotshore/entry/streams.py
+++ b/src/bergamotshore/entry/streams.py
@@ -167,7 +167,6 @@
                 (task, number): LostRun(seconds, contact.was_away(now - ago))
                 for task, number, seconds, ago in report.lost
             }
-        self.leases.record_report(node, report.lease_remaining)
         if report.born or not report.is_gone:
             return self.ends.record_report(node, report.born, report.is_gone)
         # A report on a former stream may be older than the last answer of the worker.
--- a/src/bergamotshore/entry/workerleases.py
+++ b/src/bergamotshore/entry/workerleases.py
@@ -8,6 +8,9 @@
 # Largest number of leases in one heartbeat, which bounds its size. Each lasts for some
 # seconds after a worker has restarted.
 MAX_ANNOUNCED = 40
+# Bounds of one lease that are told one after another differ by the time that messages
+# take; one that is later by this much is of another lease, in seconds.
+SAME_LEASE_SECONDS = 1.0
 
 
 class WorkerLeases:
@@ -32,18 +35,22 @@
         """Record what a node tells of the lease of its worker.
 
         :param remaining: Longest time for which the lease may last, in seconds.
+        :returns: Whether this entry did not know of the lease.
         """
-        self._record(self._told_until_by_node, node, remaining)
+        return self._record(self._told_until_by_node, node, remaining)
 
     def record_passed_on(self, node, remaining):
-        """Record what another entry passes on; the parameters are those above."""
-        self._record(self._passed_on_until_by_node, node, remaining)
+        """Record what another entry passes on; see ``record_report``."""
+        return self._record(self._passed_on_until_by_node, node, remaining)
 
     def _record(self, until_by_node, node, remaining):
-        if remaining > 0.0:
-            until = self._clock.now() + remaining * (1.0 + 2 * DRIFT_SHARE)
-            with self._lock:
-                until_by_node[node] = max(until, until_by_node.get(node, -math.inf))
+        if remaining <= 0.0:
+            return False
+        until = self._clock.now() + remaining * (1.0 + 2 * DRIFT_SHARE)
+        with self._lock:
+            is_new = until > self._get_end(node) + SAME_LEASE_SECONDS
+            until_by_node[node] = max(until, until_by_node.get(node, -math.inf))
+        return is_new
 
     def get_end(self, node):
         """Return when such a lease is certainly over.
@@ -51,10 +58,13 @@
         :returns: Time in seconds; minus infinity without a lease.
         """
         with self._lock:
-            return max(
-                self._told_until_by_node.get(node, -math.inf),
-                self._passed_on_until_by_node.get(node, -math.inf),
-            )
+            return self._get_end(node)
+
+    def _get_end(self, node):
+        return max(
+            self._told_until_by_node.get(node, -math.inf),
+            self._passed_on_until_by_node.get(node, -math.inf),
+        )
 
     def list_announced(self):
         """Return node and remaining seconds of each lease that its node has told of."""
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -393,3 +393,39 @@
     runner.run_late()
     site.advance(2.0)
     assert site.ledger.problems == []
+
+
+# Guards against logs that can't tell whether a longer lease was counted by nobody or
+# only not by the entry that placed the runs again.
+def test_lines_tell_who_knows_of_a_lease_that_outlasts_its_grant(site):
+    node = restart_with_long_lease(site)
+    sources = [line.split("source=")[1] for line in list_leases_heard(site, node)]
+    assert sources.count("node") >= len(site.entry_by_name)
+    site.kill_node(node)
+    former = site.leader.name
+    kill_scheduling_entry(site)
+    site.advance(STEP_SECONDS)
+    [heard, *_] = list_leases_heard(site, node)[len(sources) :]
+    assert heard.endswith("source=" + next(n for n in site.entry_names if n != former))
+    site.advance(LATEST_SECONDS)
+    [line] = list_lines(site, "node-silent", node)
+    assert "counted=lease" in line
+
+
+def test_line_names_the_heartbeat_where_no_longer_lease_is_known(site):
+    site.submit("job", (WHOLE,))
+    site.advance(LONGEST_HOLD_SECONDS + 1.0)
+    node, _ = find_running(site, "job.0.0.0")
+    site.kill_node(node)
+    site.advance(USUAL_LAPSE_SECONDS + 1.0)
+    [line] = list_lines(site, "node-silent", node)
+    assert "counted=node" in line
+
+
+def list_leases_heard(site, node):
+    return list_lines(site, "worker-lease-heard", node)
+
+
+def list_lines(site, kind, subject):
+    """Return the log lines of a kind about one subject."""
+    return [line for line in site.lines if f"event={kind} subject={subject} " in line]
