Let entries pass on leases that they have learned from other entries

Found by the review of the trace, in the simulation: a worker restarts and takes a long lease, its node tells all entries and is then lost or cut off, and the entries restart one by one, the scheduling entry last. It schedules again, counts the usual lease (node-silent counted=echoes) and places the task again, while the worker runs on and its end still counts.

Cause: an entry passed on only the leases that a node had told it itself. The entries that had restarted first knew of the lease from the scheduling entry; when that one restarted, they knew, and nobody told. They kept it to themselves since a bound grew each time it was passed on: the largest one held.

Change: a lease is that of one incarnation of a worker, and each message on it is an upper bound, so the least one holds, and entries pass on all that they know. Heartbeats name the incarnation in a new field; the former one is sent and read for entries of former revisions.

--- a/src/bergamotshore/entry/relay.py
+++ b/src/bergamotshore/entry/relay.py
@@ -348,7 +348,8 @@
             echo=stream.peer_clock,
             cancelled=self._cancellations.list_announced(),
             worker_ends=self._worker_ends.list_announced(),
-            worker_leases=self._worker_leases.list_announced(),
+            worker_leases=self._worker_leases.list_for_former_revision(),
+            incarnation_leases=self._worker_leases.list_announced(),
             backlog=self._encode_backlog(),
             **(self._describe_terms(stream.peer) if stream.peer is not None else {}),
         )
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -45,6 +45,7 @@
 from bergamotshore.entry.streams import StreamDirectory
 from bergamotshore.entry.submissions import ReadinessApp, SubmissionApp
 from bergamotshore.entry.takeover import read_job_rows
+from bergamotshore.entry.workerleases import UNKNOWN_INCARNATION
 from bergamotshore.entry.wsgi import DecodingMemory, HttpServer
 from bergamotshore.generated.messages import (
     Heartbeat,
@@ -429,13 +430,15 @@
 
     def _record_report(self, stream, report):
         node = stream.peer.name
-        if self.directory.leases.record_report(node, report.lease_remaining):
-            self._log_lease(node, report.lease_remaining, "node")
+        self._record_lease(node, report.born, report.lease_remaining, "node")
         if self.directory.record_report(stream, report):
             self.log.write("worker-end-heard", node, born=report.born, source="node")
 
-    def _log_lease(self, node, remaining, source):
-        self.log.write("worker-lease-heard", node, seconds=remaining, source=source)
+    def _record_lease(self, node, born, remaining, source):
+        if self.directory.leases.record(node, born, remaining):
+            self.log.write(
+                "worker-lease-heard", node, born=born, seconds=remaining, source=source
+            )
 
     def _handle_entry_heartbeat(self, peer, heartbeat):
         self.election.record_entry(
@@ -448,9 +451,11 @@
         self.admission.record_told(heartbeat.backlog, heartbeat.echo)
         for key in heartbeat.cancelled:
             self.record_cancellation(key)
-        for node, remaining in heartbeat.worker_leases:
-            if self.directory.leases.record_passed_on(node, remaining):
-                self._log_lease(node, remaining, peer.name)
+        for lease in heartbeat.incarnation_leases:
+            self._record_lease(*lease, peer.name)
+        if not heartbeat.incarnation_leases:
+            for node, remaining in heartbeat.worker_leases:
+                self._record_lease(node, UNKNOWN_INCARNATION, remaining, peer.name)
         for end in heartbeat.worker_ends:
             if self.directory.ends.record_passed_on(end):
                 self.log.write(
@@ -483,6 +488,7 @@
         echo = stream.peer_clock
         granting_echo = self.election.get_echo(echo, stream.peer_clock_received_at)
         is_entry = stream.peer is not None and stream.peer.role == "entry"
+        leases = self.directory.leases
         if granting_echo is not None and not is_entry:
             echo = granting_echo
         return Heartbeat(
@@ -493,7 +499,8 @@
             leader=self.election.leader_address,
             cancelled=self.cancellations.list_announced(),
             worker_ends=self.directory.ends.list_announced() if is_entry else [],
-            worker_leases=self.directory.leases.list_announced() if is_entry else [],
+            worker_leases=leases.list_for_former_revision() if is_entry else [],
+            incarnation_leases=leases.list_announced() if is_entry else [],
             backlog=self.admission.encode() if is_entry else b"",
             **(self._describe_terms(stream.peer) if is_entry else {}),
         )
--- a/src/bergamotshore/entry/workerleases.py
+++ b/src/bergamotshore/entry/workerleases.py
@@ -8,17 +8,22 @@
 # Largest number of leases in one heartbeat, which bounds its size. Each lasts for some
 # seconds after a worker has restarted.
 MAX_ANNOUNCED = 40
-# Bounds of one lease that are told one after another differ by the time that messages
-# take; one that is later by this much is of another lease, in seconds.
-SAME_LEASE_SECONDS = 1.0
+# Time for which a bound is kept after the end of the lease, in seconds: a message that
+# was delayed must not bring the lease back.
+KEPT_SECONDS = 30.0
+# Incarnation of a lease that an entry of an earlier revision passes on, which names
+# none.
+UNKNOWN_INCARNATION = 0
 
 
 class WorkerLeases:
     """Bounds of leases that workers may have taken from calls to a former incarnation.
 
-    Nodes tell them to all entries that they reach; these pass them on, so that an entry
-    that starts later knows of them although the node may be lost by then. What another
-    entry has passed on is not passed on further: each time adds to the bound.
+    Nodes tell them to all entries that they reach; these pass them on, and so do the
+    ones that learn of them, so that an entry that starts later knows of them although
+    the node may be lost by then. An incarnation has one such lease, and each message on
+    it is an upper bound, so the least of them holds and passing it on adds nothing to
+    it.
 
     The methods may be called from any thread.
 
@@ -28,29 +33,30 @@
     def __init__(self, clock):
         self._clock = clock
         self._lock = threading.Lock()
-        self._told_until_by_node = {}
-        self._passed_on_until_by_node = {}
+        self._until_by_born_by_node = {}
 
-    def record_report(self, node, remaining):
-        """Record what a node tells of the lease of its worker.
+    def record(self, node, born, remaining):
+        """Record what a node or another entry tells of the lease of a worker.
 
+        :param born: Start time of the worker's incarnation, in ms.
         :param remaining: Longest time for which the lease may last, in seconds.
         :returns: Whether this entry did not know of the lease.
         """
-        return self._record(self._told_until_by_node, node, remaining)
-
-    def record_passed_on(self, node, remaining):
-        """Record what another entry passes on; see ``record_report``."""
-        return self._record(self._passed_on_until_by_node, node, remaining)
-
-    def _record(self, until_by_node, node, remaining):
         if remaining <= 0.0:
             return False
-        until = self._clock.now() + remaining * (1.0 + 2 * DRIFT_SHARE)
+        now = self._clock.now()
+        until = now + remaining * (1.0 + 2 * DRIFT_SHARE)
         with self._lock:
-            is_new = until > self._get_end(node) + SAME_LEASE_SECONDS
-            until_by_node[node] = max(until, until_by_node.get(node, -math.inf))
-        return is_new
+            former = self._until_by_born_by_node.get(node, {})
+            until_by_born = {
+                key: end for key, end in former.items() if now < end + KEPT_SECONDS
+            }
+            known = until_by_born.get(born)
+            # Without the incarnation, messages may be on different leases.
+            choose = max if born == UNKNOWN_INCARNATION else min
+            until_by_born[born] = until if known is None else choose(until, known)
+            self._until_by_born_by_node[node] = until_by_born
+        return known is None
 
     def get_end(self, node):
         """Return when such a lease is certainly over.
@@ -58,22 +64,21 @@
         :returns: Time in seconds; minus infinity without a lease.
         """
         with self._lock:
-            return self._get_end(node)
-
-    def _get_end(self, node):
-        return max(
-            self._told_until_by_node.get(node, -math.inf),
-            self._passed_on_until_by_node.get(node, -math.inf),
-        )
+            ends = self._until_by_born_by_node.get(node, {}).values()
+            return max(ends, default=-math.inf)
 
     def list_announced(self):
-        """Return node and remaining seconds of each lease that its node has told of."""
+        """Return node, incarnation and remaining seconds of each lease to pass on."""
         now = self._clock.now()
         with self._lock:
-            remaining_by_node = {
-                node: until - now
-                for node, until in self._told_until_by_node.items()
-                if until > now
-            }
-        by_remaining = sorted(remaining_by_node.items(), key=lambda item: item[1])
-        return by_remaining[-MAX_ANNOUNCED:]
+            leases = [
+                (node, born, until - now)
+                for node, until_by_born in self._until_by_born_by_node.items()
+                for born, until in until_by_born.items()
+                if until > now and born != UNKNOWN_INCARNATION
+            ]
+        return sorted(leases, key=lambda lease: lease[2])[-MAX_ANNOUNCED:]
+
+    def list_for_former_revision(self):
+        """Return the same without incarnations, as former revisions read it."""
+        return [(node, remaining) for node, _, remaining in self.list_announced()]
--- a/tests/site/test_former_calls.py
+++ b/tests/site/test_former_calls.py
@@ -429,3 +429,49 @@
 def list_lines(site, kind, subject):
     """Return the log lines of a kind about one subject."""
     return [line for line in site.lines if f"event={kind} subject={subject} " in line]
+
+
+def restart_others_and_then_scheduling_entry(site):
+    """Restart all entries one after another, the scheduling entry last."""
+    scheduling = site.leader.name
+    others = [name for name in site.entry_names if name != scheduling]
+    for name in [*others, scheduling]:
+        site.start_entry(name)
+        site.advance(0.6)
+
+
+# Guards against running a task again while, or after, it runs on a worker with a longer
+# lease: its node was lost or cut off, and of the entries that restarted one by one, the
+# last knew nothing of the lease, as those that had learned of it from another one did
+# not pass it on.
+@pytest.mark.parametrize("entries", [2, 3])
+def test_entries_that_restart_one_by_one_wait_for_a_lease_of_a_lost_node(
+    clock, entries
+):
+    site = Simulation(clock, entries, nodes=2, longest_hold=LONGEST_HOLD_SECONDS)
+    site.advance(20.0)
+    node = restart_with_long_lease(site)
+    site.kill_node(node)
+    restart_others_and_then_scheduling_entry(site)
+    site.advance(LATEST_SECONDS)
+    runner = site.runner_by_node[node]
+    assert find_running(site, "job.0.0.0")[1] is not runner
+    assert site.ledger.problems == []
+
+
+@pytest.mark.parametrize("seconds", [7.5, 8.0, 8.5])
+def test_entries_that_restart_one_by_one_wait_for_a_lease_of_a_node_that_is_cut_off(
+    site, seconds
+):
+    node = restart_with_long_lease(site)
+    began = site.clock.now()
+    for name in site.entry_names:
+        site.disconnect(name, node)
+    restart_others_and_then_scheduling_entry(site)
+    site.advance(began + 4.0 - site.clock.now())
+    site.runner_by_node[node].finish("job.0.0.0", "done")
+    site.advance(began + seconds - site.clock.now())
+    site.heal()
+    site.advance(6.0)
+    assert site.get_state("job") == "done"
+    assert site.ledger.problems == []
