Pass on the leases of all workers of a large site

An entry told others of 40 leases at most, those that last longest. With more workers that restart together, an entry that starts then did not learn of the others, and counted the usual lease for them. Heartbeats now carry up to 500, some 35 kB.

test_leases_of_all_workers_of_a_large_site_are_passed_on fails without it.

--- a/src/bergamotshore/entry/workerleases.py
+++ b/src/bergamotshore/entry/workerleases.py
@@ -5,9 +5,9 @@
 
 from bergamotshore.core.work.leases import DRIFT_SHARE
 
-# Largest number of leases in one heartbeat, which bounds its size. Each lasts for some
-# seconds after a worker has restarted.
-MAX_ANNOUNCED = 40
+# Largest number of leases in one heartbeat, which bounds its size to some 35 kB. All
+# workers of a site may restart together.
+MAX_ANNOUNCED = 500
 # Time for which a bound is kept after the end of the lease, in seconds: a message that
 # was delayed must not bring the lease back.
 KEPT_SECONDS = 30.0
--- a/tests/site/test_worker_leases.py
+++ b/tests/site/test_worker_leases.py
@@ -7,6 +7,7 @@
 
 BORN = 1_000
 LEASE_SECONDS = 10.4
+WORKERS_OF_A_LARGE_SITE = 300
 
 
 @pytest.fixture
@@ -81,3 +82,14 @@
 def test_node_without_such_a_lease_tells_none(entries):
     assert not entries[0].record("node", BORN, 0.0)
     assert entries[0].list_announced() == []
+
+
+# Guards against a site on which many workers restart together: an entry that starts
+# later did not learn of all their leases.
+def test_leases_of_all_workers_of_a_large_site_are_passed_on(entries):
+    first, second, _ = entries
+    nodes = [f"node-{number}" for number in range(WORKERS_OF_A_LARGE_SITE)]
+    for node in nodes:
+        first.record(node, BORN, LEASE_SECONDS)
+    pass_on(first, second)
+    assert all(second.get_end(node) >= first.get_end(node) for node in nodes)
