--- a/review/stand-3/small_site.py
+++ b/review/stand-3/small_site.py
@@ -119,9 +119,10 @@
                 program.start()
 
 
-def call(address, method, job_id, body=None, timeout=4.0):
+def call(address, method, job_id, body=None, timeout=4.0, prefix=PREFIX):
     """Send one call of a client; return status and decoded answer.
 
+    :param prefix: Prefix of the queue.
     :returns: Status 0 without an answer.
     """
     headers = {
@@ -132,7 +133,7 @@
     content = json.dumps(body).encode() if body is not None else None
     connection = http.client.HTTPConnection(*address, timeout=timeout)
     try:
-        connection.request(method, PREFIX + job_id, content, headers)
+        connection.request(method, prefix + job_id, content, headers)
         answer = connection.getresponse()
         text = answer.read()
         return answer.status, json.loads(text) if text else {}
