--- a/src/bergamotshore/core/work/admission.py
+++ b/src/bergamotshore/core/work/admission.py
@@ -13,7 +13,7 @@
     get_idle_share,
     get_work_ahead,
 )
-from bergamotshore.core.work.waiting import get_critical_path_seconds
+from bergamotshore.core.work.model import get_critical_path_seconds
 
 # Age at which an estimate is too old to refuse by, in seconds. It is made every quarter
 # of a second and passed on with three heartbeats of half a second at most.
--- a/src/bergamotshore/core/work/backlog.py
+++ b/src/bergamotshore/core/work/backlog.py
@@ -14,13 +14,14 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
+from bergamotshore.core.work.model import get_critical_path_seconds
 from bergamotshore.core.work.opencores import (
     build_fit_check,
     get_idle_step_share,
     measure_idle,
     sum_cores,
 )
-from bergamotshore.core.work.waiting import get_critical_path_seconds, group_workers
+from bergamotshore.core.work.waiting import group_workers
 
 # Times within which work is counted, in seconds. Callers of jobs wait for seconds to a
 # minute or two; longer waits refuse nothing.
@@ -342,7 +343,7 @@
         if queue is None or progress.outcome or progress.is_cancelled:
             continue
         limit = queue.stretch * get_critical_path_seconds(spec) + queue.slack
-        for occurrence, steps in progress.tasks_by_occurrence.items():
+        for occurrence, count, steps in progress.list_demands():
             start = spec.get_due_time(occurrence) if spec.repeats else spec.accepted_at
             waited = view.wall - start
             if view.scheduling.order != "due" and waited > USE_FACTOR * limit:
@@ -353,7 +354,7 @@
                 step = spec.steps[number]
                 if step.is_lasting or not can_run(queue.service, step):
                     continue
-                left = sum(not task.is_done for task in tasks)
+                left = count * tasks.left
                 seconds = _get_expected_seconds(
                     view.cluster.durations, spec.queue, step
                 )
--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -19,6 +19,7 @@
 from bergamotshore.core.work.places import PlaceTracker
 from bergamotshore.core.work.placewaits import PlaceWaits
 from bergamotshore.core.work.progress import JobProgress
+from bergamotshore.core.work.runslots import RUNS_PER_MB, get_slots
 from bergamotshore.core.work.speed import StepDurations
 from bergamotshore.core.work.tails import TailTracker
 from bergamotshore.core.work.workers import Allocation, WorkerState
@@ -27,6 +28,8 @@
 STUCK = "stuck"
 # Number of recent run outcomes kept for assessing workers.
 MAX_RECENT_OUTCOMES = 400
+# Number of runs that an entry of the usual memory has room for.
+DEFAULT_MAX_RUNS = 160 * RUNS_PER_MB
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +71,12 @@
     """The scheduler's state of all jobs and workers.
 
     :param get_queue: Callable that returns the ``Queue`` with a name, or None.
+    :param max_runs: Number of runs that there is memory for.
     """
 
-    def __init__(self, get_queue):
+    def __init__(self, get_queue, max_runs=DEFAULT_MAX_RUNS):
         self.get_queue = get_queue
+        self._max_runs = max_runs
         self.job_by_key = {}
         self.key_by_id = {}
         self.worker_by_node = {}
@@ -190,6 +195,11 @@
             worker.zone = zone
         return worker
 
+    @property
+    def slots(self):
+        """Return the number of runs that each worker may have."""
+        return get_slots(self._max_runs, len(self.worker_by_node))
+
     def list_sized_workers(self):
         """Return the workers whose size is known, which are those to plan for."""
         return [
--- a/src/bergamotshore/core/work/crashes.py
+++ b/src/bergamotshore/core/work/crashes.py
@@ -156,6 +156,17 @@
             return False
         return self._view.cluster.count_crashes(ref) > (1 if has_waited else 0)
 
+    def list_suspects(self, item, has_waited):
+        """Return the set of references to the tasks of a step that have to be tried.
+
+        :param item: ``WaitingStep``.
+        """
+        return {
+            ref
+            for ref in self._view.cluster.crash_suspects
+            if ref.step_key == item.key and self.has_to_be_tried(ref, has_waited)
+        }
+
     def list_open(self, workers):
         """Return the workers that hold no suspect on trial."""
         if not self.nodes:
--- a/src/bergamotshore/core/work/downtime.py
+++ b/src/bergamotshore/core/work/downtime.py
@@ -12,6 +12,9 @@
 # A long-running task has to run again within 6 s; a longer downtime is logged before
 # that. In seconds.
 REPORTED_DOWNTIME_SECONDS = 4.0
+# Tasks of a step that never had a run of which the downtime is tracked: all of them
+# wait for the same reason.
+MAX_NEVER_STARTED = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +79,10 @@
             continue
         for occurrence, number in progress.list_ready_steps():
             step = progress.spec.steps[number]
-            for index in range(step.tasks if step.is_lasting else 0):
+            if not step.is_lasting:
+                continue
+            tasks = progress.get_step_tasks(occurrence, number)
+            for index in tasks.list_sample(MAX_NEVER_STARTED):
                 yield progress, TaskRef(progress.key, occurrence, number, index)
 
 
--- a/src/bergamotshore/core/work/evictions.py
+++ b/src/bergamotshore/core/work/evictions.py
@@ -78,10 +78,5 @@
         and run.stop_sent_at == 0.0
         and worker.is_reachable
     }
-    progress = cluster.job_by_key[ref.job]
-    tasks = progress.tasks_by_occurrence[ref.occurrence][ref.step]
-    return sum(
-        1
-        for index in range(len(tasks))
-        if index != ref.index and index not in available
-    )
+    step = cluster.job_by_key[ref.job].spec.steps[ref.step]
+    return step.tasks - len(available | {ref.index})
--- a/src/bergamotshore/core/work/jobstate.py
+++ b/src/bergamotshore/core/work/jobstate.py
@@ -6,7 +6,8 @@
 
 from bergamotshore.core.decoding import decode_msgpack
 from bergamotshore.core.work.model import TaskRef
-from bergamotshore.core.work.progress import GROUP_TASKS, Run, Task
+from bergamotshore.core.work.progress import GROUP_TASKS, Run
+from bergamotshore.core.work.steptasks import Task
 from bergamotshore.exceptions import DecodingError
 
 # Stored numbers are bounded, so that they can be sent in messages.
@@ -52,8 +53,13 @@
             [progress.finished_occurrences, progress.outcome, {}, GROUP_TASKS]
         )
     occurrences = {
-        occurrence: [[encode_task(task) for task in tasks] for tasks in steps]
-        for occurrence, steps in progress.tasks_by_occurrence.items()
+        occurrence: [
+            [encode_task(task) for task in tasks]
+            for tasks in progress.list_tasks(occurrence)
+        ]
+        for occurrence in range(
+            progress.finished_occurrences, progress.opened_occurrences
+        )
     }
     return msgspec.msgpack.encode(
         [progress.finished_occurrences, progress.outcome, occurrences]
@@ -74,13 +80,8 @@
         occurrence: [[decode_task(task) for task in tasks] for tasks in steps]
         for occurrence, steps in occurrences.items()
     }
-    shape = [step.tasks for step in progress.spec.steps]
-    for steps in tasks_by_occurrence.values():
-        if [len(tasks) for tasks in steps] != shape:
-            raise DecodingError("state of a job with other steps")
-    progress.finished_occurrences = finished
-    progress.outcome = outcome
-    progress.tasks_by_occurrence = tasks_by_occurrence
+    if not progress.restore(finished, outcome, tasks_by_occurrence):
+        raise DecodingError("state of a job with other steps")
     if progress.is_grouped and not group_tasks:
         progress.record_moved()
     return group_tasks > 0
@@ -107,9 +108,8 @@
     """
     rows = decode_msgpack(content, list[tuple[Count, Count, Count, Count]])
     for occurrence, step, index, crashes in rows:
-        task = progress.get_task(TaskRef(progress.key, occurrence, step, index))
-        if task is not None:
-            task.crashes = crashes
+        ref = TaskRef(progress.key, occurrence, step, index)
+        progress.restore_crashes(ref, crashes)
 
 
 def encode_task(task):
--- a/src/bergamotshore/core/work/model.py
+++ b/src/bergamotshore/core/work/model.py
@@ -9,6 +9,8 @@
 
 # Largest number that every message and every float can hold.
 MAX_NUMBER = 2**53
+# Duration of a task without an estimate, where one is needed to compare, in seconds.
+UNKNOWN_SECONDS = 1.0
 # Most tasks of a job, over all its occurrences: each takes memory once it is due.
 MAX_TASKS = 1_000_000
 
@@ -171,6 +173,33 @@
     return WorkerSize(cpu, memory, accelerators) if cpu > 0 else None
 
 
+def get_critical_path_seconds(spec):
+    """Return the critical path of a job by declared durations, in seconds."""
+    finish_times = []
+    for step in spec.steps:
+        start = max((finish_times[earlier] for earlier in step.after), default=0.0)
+        finish_times.append(start + step.estimate)
+    return max(finish_times)
+
+
+def sum_work(spec):
+    """Return what the tasks of an occurrence occupy of workers, and for how long.
+
+    Tasks that run until the job is cancelled don't count.
+
+    :returns: Tuple of processors in thousandths, memory in MB, accelerators and runs,
+        each times seconds.
+    """
+    work = [0.0] * 4
+    for step in spec.steps:
+        if not step.is_lasting:
+            seconds = step.tasks * (step.estimate or UNKNOWN_SECONDS)
+            sizes = (step.reserved_cpu, step.memory, step.accelerators, 1)
+            for index, size in enumerate(sizes):
+                work[index] += seconds * size
+    return tuple(work)
+
+
 def get_job_key(queue, job_id):
     """Return the key that identifies a job across all queues."""
     return f"{queue}/{job_id}"
--- a/src/bergamotshore/core/work/order.py
+++ b/src/bergamotshore/core/work/order.py
@@ -269,19 +269,20 @@
             view.cluster.get_priority(spec),
             any(step.is_filling for step in spec.steps),
         )
-        for occurrence, tasks in progress.tasks_by_occurrence.items():
+        for occurrence, count, tasks in progress.list_demands():
             begin = spec.get_due_time(occurrence) if spec.repeats else spec.accepted_at
             left = [
-                _list_shares_left(spec, occurrence, number, step_tasks, percent_by_ref)
+                _sum_shares_left(spec, occurrence, number, step_tasks, percent_by_ref)
                 for number, step_tasks in enumerate(tasks)
             ]
-            work = sum(
-                sum(shares) * step.cpu * time
-                for shares, step, time in zip(left, spec.steps, seconds, strict=True)
+            work = count * sum(
+                share * step.cpu * time
+                for (share, _), step, time in zip(
+                    left, spec.steps, seconds, strict=True
+                )
             )
             times = [
-                max(shares, default=0.0) * time
-                for shares, time in zip(left, seconds, strict=True)
+                longest * time for (_, longest), time in zip(left, seconds, strict=True)
             ]
             yield JobDemand(
                 key=(spec.key, occurrence),
@@ -365,13 +366,17 @@
     return max(finish_times)
 
 
-def _list_shares_left(spec, occurrence, number, tasks, percent_by_ref):
-    """Return the share of work that is left of each task that isn't done."""
-    shares = []
-    for index, task in enumerate(tasks):
+def _sum_shares_left(spec, occurrence, number, tasks, percent_by_ref):
+    """Return the work left of the tasks that aren't done, and the most of one of them.
+
+    Both are told in tasks. Those that were never claimed are all left.
+    """
+    total, longest = float(tasks.untouched), float(tasks.untouched > 0)
+    for index, task in tasks.list_touched():
         if task.is_done:
             continue
         ref = TaskRef(spec.key, occurrence, number, index)
         percent = percent_by_ref.get(ref, 0) if task.runs else 0
-        shares.append(1.0 - min(FULL_PERCENT, max(0, percent)) / FULL_PERCENT)
-    return shares
+        share = 1.0 - min(FULL_PERCENT, max(0, percent)) / FULL_PERCENT
+        total, longest = total + share, max(longest, share)
+    return total, longest
--- a/src/bergamotshore/core/work/patience.py
+++ b/src/bergamotshore/core/work/patience.py
@@ -220,7 +220,8 @@
 
 def _count_left(item):
     """Return how many tasks of a step have no run, after the claims of this pass."""
-    return len(item.progress.list_waiting(item.occurrence, item.number))
+    tasks = item.progress.get_step_tasks(item.occurrence, item.number)
+    return tasks.count_waiting()
 
 
 def estimate_path(view, spec, number):
--- a/src/bergamotshore/core/work/planner.py
+++ b/src/bergamotshore/core/work/planner.py
@@ -11,6 +11,7 @@
 from bergamotshore.core.work.model import Step
 from bergamotshore.core.work.patience import WaitDecisions
 from bergamotshore.core.work.placing import choose_least_disturbed_worker, choose_worker
+from bergamotshore.core.work.runslots import has_slot, list_workers_with_slot
 from bergamotshore.core.work.tails import PAST_HIGH, order_tasks
 from bergamotshore.core.work.waiting import (
     WaitingStep,
@@ -23,6 +24,10 @@
 # Starvation limit of best-effort jobs, in seconds: a job without any run gets one task
 # started after this wait, on the worker where it causes the least interference.
 BEST_EFFORT_STARVATION_SECONDS = 1.5
+# Tasks started in one pass for each worker, and at least, so that the pass ends soon.
+# The others are started in the next one, which follows within 0.05 s.
+STARTS_PER_WORKER = 20
+MIN_STARTS_PER_PASS = 500
 # Steps of no job, one of each kind that is placed in its own way.
 PROBE_STEPS = (
     Step(tasks=1, cpu=1, label="probe", rack="probe"),
@@ -44,7 +49,15 @@
     """
     waiting = list_waiting(view) if waiting is None else waiting
     view.cluster.record_waiting(waiting, view.now)
-    starts = StartPlan(group_workers(view), Trials(view), WaitDecisions(view))
+    workers = view.cluster.worker_by_node.values()
+    limit = STARTS_PER_WORKER * len(workers)
+    starts = StartPlan(
+        group_workers(view),
+        Trials(view),
+        WaitDecisions(view),
+        max(MIN_STARTS_PER_PASS, limit),
+        max((len(worker.allocation_by_key) for worker in workers), default=0),
+    )
     for item in waiting:
         try:
             _plan_item(view, item, starts)
@@ -61,6 +74,8 @@
     :param workers_by_service: ``WorkerState`` objects by service.
     :param trials: ``Trials`` of suspects.
     :param waits: ``WaitDecisions`` for near places.
+    :param limit: Number of starts after which no further step is planned.
+    :param most_runs: Most runs of a worker at the begin of the pass.
     :param claimed: Pairs of worker and ``Allocation``.
     :param questions: ``AdviceQuery`` objects.
     :param unplaceable: ``UnplaceableSizes``.
@@ -69,10 +84,21 @@
     workers_by_service: dict
     trials: Trials
     waits: WaitDecisions
+    limit: int
+    most_runs: int
     claimed: list = field(default_factory=list)
     questions: list = field(default_factory=list)
     unplaceable: object = field(default_factory=lambda: UnplaceableSizes())
 
+    def may_lack_slots(self, slots):
+        """Return whether a job may have no slot at some worker, see ``runslots``."""
+        return 2 * (self.most_runs + len(self.claimed)) >= slots
+
+    @property
+    def left(self):
+        """Return how many further tasks may be started in this pass."""
+        return max(0, self.limit - len(self.claimed))
+
 
 def _plan_item(view, item, starts):
     """Claim workers for the tasks of one step."""
@@ -83,7 +109,7 @@
         question = _plan_question(view, item, workers)
         starts.questions += [question] if question is not None else []
         workers = _list_permitted(view, item, workers)
-    if not workers:
+    if not workers or not starts.left:
         return
     if item.step.is_gang:
         placed = place_gang(view, item, workers, starts.waits)
@@ -244,6 +270,7 @@
     workers = _list_open(view, item, workers_by_service)
     if _needs_advice(item, view.cluster):
         workers = _list_permitted(view, item, workers)
+    workers = list_workers_with_slot(view.cluster, item, workers)
     others = [worker for worker in workers if worker is not run.worker]
     if run.sign == PAST_HIGH:
         # Best-effort tasks don't give way to a copy of a run that works.
@@ -323,34 +350,64 @@
     trials = starts.trials
     may_wait = not _needs_advice(item, view.cluster)
     counts = count_runs_by_node(item)
-    waited = view.now - view.cluster.get_waiting_since(item)
-    has_waited = waited > MAX_TRIAL_WAIT_SECONDS
-    is_short = is_held = False
+    has_waited = _has_waited(view, item)
+    slots = view.cluster.slots
+    untried = trials.list_suspects(item, has_waited)
+    is_short = False
+    with_slot = workers
+    if starts.may_lack_slots(slots):
+        with_slot = list_workers_with_slot(view.cluster, item, workers)
+    has_lost_slots = len(with_slot) < len(workers)
+    workers = with_slot
     for ref in order_tasks(view, item):
-        if trials.has_to_be_tried(ref, has_waited):
-            worker = trials.choose_worker(item, workers, counts, has_waited)
-            if worker is None:
-                continue
-            trials.record(worker)
-        elif is_short or is_held:
+        if len(claimed) >= starts.left:
+            break
+        if ref in untried:
+            untried.discard(ref)
+            claimed += _try_suspect(view, item, ref, workers, counts, trials)
             continue
-        else:
-            worker = _choose_worker(view, item, workers, counts, trials, has_waited)
-            if may_wait and worker is not None:
-                near = trials.list_open(workers)
-                # A step waits as a whole, so that nothing changes for its next tasks.
-                is_held = starts.waits.holds_back(item, ref, worker, near, counts)
-                if is_held:
-                    continue
+        worker = _choose_worker(view, item, workers, counts, trials, has_waited)
         if worker is None:
             is_short = True
-            continue
-        ticket = _get_ticket(view, item, worker)
-        allocation = view.cluster.claim(ref, worker, view.now)
-        allocation.ticket = ticket
-        claimed.append((worker, allocation))
-        counts[worker.node] = counts.get(worker.node, 0) + 1
-    return claimed, is_short and (has_waited or not trials.nodes)
+            break
+        near = trials.list_open(workers)
+        # A step waits as a whole, so that nothing changes for its next tasks.
+        if may_wait and starts.waits.holds_back(item, ref, worker, near, counts):
+            break
+        claimed.append(_claim(view, item, ref, worker, counts))
+        if not has_slot(worker, ref.job, slots):
+            workers = [other for other in workers if other is not worker]
+            has_lost_slots = True
+    # Suspects may use other workers than the rest.
+    for ref in item.refs.list_touched() if untried else ():
+        if ref in untried:
+            claimed += _try_suspect(view, item, ref, workers, counts, trials)
+    is_short &= not has_lost_slots and (has_waited or not trials.nodes)
+    return claimed, is_short
+
+
+def _claim(view, item, ref, worker, counts):
+    """Claim a worker for a task; return worker and ``Allocation``."""
+    ticket = _get_ticket(view, item, worker)
+    allocation = view.cluster.claim(ref, worker, view.now)
+    allocation.ticket = ticket
+    counts[worker.node] = counts.get(worker.node, 0) + 1
+    return worker, allocation
+
+
+def _try_suspect(view, item, ref, workers, counts, trials):
+    """Claim a worker for a suspect where no other one is; return it in a list."""
+    worker = trials.choose_worker(item, workers, counts, _has_waited(view, item))
+    if worker is None:
+        return []
+    trials.record(worker)
+    return [_claim(view, item, ref, worker, counts)]
+
+
+def _has_waited(view, item):
+    """Return whether a step has waited for a trial for too long."""
+    waited = view.now - view.cluster.get_waiting_since(item)
+    return waited > MAX_TRIAL_WAIT_SECONDS
 
 
 def _choose_worker(view, item, workers, counts, trials, has_waited):
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -1,13 +1,24 @@
 """Job progress: state of tasks and runs, and which steps are ready to run."""
 
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import cached_property
+from heapq import merge
+from itertools import islice
 
-from bergamotshore.core.work.model import TaskRef
+from bergamotshore.core.work.model import TaskRef, get_critical_path_seconds, sum_work
+from bergamotshore.core.work.steptasks import DONE, BlankTasks, SparseItems, StepTasks
 
 # A job of more tasks is stored in groups of tasks. A row holds at most 64 kB: up to
 # 45 bytes for a claimed task with usual names, and ten times as many with the longest.
 MAX_TASKS_IN_ROW = 100
 GROUP_TASKS = 30
+# Steps of occurrences that nothing has happened to yet of which a pass is told, at
+# least, if the job has as many: more than start in one pass. The rest comes later.
+MIN_STEPS_IN_PASS = 100
+# Occurrences of one step of which a pass is told. They differ in nothing, so if these
+# can't be placed, no other can.
+MAX_OCCURRENCES_IN_PASS = 100
 
 
 @dataclass(slots=True)
@@ -26,36 +37,126 @@
     born: int
 
 
-@dataclass(slots=True)
-class Task:
-    """State of one task.
-
-    :param is_done: Whether a run has ended with the outcome done.
-    :param failures: Number of failed runs.
-    :param last_run: Highest run number so far.
-    :param checkpoint: Newest checkpoint; empty when there is none.
-    :param runs: List of ``Run`` that may be active.
-    :param failed_run: Number of the latest run of its gang that was counted as failed;
-        0 for tasks outside gangs.
-    :param crashes: Number of crashes of workers that one of its runs may have caused.
-    :param unstarted_runs: Number of runs that certainly never began, as far as this
-        term knows.
+class WaitingTasks(Sequence):
+    """References to the waiting tasks of a step, listed no further than asked for.
+
+    They are those that wait while they are listed. The tasks that were claimed before
+    come in their order among the others, which are all alike.
+
+    :param progress: ``JobProgress``.
+    :param occurrence: Index of the occurrence.
+    :param step: Index of the step.
+    :param get_rank: Sort key of a reference; None for the order of the indexes.
+    """
+
+    def __init__(self, progress, occurrence, step, get_rank=None):
+        self._progress = progress
+        self._occurrence, self._step = occurrence, step
+        self._get_rank = get_rank
+
+    @property
+    def _tasks(self):
+        return self._progress.get_step_tasks(self._occurrence, self._step)
+
+    def __bool__(self):
+        return self._tasks.has_waiting
+
+    def __len__(self):
+        return self._tasks.count_waiting()
+
+    def __iter__(self):
+        tasks = self._tasks
+        if self._get_rank is None:
+            indexes = tasks.iterate_waiting()
+        else:
+            touched = tasks.list_touched_waiting()
+            touched.sort(key=self._rank_index)
+            indexes = tasks.iterate_waiting(touched, self._rank_index)
+        return map(self._build_ref, indexes)
+
+    def __getitem__(self, position):
+        if isinstance(position, slice):
+            return list(islice(self, position.start, position.stop, position.step))
+        return next(islice(self, position, None))
+
+    def order_by(self, get_rank):
+        """Return the same tasks in another order.
+
+        :param get_rank: Sort key of a reference. Of the tasks that were never claimed
+            it has to rise with the index.
+        """
+        return WaitingTasks(self._progress, self._occurrence, self._step, get_rank)
+
+    def list_touched(self):
+        """Return references to those that were claimed before."""
+        return [self._build_ref(index) for index in self._tasks.list_touched_waiting()]
+
+    def _build_ref(self, index):
+        return TaskRef(self._progress.key, self._occurrence, self._step, index)
+
+    def _rank_index(self, index):
+        return self._get_rank(self._build_ref(index))
+
+
+class OccurrenceTasks:
+    """Tasks of one occurrence of a job, by step.
+
+    :param steps: Steps of the job.
     """
 
-    is_done: bool = False
-    failures: int = 0
-    last_run: int = 0
-    checkpoint: str = ""
-    runs: list = field(default_factory=list)
-    failed_run: int = 0
-    crashes: int = 0
-    unstarted_runs: int = 0
+    __slots__ = ("_done_steps", "_ready", "_steps", "tasks_by_step")
+
+    def __init__(self, steps):
+        self._steps = steps
+        self.tasks_by_step = {}
+        self._done_steps = set()
+        self._ready = None
+
+    def touch_step(self, number):
+        """Return the ``StepTasks`` of a step, to be changed."""
+        tasks = self.tasks_by_step.get(number)
+        if tasks is None:
+            tasks = self.tasks_by_step[number] = StepTasks(self._steps[number].tasks)
+        return tasks
+
+    def record_done(self, number):
+        """Update which steps are done after tasks of one were."""
+        if number not in self._done_steps and self.tasks_by_step[number].is_done:
+            self._done_steps.add(number)
+            self._ready = None
+
+    @property
+    def is_done(self):
+        """Return whether all tasks are done."""
+        return len(self._done_steps) == len(self._steps)
+
+    @property
+    def has_runs(self):
+        """Return whether any run of its tasks may be active."""
+        return any(
+            task.runs
+            for tasks in self.tasks_by_step.values()
+            for task in tasks.iterate_touched()
+        )
+
+    def list_ready(self):
+        """Return the indexes of the steps whose dependencies are done."""
+        if self._ready is None:
+            self._ready = [
+                number
+                for number, step in enumerate(self._steps)
+                if number not in self._done_steps
+                and self._done_steps.issuperset(step.after)
+            ]
+        return self._ready
 
 
 class JobProgress:
     """State of one job, changed only through its methods.
 
     ``revision`` counts the changes, so that a writer knows which ones it has persisted.
+    ``changed_groups`` holds the groups of tasks of a large job that were changed since
+    the writer last took them.
 
     :param spec: ``JobSpec``.
     """
@@ -65,13 +166,22 @@
         self.revision = 0
         self.is_cancelled = False
         self.outcome = ""
-        self.finished_occurrences = 0
-        self.tasks_by_occurrence = {}
-        self._open_steps = {}
+        self._occurrences = SparseItems(0)
+        self._first_steps = OccurrenceTasks(spec.steps).list_ready()
         self._has_run = False
         tasks = sum(step.tasks for step in spec.steps) * self.occurrences
         self.is_grouped = tasks > MAX_TASKS_IN_ROW
-        self.revision_by_group = {}
+        self.changed_groups = set()
+
+    @cached_property
+    def critical_path(self):
+        """Return the critical path of an occurrence by declared durations."""
+        return get_critical_path_seconds(self.spec)
+
+    @cached_property
+    def work(self):
+        """Return what the tasks of an occurrence occupy, see ``sum_work``."""
+        return sum_work(self.spec)
 
     @property
     def key(self):
@@ -83,66 +193,192 @@
         """Return the number of occurrences of the job."""
         return max(1, self.spec.repeats)
 
+    @property
+    def finished_occurrences(self):
+        """Return the number of occurrences that are over; the first ones always are."""
+        return self._occurrences.start
+
+    @property
+    def opened_occurrences(self):
+        """Return the number of occurrences that were due so far."""
+        return self._occurrences.end
+
+    def is_open(self, occurrence):
+        """Return whether an occurrence is due and not over."""
+        return self.finished_occurrences <= occurrence < self.opened_occurrences
+
+    def get_step_tasks(self, occurrence, step):
+        """Return the tasks of a step, to be read.
+
+        :returns: ``StepTasks`` or ``BlankTasks``; None if the occurrence is not open or
+            has no such step.
+        """
+        if not self.is_open(occurrence) or not 0 <= step < len(self.spec.steps):
+            return None
+        found = self._occurrences.value_by_number.get(occurrence)
+        tasks = found.tasks_by_step.get(step) if found is not None else None
+        if tasks is not None:
+            return tasks
+        count = self.spec.steps[step].tasks
+        if not self._occurrences.is_settled(occurrence):
+            return BlankTasks(count)
+        tasks = StepTasks(count)
+        tasks.mark_all_done()
+        return tasks
+
     def get_task(self, ref):
-        """Return the ``Task`` of a reference, or None if its occurrence is not open."""
-        steps = self.tasks_by_occurrence.get(ref.occurrence)
-        if steps is None or not 0 <= ref.step < len(steps):
+        """Return the task of a reference to be read; None if its occurrence isn't open.
+
+        :returns: ``Task`` or ``SharedTask``.
+        """
+        if self._occurrences.is_settled(ref.occurrence):
+            is_task = 0 <= ref.step < len(self.spec.steps)
+            return DONE if is_task and self.is_open(ref.occurrence) else None
+        tasks = self.get_step_tasks(ref.occurrence, ref.step)
+        return tasks.get(ref.index) if tasks is not None else None
+
+    def touch(self, ref):
+        """Return the ``Task`` of a reference to be changed.
+
+        :returns: None if its occurrence is not open, or over but for its turn.
+        """
+        if self.get_task(ref) is None or self._occurrences.is_settled(ref.occurrence):
             return None
-        tasks = steps[ref.step]
-        return tasks[ref.index] if 0 <= ref.index < len(tasks) else None
+        return self._touch_step(ref.occurrence, ref.step).touch(ref.index)
+
+    def _touch_step(self, occurrence, step):
+        return self._touch_occurrence(occurrence).touch_step(step)
+
+    def _touch_occurrence(self, occurrence):
+        found = self._occurrences.value_by_number.get(occurrence)
+        if found is None:
+            found = OccurrenceTasks(self.spec.steps)
+            self._occurrences.store(occurrence, found)
+        return found
 
     def open_due_occurrences(self, wall):
-        """Create the tasks of all occurrences that are due.
+        """Open all occurrences that are due.
 
         :param wall: Wall clock, in seconds since the epoch.
         """
         if self.outcome or self.is_cancelled:
             return
-        next_occurrence = self.finished_occurrences + len(self.tasks_by_occurrence)
-        while next_occurrence < self.occurrences:
-            if self.spec.repeats and wall < self.spec.get_due_time(next_occurrence):
-                return
-            self._open_next_occurrence()
-            next_occurrence += 1
+        items = self._occurrences
+        if not self.spec.repeats or self._is_due(self.occurrences - 1, wall):
+            items.end = self.occurrences
+            return
+        # Due times rise with the index.
+        low, high = items.end, self.occurrences - 1
+        while low < high:
+            middle = (low + high) // 2
+            if self._is_due(middle, wall):
+                low = middle + 1
+            else:
+                high = middle
+        items.end = low
+
+    def _is_due(self, occurrence, wall):
+        return occurrence < self.opened_occurrences or (
+            wall >= self.spec.get_due_time(occurrence)
+        )
 
     def get_next_due_time(self):
         """Return the due time of the next occurrence, or None if none is left."""
-        next_occurrence = self.finished_occurrences + len(self.tasks_by_occurrence)
+        next_occurrence = self.opened_occurrences
         if not self.spec.repeats or next_occurrence >= self.occurrences:
             return None
         return self.spec.get_due_time(next_occurrence)
 
     def list_ready_steps(self):
-        """Return pairs of occurrence and step index whose dependencies are done."""
+        """Return pairs of occurrence and step index whose dependencies are done.
+
+        Of occurrences that are all alike, the first ones stand for the others.
+        """
         if self.outcome or self.is_cancelled:
             return []
+        if self.occurrences == 1:
+            return self._list_ready_of_only_one()
         ready = []
-        for occurrence, steps in self.tasks_by_occurrence.items():
-            done = [all(task.is_done for task in tasks) for tasks in steps]
-            for number, step in enumerate(self.spec.steps):
-                is_ready = all(done[earlier] for earlier in step.after)
-                if is_ready and not done[number]:
+        count_by_step = {}
+        for occurrence, steps in self._list_ready_by_occurrence():
+            for number in steps:
+                count = count_by_step.get(number, 0)
+                if count < MAX_OCCURRENCES_IN_PASS:
                     ready.append((occurrence, number))
+                    if self.list_waiting(occurrence, number):
+                        count_by_step[number] = count + 1
         return ready
 
-    def list_waiting(self, occurrence, step):
-        """Return references to the unfinished tasks of a step that have no run."""
-        tasks = self.tasks_by_occurrence[occurrence][step]
-        return [
-            TaskRef(self.key, occurrence, step, index)
-            for index, task in enumerate(tasks)
-            if not task.is_done and not task.runs
+    def _list_ready_of_only_one(self):
+        if not self.is_open(0):
+            return []
+        found = self._occurrences.value_by_number.get(0)
+        steps = self._first_steps if found is None else found.list_ready()
+        return [(0, number) for number in steps]
+
+    def _list_ready_by_occurrence(self):
+        """Return pairs of occurrence and its ready steps, sorted by occurrence."""
+        touched = [
+            (occurrence, tasks.list_ready())
+            for occurrence, tasks in self._occurrences.list_stored()
         ]
+        steps = len(self._first_steps)
+        limit = -(-MIN_STEPS_IN_PASS // steps)
+        untouched = islice(self._occurrences.iterate_untouched(), limit)
+        fresh = ((occurrence, self._first_steps) for occurrence in untouched)
+        return merge(touched, fresh)
+
+    def list_waiting(self, occurrence, step):
+        """Return the ``WaitingTasks`` of a step."""
+        return WaitingTasks(self, occurrence, step)
+
+    def list_demands(self):
+        """Yield the open occurrences in groups that are alike, to be counted.
+
+        Those that something has happened to come alone, in order, the others after them
+        in a bounded number of groups.
+
+        :returns: Triples of the occurrence, or of one from the middle of the group, the
+            number of occurrences, and the ``StepTasks`` of its steps.
+        """
+        steps = range(len(self.spec.steps))
+        for occurrence, _ in self._occurrences.list_stored():
+            yield occurrence, 1, [self.get_step_tasks(occurrence, n) for n in steps]
+        # Untouched occurrences follow each other, but for a few.
+        left = self._occurrences.untouched
+        if not left:
+            return
+        size = -(-left // MAX_OCCURRENCES_IN_PASS)
+        first = next(self._occurrences.iterate_untouched())
+        tasks = [BlankTasks(step.tasks) for step in self.spec.steps]
+        while left > 0:
+            count = min(size, left)
+            yield first + (count - 1) // 2, count, tasks
+            first, left = first + count, left - count
 
     def has_started(self):
         """Return whether any task has ever been claimed for a run."""
-        return self.finished_occurrences > 0 or any(
-            task.last_run
-            for steps in self.tasks_by_occurrence.values()
-            for tasks in steps
-            for task in tasks
+        return (
+            self.finished_occurrences > 0
+            or self._occurrences.has_settled
+            or any(
+                tasks.done or any(task.last_run for task in tasks.iterate_touched())
+                for _, _, tasks in self._iterate_touched_steps()
+            )
         )
 
+    def _iterate_touched_steps(self):
+        """Yield occurrence, step and ``StepTasks`` of the steps that have any state."""
+        for occurrence, found in self._occurrences.list_stored():
+            for step, tasks in sorted(found.tasks_by_step.items()):
+                yield occurrence, step, tasks
+
+    def iterate_touched(self):
+        """Yield pairs of ``TaskRef`` and ``Task`` of the tasks that have any state."""
+        for occurrence, step, tasks in self._iterate_touched_steps():
+            for index, task in tasks.list_touched():
+                yield TaskRef(self.key, occurrence, step, index), task
+
     def record_start(self):
         """Record that a run of a task has really started."""
         self._has_run = True
@@ -155,71 +391,108 @@
         return (
             self._has_run
             or self.finished_occurrences > 0
+            or self._occurrences.has_settled
             or any(
-                task.is_done or task.failures or task.checkpoint
-                for steps in self.tasks_by_occurrence.values()
-                for tasks in steps
-                for task in tasks
+                tasks.done
+                or any(
+                    task.failures or task.checkpoint for task in tasks.iterate_touched()
+                )
+                for _, _, tasks in self._iterate_touched_steps()
             )
         )
 
     def record_moved(self):
         """Count all tasks of a large job as changed: they were in one row so far."""
-        for occurrence in self.tasks_by_occurrence:
+        for occurrence in range(self.finished_occurrences, self.opened_occurrences):
             for step in range(len(self.spec.steps)):
                 self._record_step_change(TaskRef(self.key, occurrence, step, 0))
 
     def list_runs(self):
         """Yield pairs of reference and ``Run`` for all runs that may be active."""
-        for occurrence, steps in self.tasks_by_occurrence.items():
-            for step, tasks in enumerate(steps):
-                for index, task in enumerate(tasks):
-                    for run in task.runs:
-                        yield TaskRef(self.key, occurrence, step, index), run
+        for ref, task in self.iterate_touched():
+            for run in task.runs:
+                yield ref, run
 
     def _record_change(self, ref):
         """Count a change of one task."""
         self.revision += 1
         if self.is_grouped:
             group = (ref.occurrence, ref.step, ref.index // GROUP_TASKS)
-            self.revision_by_group[group] = self.revision
+            self.changed_groups.add(group)
 
     def _record_step_change(self, ref):
         """Count a change of several tasks of a step."""
         self.revision += 1
         if self.is_grouped:
             groups = -(-self.spec.steps[ref.step].tasks // GROUP_TASKS)
-            for number in range(groups):
-                group = (ref.occurrence, ref.step, number)
-                self.revision_by_group[group] = self.revision
+            self.changed_groups.update(
+                (ref.occurrence, ref.step, number) for number in range(groups)
+            )
+
+    def take_changed_groups(self):
+        """Return the groups that were changed since the last call, and clear them."""
+        changed, self.changed_groups = self.changed_groups, set()
+        return changed
 
     def list_group(self, group):
-        """Return the ``Task`` objects of a group; none if its occurrence is over."""
+        """Return the tasks of a group to be read; none if its occurrence is over."""
         occurrence, step, number = group
-        steps = self.tasks_by_occurrence.get(occurrence)
-        if steps is None:
+        tasks = self.get_step_tasks(occurrence, step)
+        if tasks is None:
             return []
-        return steps[step][number * GROUP_TASKS : (number + 1) * GROUP_TASKS]
+        start = number * GROUP_TASKS
+        return [
+            tasks.get(index)
+            for index in range(start, min(tasks.count, start + GROUP_TASKS))
+        ]
 
     def replace_group(self, group, tasks):
         """Replace the tasks of a group; return False if the job has no such group."""
         occurrence, step, number = group
         if not self.finished_occurrences <= occurrence < self.occurrences:
             return occurrence < self.finished_occurrences
-        while occurrence >= self.finished_occurrences + len(self.tasks_by_occurrence):
-            self._open_next_occurrence()
+        self._occurrences.end = max(self.opened_occurrences, occurrence + 1)
         if step >= len(self.spec.steps) or len(self.list_group(group)) != len(tasks):
             return False
-        start = number * GROUP_TASKS
-        steps = self.tasks_by_occurrence[occurrence]
-        steps[step][start : start + len(tasks)] = tasks
+        if not self._occurrences.is_settled(occurrence):
+            self._replace_tasks(occurrence, step, number * GROUP_TASKS, tasks)
         return True
 
-    def _open_next_occurrence(self):
-        number = self.finished_occurrences + len(self.tasks_by_occurrence)
-        self.tasks_by_occurrence[number] = [
-            [Task() for _ in range(step.tasks)] for step in self.spec.steps
+    def list_tasks(self, occurrence):
+        """Return the tasks of each step of an open occurrence, to be read."""
+        steps = [
+            self.get_step_tasks(occurrence, step)
+            for step in range(len(self.spec.steps))
         ]
+        return [[tasks.get(index) for index in range(tasks.count)] for tasks in steps]
+
+    def _replace_tasks(self, occurrence, step, start, tasks):
+        found = self._touch_occurrence(occurrence)
+        step_tasks = found.touch_step(step)
+        for index, task in enumerate(tasks, start):
+            step_tasks.replace(index, task)
+        found.record_done(step)
+        self._settle_occurrence(occurrence)
+
+    def restore(self, finished, outcome, tasks_by_occurrence):
+        """Load the stored state of the whole job.
+
+        :param finished: Number of finished occurrences.
+        :param outcome: Outcome of the job; empty while it is open.
+        :param tasks_by_occurrence: Lists of the tasks of each step by open occurrence.
+        :returns: False if the job has other steps.
+        """
+        shape = [step.tasks for step in self.spec.steps]
+        for steps in tasks_by_occurrence.values():
+            if [len(tasks) for tasks in steps] != shape:
+                return False
+        self.outcome = outcome
+        self._occurrences.skip_to(finished)
+        for occurrence, steps in tasks_by_occurrence.items():
+            self._occurrences.end = max(self.opened_occurrences, occurrence + 1)
+            for step, tasks in enumerate(steps):
+                self._replace_tasks(occurrence, step, 0, tasks)
+        return True
 
     def claim(self, ref, node, incarnation, number=0):
         """Record a new run that is about to start.
@@ -228,7 +501,7 @@
         :param number: Run number; 0 for the next one.
         :returns: ``Run``.
         """
-        task = self.get_task(ref)
+        task = self.touch(ref)
         task.last_run = number or task.last_run + 1
         run = Run(task.last_run, node, incarnation.worker, incarnation.started_ms)
         task.runs.append(run)
@@ -237,17 +510,18 @@
 
     def get_next_gang_run_number(self, occurrence, step):
         """Return the next run number, which all members of a gang share."""
-        tasks = self.tasks_by_occurrence[occurrence][step]
-        return 1 + max(task.last_run for task in tasks)
+        tasks = self.get_step_tasks(occurrence, step)
+        return 1 + max((task.last_run for task in tasks.iterate_touched()), default=0)
 
     def is_gang_incomplete(self, ref, number):
         """Return whether a member of a gang run isn't running and never will be.
 
         All members of a run are claimed at once, so that none may be missing later.
         """
-        return any(
+        tasks = self.get_step_tasks(ref.occurrence, ref.step)
+        return tasks.untouched > 0 or any(
             not task.is_done and all(run.number != number for run in task.runs)
-            for task in self.tasks_by_occurrence[ref.occurrence][ref.step]
+            for task in tasks.iterate_touched()
         )
 
     def rebind(self, ref, number, incarnation):
@@ -267,20 +541,22 @@
         if task is None or not any(run.number == number for run in task.runs):
             return False
         task.runs = [run for run in task.runs if run.number != number]
+        self._touch_step(ref.occurrence, ref.step).settle(ref.index)
+        self._settle_occurrence(ref.occurrence)
         self._record_change(ref)
         return True
 
     def record_unstarted(self, ref):
         """Record that a run of a task has never begun."""
-        task = self.get_task(ref)
-        if task is not None:
+        task = self.touch(ref)
+        if task is not None and not task.is_done:
             task.unstarted_runs += 1
 
     def record_checkpoint(self, ref, number, checkpoint):
         """Record a checkpoint; it is persisted together with the next change."""
         task = self.get_task(ref)
-        if task is not None and checkpoint:
-            task.checkpoint = checkpoint
+        if checkpoint and task is not None and not task.is_done:
+            self.touch(ref).checkpoint = checkpoint
 
     def end(self, ref, number, outcome, checkpoint, retries):
         """Record the completion of a run.
@@ -302,10 +578,13 @@
                 self._mark_done(ref, step)
             return False
         if outcome == "done" and not step.is_lasting:
-            self._mark_done(ref, step)
+            if task.is_done:
+                self._close_occurrences()
+            else:
+                self._mark_done(ref, step)
             return True
         self.record_checkpoint(ref, number, checkpoint)
-        if outcome == "failed":
+        if outcome == "failed" and not task.is_done:
             if step.is_gang:
                 self._record_gang_failure(ref, number)
             else:
@@ -315,14 +594,15 @@
 
     def _record_gang_failure(self, ref, number):
         """Count a failed gang run once, even if several of its members failed."""
-        for member in self.tasks_by_occurrence[ref.occurrence][ref.step]:
+        tasks = self.get_step_tasks(ref.occurrence, ref.step)
+        for member in tasks.iterate_touched():
             if member.failed_run < number:
                 member.failed_run = number
                 member.failures += 1
         self._record_step_change(ref)
 
     def _fail_if_retries_exhausted(self, step, task, retries):
-        if task.failures >= retries and not step.is_lasting and not task.is_done:
+        if task.failures >= retries and not step.is_lasting:
             self.outcome = "failed"
 
     def record_crash(self, ref, max_crashes):
@@ -331,55 +611,67 @@
         :param max_crashes: Crashes after which the job has failed.
         :returns: Number of crashes counted for the task.
         """
-        task = self.get_task(ref)
-        task.crashes += 1
         self.revision += 1
+        task = self.touch(ref)
+        if task is None:
+            return 0
+        task.crashes += 1
         if task.crashes >= max_crashes and not task.is_done and not self.outcome:
             self.outcome = "failed"
         return task.crashes
 
     def clear_crashes(self, ref):
         """Forget the crashes counted for a task."""
-        self.get_task(ref).crashes = 0
+        self.touch(ref).crashes = 0
         self.revision += 1
 
+    def restore_crashes(self, ref, crashes):
+        """Load the crashes counted for a task."""
+        task = self.get_task(ref)
+        if task is not None and not task.is_done:
+            self.touch(ref).crashes = crashes
+
     def list_crashed(self):
         """Return references to the unfinished tasks for which crashes are counted."""
         return [
-            TaskRef(self.key, occurrence, step, index)
-            for occurrence, steps in self.tasks_by_occurrence.items()
-            for step, tasks in enumerate(steps)
-            for index, task in enumerate(tasks)
+            ref
+            for ref, task in self.iterate_touched()
             if task.crashes and not task.is_done
         ]
 
     def _mark_done(self, ref, step):
-        steps = self.tasks_by_occurrence[ref.occurrence]
-        members = steps[ref.step] if step.is_gang else [steps[ref.step][ref.index]]
-        for task in members:
-            task.is_done = True
+        found = self._touch_occurrence(ref.occurrence)
+        tasks = found.touch_step(ref.step)
         if step.is_gang:
+            tasks.mark_all_done()
             self._record_step_change(ref)
         else:
+            tasks.mark_done(ref.index)
             self._record_change(ref)
+        found.record_done(ref.step)
+        self._settle_occurrence(ref.occurrence)
         self._close_occurrences()
 
+    def _settle_occurrence(self, occurrence):
+        """Keep no more of an occurrence than that it is done, if no run of it is left.
+
+        The state of the last one is kept until the job is closed.
+        """
+        found = self._occurrences.value_by_number.get(occurrence)
+        is_last = occurrence == self.occurrences - 1
+        if found is not None and found.is_done and not (is_last or found.has_runs):
+            self._occurrences.settle(occurrence)
+
     def _close_occurrences(self):
         """Remove finished occurrences in order; the last one closes the job."""
-        for occurrence in sorted(self.tasks_by_occurrence):
-            steps = self.tasks_by_occurrence[occurrence]
-            tasks = [task for tasks in steps for task in tasks]
-            if occurrence != self.finished_occurrences:
-                return
-            if not all(task.is_done for task in tasks):
-                return
-            if self.occurrences - 1 == occurrence:
+        while self.is_open(first := self.finished_occurrences):
+            if self._occurrences.is_settled(first):
+                self._occurrences.remove_first()
+                continue
+            found = self._occurrences.value_by_number.get(first)
+            if found is not None and found.is_done and first == self.occurrences - 1:
                 self.outcome = "done"
-                return
-            if any(task.runs for task in tasks):
-                return
-            del self.tasks_by_occurrence[occurrence]
-            self.finished_occurrences += 1
+            return
 
     def cancel(self):
         """Mark the job as cancelled by its caller."""
--- a/src/bergamotshore/core/work/relocation.py
+++ b/src/bergamotshore/core/work/relocation.py
@@ -14,6 +14,7 @@
     get_expected_speed,
 )
 from bergamotshore.core.work.placing import choose_worker
+from bergamotshore.core.work.runslots import list_workers_with_slot
 from bergamotshore.core.work.stops import StopRun, is_stopping
 from bergamotshore.core.work.waiting import (
     WaitingStep,
@@ -113,7 +114,11 @@
     waiting = WaitingStep(progress, run.ref.occurrence, run.ref.step, [run.ref], ())
     workers = [
         worker
-        for worker in list_eligible_workers(view, waiting, workers_by_service)
+        for worker in list_workers_with_slot(
+            view.cluster,
+            waiting,
+            list_eligible_workers(view, waiting, workers_by_service),
+        )
         if worker is not item.worker and worker.node not in taken_nodes
     ]
     interference = view.cluster.interference
--- a/src/bergamotshore/core/work/tails.py
+++ b/src/bergamotshore/core/work/tails.py
@@ -199,7 +199,7 @@
         seconds = cluster.tails.get_remaining_seconds(ref, task, expected)
         return (-seconds, -task.crashes, -task.failures, -task.last_run, ref.index)
 
-    return sorted(item.refs, key=get_rank)
+    return item.refs.order_by(get_rank)
 
 
 def order_chains(view, waiting):
@@ -214,24 +214,29 @@
     for _, group in groupby(waiting, key=lambda item: item.rank):
         items = list(group)
         if len(items) > 1:
-            items.sort(key=lambda item: -_get_chain_seconds(view, item))
+            seconds_by_job = {}
+            for item in items:
+                key = item.progress.key
+                if key not in seconds_by_job:
+                    seconds_by_job[key] = _list_chain_seconds(view, item.progress.spec)
+            items.sort(key=lambda item: -seconds_by_job[item.progress.key][item.number])
         ordered += items
     return ordered
 
 
-def _get_chain_seconds(view, item):
-    """Return the longest time from the start of a step to the end of its job."""
-    spec = item.progress.spec
+def _list_chain_seconds(view, spec):
+    """Return the longest time from the start of each step to the end of its job."""
     durations = view.cluster.durations
     longest_after = [0.0] * len(spec.steps)
-    chain = 0.0
-    for number in range(len(spec.steps) - 1, item.number - 1, -1):
+    chains = [0.0] * len(spec.steps)
+    for number in range(len(spec.steps) - 1, -1, -1):
         step = spec.steps[number]
         expected = durations.get_estimate(spec.queue, step, spec.key).expected
         chain = longest_after[number] + (expected if is_usable(expected) else 0.0)
+        chains[number] = chain
         for earlier in step.after:
             longest_after[earlier] = max(longest_after[earlier], chain)
-    return chain
+    return chains
 
 
 def find_lateness(view, worker, run):
@@ -288,9 +293,9 @@
 def _get_sibling_seconds(view, worker, run):
     """Return the median duration of a step's tasks on other workers; 0 if unknown."""
     progress = view.cluster.job_by_key[run.ref.job]
-    tasks = progress.tasks_by_occurrence[run.ref.occurrence][run.ref.step]
+    tasks = progress.get_step_tasks(run.ref.occurrence, run.ref.step)
     seconds = []
-    for index, task in enumerate(tasks):
+    for index, task in tasks.list_touched():
         for sibling in task.runs if index != run.ref.index else ():
             other = view.cluster.worker_by_node.get(sibling.node)
             if other is None or other is worker:
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -3,9 +3,13 @@
 from dataclasses import dataclass, field, replace
 
 from bergamotshore.core.work.containment import ErrorCollector
+from bergamotshore.core.work.model import UNKNOWN_SECONDS
 from bergamotshore.core.work.tails import order_chains
 from bergamotshore.generated.settings import Scheduling
 
+# A job is oversized if its work takes all workers this many times its critical path.
+OVERSIZE_FACTOR = 4.0
+
 
 @dataclass(frozen=True, slots=True)
 class PlanView:
@@ -57,7 +61,7 @@
     :param progress: ``JobProgress``.
     :param occurrence: Index of the occurrence.
     :param number: Index of the step.
-    :param refs: References to its waiting tasks.
+    :param refs: Sequence of references to its waiting tasks, see ``WaitingTasks``.
     :param rank: Sort key; the smallest is placed first.
     """
 
@@ -87,38 +91,54 @@
     """Return all ``WaitingStep`` in scheduling order."""
     if view.scheduling.order == "value":
         view.cluster.job_order.refresh(view)
+    capacity_by_service = measure_capacity(view)
     waiting = []
     for progress in view.cluster.job_by_key.values():
         if progress.key in view.collector.left_out:
             continue
         try:
-            waiting += _list_waiting_of_job(view, progress)
+            waiting += _list_waiting_of_job(view, progress, capacity_by_service)
         except Exception as error:
             view.collector.record("waiting", progress.key, error)
     waiting.sort(key=lambda item: item.rank)
     return order_chains(view, waiting)
 
 
-def _list_waiting_of_job(view, progress):
+def _list_waiting_of_job(view, progress, capacity_by_service):
     progress.open_due_occurrences(view.wall)
     waiting = []
+    time_limit = _get_time_limit(view, progress, capacity_by_service)
     for occurrence, number in progress.list_ready_steps():
         refs = progress.list_waiting(occurrence, number)
         if refs:
-            rank = _get_rank(view, progress, occurrence, number)
+            rank = _get_rank(view, progress, occurrence, number, time_limit)
             waiting.append(WaitingStep(progress, occurrence, number, refs, rank))
     return waiting
 
 
-def _get_rank(view, progress, occurrence, number):
+def _get_time_limit(view, progress, capacity_by_service):
+    """Return the time within which a job is to end, in seconds.
+
+    A job that the whole service works at for many times its critical path goes after
+    the others, which would wait for all of it otherwise.
+    """
+    spec = progress.spec
+    queue = view.cluster.get_queue(spec.queue)
+    seconds = progress.critical_path
+    capacity = capacity_by_service.get(view.cluster.get_service(spec))
+    if capacity is not None:
+        occurrences = progress.opened_occurrences - progress.finished_occurrences
+        working_seconds = occurrences * get_working_seconds(progress.work, capacity)
+        if working_seconds > OVERSIZE_FACTOR * max(seconds, UNKNOWN_SECONDS):
+            seconds = working_seconds
+    return seconds if queue is None else queue.stretch * seconds + queue.slack
+
+
+def _get_rank(view, progress, occurrence, number, time_limit):
     spec = progress.spec
     queue = view.cluster.get_queue(spec.queue)
     priority = queue.priority if queue is not None else 0
     due = spec.get_due_time(occurrence) if spec.repeats else spec.accepted_at
-    critical_path = get_critical_path_seconds(spec)
-    time_limit = (
-        critical_path if queue is None else queue.stretch * critical_path + queue.slack
-    )
     is_lasting = spec.steps[number].is_lasting
     order = (due + time_limit,)
     if view.scheduling.order == "value" and not is_lasting:
@@ -133,13 +153,32 @@
     return 0 if shares is None else shares.get_band(queue)
 
 
-def get_critical_path_seconds(spec):
-    """Return the critical path of a job by declared durations, in seconds."""
-    finish_times = []
-    for step in spec.steps:
-        start = max((finish_times[earlier] for earlier in step.after), default=0.0)
-        finish_times.append(start + step.estimate)
-    return max(finish_times)
+def measure_capacity(view):
+    """Return the whole size of the workers, by service.
+
+    :returns: Tuples of processors in thousandths, memory in MB, accelerators and runs.
+    """
+    capacity_by_service = {}
+    slots = view.cluster.slots
+    for worker in view.cluster.list_sized_workers():
+        with view.containing("workers", worker.node):
+            size = worker.size
+            sizes = (size.cpu, size.memory, size.accelerators, slots)
+            total = capacity_by_service.get(worker.service, (0, 0, 0, 0))
+            capacity_by_service[worker.service] = tuple(
+                former + more for former, more in zip(total, sizes, strict=True)
+            )
+    return capacity_by_service
+
+
+def get_working_seconds(work, capacity):
+    """Return how long all workers need for some work at least, in seconds.
+
+    :param work: Work, see ``sum_work``.
+    :param capacity: Whole size of the workers, see ``measure_capacity``.
+    """
+    shares = zip(work, capacity, strict=True)
+    return max((amount / total for amount, total in shares if total), default=0.0)
 
 
 def group_workers(view, has_quarantine=True):
@@ -168,7 +207,8 @@
 def count_runs_by_node(item):
     """Return the number of possibly active runs of a step by node."""
     counts = {}
-    for task in item.progress.tasks_by_occurrence[item.occurrence][item.number]:
+    tasks = item.progress.get_step_tasks(item.occurrence, item.number)
+    for task in tasks.iterate_touched():
         for run in task.runs:
             counts[run.node] = counts.get(run.node, 0) + 1
     return counts
--- a/src/bergamotshore/core/work/workers.py
+++ b/src/bergamotshore/core/work/workers.py
@@ -100,6 +100,7 @@
     :param has_failed_report: Whether its last report could not be applied as a whole.
     :param reported_at: When the worker last reported its runs, in seconds.
     :param allocation_by_key: ``Allocation`` by name and number.
+    :param runs_by_job: Number of its runs by key of the job.
     :param unknown_runs: Keys of reported runs that no job has claimed.
     :param last_recorded_sequence: Highest completion sequence recorded by this
         scheduler.
@@ -132,6 +133,7 @@
     has_failed_report: bool = False
     reported_at: float = 0.0
     allocation_by_key: dict = field(default_factory=dict)
+    runs_by_job: dict = field(default_factory=dict)
     unknown_runs: set = field(default_factory=set)
     last_recorded_sequence: int = 0
     acknowledged: int = 0
@@ -149,7 +151,10 @@
     @changes_state
     def allocate(self, allocation):
         """Allocate resources to a run."""
+        self.free(allocation.key)
         self.allocation_by_key[allocation.key] = allocation
+        job = allocation.ref.job
+        self.runs_by_job[job] = self.runs_by_job.get(job, 0) + 1
         self.used_cpu += allocation.step.reserved_cpu
         self.used_memory += allocation.step.memory
         self.used_accelerators += allocation.step.accelerators
@@ -203,6 +208,10 @@
         """Free the resources of a run; return its ``Allocation``, or None."""
         allocation = self.allocation_by_key.pop(key, None)
         if allocation is not None:
+            job = allocation.ref.job
+            self.runs_by_job[job] -= 1
+            if not self.runs_by_job[job]:
+                del self.runs_by_job[job]
             self.used_cpu -= allocation.step.reserved_cpu
             self.used_memory -= allocation.step.memory
             self.used_accelerators -= allocation.step.accelerators
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.core.work.backlog import BacklogTracker
-from bergamotshore.core.work.cluster import ClusterState
+from bergamotshore.core.work.cluster import DEFAULT_MAX_RUNS, ClusterState
 from bergamotshore.core.work.containment import ErrorCollector
 from bergamotshore.core.work.crashes import LostRun, record_crash
 from bergamotshore.core.work.decisions import make_plan
@@ -115,6 +115,7 @@
     :param spread_factor: Factor by which tasks take longer away from their data or
         their group.
     :param on_backlog: Called with each ``Backlog`` that this entry estimates.
+    :param max_runs: Number of runs that this entry has memory for.
     """
 
     def __init__(
@@ -138,10 +139,12 @@
         scheduling=NO_DECISIONS_UNDER_LOAD,
         spread_factor=1.0,
         on_backlog=lambda backlog: None,
+        max_runs=DEFAULT_MAX_RUNS,
     ):
         self.scheduling = scheduling
         self.spread_factor = spread_factor
         self._on_backlog = on_backlog
+        self._max_runs = max_runs
         self.decision_log = DecisionLog(registry, log)
         self.machines = machines
         self.machine_calls = machine_calls
@@ -171,7 +174,7 @@
 
     def _reset(self):
         self.cluster = ClusterState(
-            lambda name: self.site.configuration.get_queue(name)
+            lambda name: self.site.configuration.get_queue(name), self._max_runs
         )
         self.cluster.durations.is_enabled = self.scheduling.durations
         self.suspicion = WorkerQuarantine()
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -21,6 +21,7 @@
     get_candidacy_delay,
     get_grant_seconds,
 )
+from bergamotshore.core.work.runslots import RUNS_PER_MB
 from bergamotshore.core.work.stall import StallDetector
 from bergamotshore.entry.admission import Admission
 from bergamotshore.entry.cancellations import RecentCancellations
@@ -257,6 +258,7 @@
             scheduling=self.site.scheduling,
             spread_factor=self.site.spread_factor,
             on_backlog=self.admission.record,
+            max_runs=self.settings.intake.memory_mb * RUNS_PER_MB,
         )
 
     def _build_small_server(self, app, address):
--- a/src/bergamotshore/entry/taskgrouprows.py
+++ b/src/bergamotshore/entry/taskgrouprows.py
@@ -15,13 +15,11 @@
 
     :param target: Revision that the write in progress reaches.
     :param pending: Groups that it has not written yet.
-    :param written_revision_by_group: Revision of each group that is written.
     :param stored: Groups that may have a row.
     """
 
     target: int = 0
     pending: set = field(default_factory=set)
-    written_revision_by_group: dict = field(default_factory=dict)
     stored: set = field(default_factory=set)
 
 
@@ -47,15 +45,10 @@
         groups = self._groups_by_key[key]
         if not groups.pending:
             groups.target = progress.revision
-            written = groups.written_revision_by_group
-            groups.pending = {
-                group
-                for group, revision in progress.revision_by_group.items()
-                if revision > written.get(group, 0)
-            }
+            groups.pending = progress.take_changed_groups()
         chosen = []
         for group in sorted(groups.pending):
-            if group[0] not in progress.tasks_by_occurrence:
+            if not progress.is_open(group[0]):
                 groups.pending.discard(group)
             elif len(chosen) < limit:
                 chosen.append(group)
@@ -68,19 +61,14 @@
 
     def record_written(self, key, groups):
         """Record that the rows of groups are written."""
-        job = self._groups_by_key[key]
-        job.pending.difference_update(groups)
         # Changes that were made after the write began are written by the next one.
-        for group in groups:
-            job.written_revision_by_group[group] = job.target
+        self._groups_by_key[key].pending.difference_update(groups)
 
     def record_finished(self, part, key, finished):
         """Record how many occurrences of a job are over, whose rows are obsolete."""
         job = self._groups_by_key[key]
         over = {group for group in job.stored if group[0] < finished}
         job.stored -= over
-        for group in over:
-            job.written_revision_by_group.pop(group, None)
         self._obsolete_by_part[part] += [get_group_id(key, group) for group in over]
 
     def record_closed(self, part, key):
--- a/tests/site/test_large_jobs.py
+++ b/tests/site/test_large_jobs.py
@@ -87,7 +87,7 @@
     simulation.submit("large", [build_step(300)])
     simulation.advance(1.0)
     (progress,) = simulation.leader.dispatcher.cluster.job_by_key.values()
-    tasks = [encode_task(task) for task in progress.tasks_by_occurrence[0][0]]
+    tasks = [encode_task(task) for task in progress.list_tasks(0)[0]]
     content = msgspec.msgpack.encode([0, "", {0: [tasks]}])
     simulation.kill_entry(simulation.leader.name)
     put = Put(get_row_id(RUNS, progress.key), content)
@@ -134,14 +134,14 @@
         progress.claim(ref, LONGEST_NAME, incarnation)
     rows = [
         (group, StoredRow(None, 1, encode_group_of(progress, group)))
-        for group in progress.revision_by_group
+        for group in progress.changed_groups
     ]
     value = encode_progress(progress)
     assert all(len(row.value) <= ROW_BYTES / 2 for _, row in rows)
     restored = JobProgress(spec)
     restore_job(restored, StoredRow(None, 1, value), rows)
     restored.open_due_occurrences(0.0)
-    assert restored.tasks_by_occurrence == progress.tasks_by_occurrence
+    assert restored.list_tasks(0) == progress.list_tasks(0)
 
 
 def encode_group_of(progress, group):
--- a/tests/site/test_tails.py
+++ b/tests/site/test_tails.py
@@ -301,7 +301,7 @@
     step = Step(tasks=3, cpu=100, estimate=1.0)
     view.cluster.add_job(JobSpec("queue", "next", SERVICE, "p", (step,), 3))
     (item,) = list_waiting(view)
-    assert order_tasks(view, item) == item.refs
+    assert list(order_tasks(view, item)) == list(item.refs)
 
 
 def test_a_successor_makes_no_third_run_and_no_copy_before_it_has_learned():
@@ -367,16 +367,16 @@
 def test_a_task_that_failed_starts_before_those_that_never_ran(crowded):
     view, _ = crowded
     (item,) = list_waiting(view)
-    item.progress.get_task(item.refs[2]).failures = 1
+    item.progress.touch(item.refs[2]).failures = 1
     assert [ref.index for ref in order_tasks(view, item)] == [2, 0, 1, 3]
 
 
 def test_the_order_stays_as_it_was_while_switched_off(crowded):
     view, _ = crowded
     (item,) = list_waiting(view)
-    item.progress.get_task(item.refs[2]).failures = 1
+    item.progress.touch(item.refs[2]).failures = 1
     off = PlanView(view.cluster, view.site, 105.0, 105.0, view.is_excluded)
-    assert order_tasks(off, item) == item.refs
+    assert list(order_tasks(off, item)) == list(item.refs)
 
 
 @pytest.mark.parametrize("is_on", [True, False])
