Tell callers no number of waiting jobs that is too old

Cause: the scheduling entry alone writes the row of the numbers, and all entries passed it on whatever its age, which nothing told: the row holds no time and isn't written while its numbers stay the same.

Each renewal of the lease now says which version of the row was right, and when, on the store's clock. An entry that can't tell that the row is 2 s old at most counts the stored jobs, one caller at a time and once a second at most; 503 if the store doesn't answer in time. No further call in calm.

A time in the row itself was ruled out: it would be written every half second for ever (test_an_unchanged_count_is_not_written_again). So was the age by the reader's clock: a renewal that is executed late looks new.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -150,8 +150,12 @@
     match outcome:
         case Success(page):
             rows = [_encode_row(row) for row in page.rows]
-            answer = {"ver": page.version, "rows": rows, "truncated": page.is_partial}
-            return 200, answer
+            return 200, {
+                "ver": page.version,
+                "now_ms": int(page.now * 1000),
+                "rows": rows,
+                "truncated": page.is_partial,
+            }
         case Failure(HistoryLost()):
             return 410, {}
     return 503, {}
--- a/src/bergamotshore/core/work/jobstate.py
+++ b/src/bergamotshore/core/work/jobstate.py
@@ -87,6 +87,30 @@
     return group_tasks > 0
 
 
+def is_run_stored(content):
+    """Return whether the stored state of a job tells that a task of it has run.
+
+    :returns: None if the rows of its groups tell.
+    :raises DecodingError: if the content is not an encoded state.
+    """
+    finished, outcome, occurrences, group_tasks = decode_msgpack(content, EncodedJob)
+    if finished or outcome:
+        return True
+    if group_tasks:
+        return None
+    return any(
+        has_trace(task)
+        for steps in occurrences.values()
+        for tasks in steps
+        for task in tasks
+    )
+
+
+def has_trace(task):
+    """Return whether an ``EncodedTask`` tells of a run; a claim alone does not."""
+    return bool(task.is_done or task.failures or task.checkpoint)
+
+
 def encode_crashes(progress):
     """Encode the crashes counted for the tasks of a job; empty if there are none.
 
--- a/src/bergamotshore/core/work/taskgroups.py
+++ b/src/bergamotshore/core/work/taskgroups.py
@@ -10,7 +10,12 @@
 import msgspec
 
 from bergamotshore.core.decoding import decode_msgpack
-from bergamotshore.core.work.jobstate import EncodedTask, decode_task, encode_task
+from bergamotshore.core.work.jobstate import (
+    EncodedTask,
+    decode_task,
+    encode_task,
+    has_trace,
+)
 from bergamotshore.exceptions import DecodingError
 
 SEPARATOR = "#"
@@ -50,6 +55,19 @@
     return job, TaskGroup(occurrence, step, number)
 
 
+def get_group_range(job):
+    """Return the bounds of the keys of a job's groups; the second one is excluded."""
+    return job + SEPARATOR, job + chr(ord(SEPARATOR) + 1)
+
+
+def is_run_stored_in_group(content):
+    """Return whether the state of a group tells that a task of it has run.
+
+    :raises DecodingError: if the content is not an encoded group.
+    """
+    return any(map(has_trace, decode_msgpack(content, list[EncodedTask])))
+
+
 def encode_group(progress, group):
     """Encode the state of the tasks of a group."""
     tasks = progress.list_group(group)
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -26,6 +26,7 @@
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.advice import AdviceReceived, AdviceRequester
 from bergamotshore.entry.background import run_background_call
+from bergamotshore.entry.countsmark import StoreClock
 from bergamotshore.entry.decisionlog import DecisionLog
 from bergamotshore.entry.dispatchevents import (
     JobCancelled,
@@ -153,6 +154,7 @@
         self.site = site
         self.freshness = freshness
         self._was_fresh = True
+        self.store_clock = StoreClock(clock)
         self.directory = directory
         self.grant_seconds = grant_seconds
         self.executor = executor
@@ -848,7 +850,12 @@
             if is_open and not progress.spec.repeats and not progress.has_run():
                 name = progress.spec.queue
                 counts[name] = counts.get(name, 0) + 1
-        self._counts_row.put(msgspec.msgpack.encode(counts))
+        measured_at = self.store_clock.now()
+        self._counts_row.put(msgspec.msgpack.encode(counts), measured_at)
+
+    def get_counts_mark(self):
+        """Return the ``CountsMark`` of this term; may be called from any thread."""
+        return self._counts_row.confirmed if self.epoch else None
 
     def _store_interference(self, now):
         """Write the interference model, so that a successor can continue with it."""
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -26,6 +26,7 @@
     LeaseObservation,
     get_last_echo_time,
 )
+from bergamotshore.entry.countsmark import CountsMark
 from bergamotshore.entry.permissions import EchoPermissions
 from bergamotshore.exceptions import DecodingError
 from bergamotshore.ports.rows import Expect, Put, RowId, RowsConflict
@@ -55,6 +56,8 @@
         holder doesn't echo after its lease; None in rows of holders that ask for none.
     :param awaited: Until when the processes of earlier terms may echo; None in rows of
         former builds.
+    :param counts: What the holder says of the published numbers of waiting jobs; None
+        if it can't say or in rows of former builds.
     """
 
     name: str
@@ -65,6 +68,7 @@
     earlier: tuple[tuple[str, str], ...] = ()
     required_permissions: tuple[str, ...] | None = None
     awaited: tuple[EarlierProcess, ...] | None = None
+    counts: CountsMark | None = None
 
     def is_same_term(self, other):
         """Return whether another row was written by the same process in this term."""
@@ -86,6 +90,8 @@
     :param candidacy_delay: How long a free lease is left to other entries, in seconds.
     :param can_schedule: Function that returns whether this entry could schedule now.
     :param grant_seconds: Duration of a node's renewal grant, in seconds.
+    :param get_counts_mark: Function that returns what this entry, while it schedules,
+        says of the published numbers of waiting jobs.
     """
 
     def __init__(
@@ -99,6 +105,7 @@
         candidacy_delay=0.0,
         can_schedule=lambda: True,
         grant_seconds=MAX_GRANT_SECONDS,
+        get_counts_mark=lambda: None,
     ):
         self.lease = LeaderLease()
         self.row = None
@@ -111,6 +118,7 @@
         self._candidacy_delay = candidacy_delay
         self._can_schedule = can_schedule
         self._grant_seconds = grant_seconds
+        self._get_counts_mark = get_counts_mark
         self._permissions = EchoPermissions(clock)
         self._free_since = None
         self._bound_by_process = {}
@@ -134,6 +142,14 @@
         """Return the address of the scheduling entry; empty if unknown."""
         return self.row.address if self.row is not None and self.row.name else ""
 
+    def get_observed_counts_mark(self):
+        """Return the ``CountsMark`` in the row that was read or written last, or None.
+
+        May be called from any thread.
+        """
+        row = self.row
+        return row.counts if row is not None else None
+
     @property
     def superseded_epoch(self):
         """Return the newest term of another process, if this one holds none, or 0.
@@ -404,7 +420,7 @@
         self._is_unreadable = False
         if stored is not None:
             try:
-                self.row = _decode_leader_row(stored)
+                self.row = decode_leader_row(stored)
             except DecodingError as error:
                 self._is_unreadable = True
                 self._log.write("leader-row-invalid", "leader", why=str(error))
@@ -423,6 +439,7 @@
             *self._describe_earlier_terms(sent_at),
             required_permissions=self._permissions.add_required(),
             awaited=self._list_awaited(sent_at),
+            counts=self._get_counts_mark(),
         )
         if not self.lease.epoch:
             self._permissions.record_claim(is_open=True)
@@ -545,7 +562,7 @@
     return dict.fromkeys(row.earlier or (UNKNOWN,), EchoBound(latest, latest))
 
 
-def _decode_leader_row(stored):
+def decode_leader_row(stored):
     """Return the ``LeaderRow`` in a row.
 
     :raises DecodingError: if it is invalid, or names a term that can't have begun:
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -18,6 +18,8 @@
     get_job_key,
 )
 from bergamotshore.core.work.taskgroups import get_group_key
+from bergamotshore.entry.countsmark import PublishedCounts
+from bergamotshore.entry.election import LEADER_ROW, decode_leader_row
 from bergamotshore.exceptions import (
     DecodingError,
     PlatformAnswerInvalid,
@@ -240,7 +242,7 @@
             self._pause(pause)
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
-    def _read(self, deadline, *arguments, **options):
+    def read(self, deadline, *arguments, **options):
         """Retry a read until it is answered, or the deadline has passed.
 
         One connection may have gone silent while the store answers on others.
@@ -262,7 +264,7 @@
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
 
     def _get(self, row_id, deadline):
-        page = self._read(deadline, row_id.table, row_id.part, row_id.key, limit=1)
+        page = self.read(deadline, row_id.table, row_id.part, row_id.key, limit=1)
         return page.map(
             lambda page: next((row for row in page.rows if row.id == row_id), None)
         )
@@ -274,7 +276,7 @@
         """
         key = get_job_key(queue, job_id)
         job = get_row_id(JOBS, key)
-        rows = self._read(deadline, JOBS, job.part, key, key + "0", limit=2)
+        rows = self.read(deadline, JOBS, job.part, key, key + "0", limit=2)
         match rows:
             case Success(page):
                 keys = {row.id.key for row in page.rows}
@@ -325,7 +327,41 @@
 
         :param deadline: When to stop retrying, on this entry's clock.
         """
-        return self._get(COUNTS_ROW, deadline).bind(_decode_counts)
+        published = self.read_published_counts(deadline)
+        return published.map(lambda published: published.count_by_queue)
+
+    def read_published_counts(self, deadline):
+        """Return a ``Result`` of the ``PublishedCounts``.
+
+        :param deadline: When to stop retrying, on this entry's clock.
+        """
+        row_id = COUNTS_ROW
+        page = self.read(deadline, row_id.table, row_id.part, row_id.key, limit=1)
+        return page.bind(_decode_published_counts)
+
+    def read_counts_mark(self, deadline):
+        """Return a ``Result`` of the ``CountsMark`` in the row of the lease, or None.
+
+        :param deadline: When to stop retrying, on this entry's clock.
+        """
+        return self._get(LEADER_ROW, deadline).bind(_decode_counts_mark)
+
+
+def _decode_published_counts(page):
+    row = next((row for row in page.rows if row.id == COUNTS_ROW), None)
+    version = row.version if row is not None else 0
+    return _decode_counts(row).map(
+        lambda count_by_queue: PublishedCounts(version, count_by_queue, page.now)
+    )
+
+
+def _decode_counts_mark(row):
+    if row is None:
+        return Success(None)
+    try:
+        return Success(decode_leader_row(row).counts)
+    except DecodingError as error:
+        return Failure(PlatformAnswerInvalid(f"{row.id.key}: {error}"))
 
 
 def _decode_counts(row):
--- a/src/bergamotshore/entry/latestrow.py
+++ b/src/bergamotshore/entry/latestrow.py
@@ -3,6 +3,7 @@
 from returns.result import Failure, Success
 
 from bergamotshore.entry.background import run_background_call
+from bergamotshore.entry.countsmark import CountsMark
 from bergamotshore.ports.rows import Expect, Put, RowsConflict
 
 # Delay after a failed write, in seconds.
@@ -34,13 +35,26 @@
         self._written_value = None
         self._is_writing = False
         self._retry_at = 0.0
+        self._measured_at = 0.0
+        self._confirmed = None
 
-    def put(self, value):
+    @property
+    def confirmed(self):
+        """Return the ``CountsMark`` of the last value that was right and written.
+
+        :returns: None before the first one.
+        """
+        return self._confirmed
+
+    def put(self, value, measured_at=0.0):
         """Set the value to write; the write itself is done by ``step``.
 
         :param value: Bytes.
+        :param measured_at: Time on the store's clock at which it was right, in seconds.
         """
-        self._desired_value = value
+        self._desired_value, self._measured_at = value, measured_at
+        if not self._is_writing and value == self._written_value:
+            self._confirmed = CountsMark(self._version, measured_at)
 
     def step(self):
         """Start a write if the newest value isn't written and no write is in flight."""
@@ -50,9 +64,9 @@
         )
         if is_due and not self._is_writing:
             self._is_writing = True
-            self._executor.submit(self._write, self._desired_value)
+            self._executor.submit(self._write, self._desired_value, self._measured_at)
 
-    def _write(self, value):
+    def _write(self, value, measured_at):
         expects = [Expect(self._row_id, self._version)]
         outcome = run_background_call(
             lambda: self._store.transact(expects, [Put(self._row_id, value)], []),
@@ -62,6 +76,7 @@
         match outcome:
             case Success(version):
                 self._version, self._written_value = version, value
+                self._confirmed = CountsMark(version, measured_at)
             case Failure(RowsConflict(rows=rows)):
                 self._version = next(
                     (row.version for row in rows if row.id == self._row_id), 0
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -46,6 +46,7 @@
 from bergamotshore.entry.streams import StreamDirectory
 from bergamotshore.entry.submissions import ReadinessApp, SubmissionApp
 from bergamotshore.entry.takeover import read_job_rows
+from bergamotshore.entry.waitingcounts import WaitingCounts
 from bergamotshore.entry.workerleases import UNKNOWN_INCARNATION
 from bergamotshore.entry.wsgi import DecodingMemory, HttpServer
 from bergamotshore.generated.messages import (
@@ -126,6 +127,7 @@
         self._next_peers_at = 0.0
         self.loop = Loop(self.clock)
         self.executor = ThreadPoolExecutor(WRITER_THREADS, "writer")
+        self.count_executor = ThreadPoolExecutor(len(PARTS), "counts")
         self.advice_executor = ThreadPoolExecutor(1, "advice")
         self.machine_executor = ThreadPoolExecutor(1, "machines")
         self.relay_executor = ThreadPoolExecutor(RELAY_THREADS, "relay")
@@ -165,6 +167,7 @@
             ),
             self.can_schedule,
             get_grant_seconds(self.site.longest_hold_ms / 1000),
+            lambda: self.dispatcher.get_counts_mark(),
         )
         self.stall = StallDetector()
         self.freshness = StateFreshness(
@@ -173,8 +176,9 @@
             get_max_age(self.site.cancel_within_ms / 1000),
         )
         self.dispatcher = self._build_dispatcher()
+        rows = JobRows(self.store, self.clock, self.finished.wait)
         self.app = SubmissionApp(
-            JobRows(self.store, self.clock, self.finished.wait),
+            rows,
             self.follower.state,
             max_config_age,
             self.clock,
@@ -183,6 +187,14 @@
             lambda: self.client.is_reachable,
             self.record_stored_cancellation,
             self.admission,
+            WaitingCounts(
+                rows,
+                self.clock,
+                self.registry,
+                self.log,
+                self.election.get_observed_counts_mark,
+                self.count_executor.map,
+            ),
         )
         self.intake = Intake(settings.intake, self.clock, self.registry, self.log)
         self.stream_intake = StreamIntake(
@@ -328,6 +340,7 @@
             self.watcher.request_reload,
         )
         self.executor.shutdown(wait=False, cancel_futures=True)
+        self.count_executor.shutdown(wait=False, cancel_futures=True)
         self.advice_executor.shutdown(wait=False, cancel_futures=True)
         self.machine_executor.shutdown(wait=False, cancel_futures=True)
         self.relay_executor.shutdown(wait=False, cancel_futures=True)
@@ -623,6 +636,7 @@
         match outcome:
             case Success(page):
                 self._feed_failures = 0
+                self.dispatcher.store_clock.observe(page.now)
                 self.dispatcher.post(RowsChanged(page.rows, asked_at, epoch))
                 return page.version
             case Failure(HistoryLost()):
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -9,6 +9,7 @@
 
 from bergamotshore.core.work.model import get_job_key
 from bergamotshore.entry.jobrows import find_id_problem
+from bergamotshore.entry.waitingcounts import WaitingCounts
 from bergamotshore.entry.wsgi import reply
 from bergamotshore.exceptions import PlatformUncertain, RowsRefused
 from bergamotshore.platform.jobs import (
@@ -23,7 +24,6 @@
 DEADLINE_SHARE = 0.8
 DEFAULT_DEADLINE_SECONDS = 3.0
 RETRY_AFTER_SECONDS = 1
-COUNTS_CACHE_SECONDS = 0.5
 # Time for the store to tell that a job to be refused isn't stored, in seconds: a sound
 # store answers two reads in a few hundredths. A slower one may hold writes back too.
 PROOF_SECONDS = 0.3
@@ -79,6 +79,7 @@
     :param is_store_reachable: Returns whether the store currently accepts calls.
     :param on_cancelled: Called with the key of each job whose cancellation was stored.
     :param admission: ``Admission``; None to refuse no job for load.
+    :param counts: ``WaitingCounts``; None for one that trusts no published number.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         is_store_reachable=lambda: True,
         on_cancelled=lambda key: None,
         admission=None,
+        counts=None,
     ):
         self._admission = admission
         self._uncertain_until_by_key = OrderedDict()
@@ -104,8 +106,7 @@
         self._is_store_reachable = is_store_reachable
         self._on_cancelled = on_cancelled
         self._lock = threading.Lock()
-        self._count_by_queue = {}
-        self._counts_read_at = 0.0
+        self._counts = counts or WaitingCounts(rows, clock, registry, log)
         self._in_flight = 0
 
     @property
@@ -332,16 +333,11 @@
                 return self._fail("cancel-failed", call, failure)
 
     def _get_waiting_count(self, call):
-        if self._clock.now() - self._counts_read_at > COUNTS_CACHE_SECONDS:
-            match self._rows.get_waiting_counts(call.deadline):
-                case Success(counts):
-                    self._count_by_queue, self._counts_read_at = (
-                        counts,
-                        self._clock.now(),
-                    )
-                case Failure(failure):
-                    return self._fail("count-unknown", call, failure)
-        jobs = self._count_by_queue.get(call.queue.name, 0)
+        match self._counts.get(call.queue.name, call.deadline):
+            case Success(jobs):
+                pass
+            case Failure(failure):
+                return self._fail("count-unknown", call, failure)
         self._log_answer("count-told", call.queue.name, call.applied, jobs=jobs)
         return 200, encode_queue_length(jobs), ()
 
--- a/src/bergamotshore/platform/store.py
+++ b/src/bergamotshore/platform/store.py
@@ -53,9 +53,13 @@
 
 
 class WireAnswer(msgspec.Struct, frozen=True):
-    """Answer to every call about rows; ``ver`` is the newest version of the store."""
+    """Answer to every call about rows.
+
+    ``ver`` is the newest version of the store, ``now_ms`` the time on its clock.
+    """
 
     ver: Count = 0
+    now_ms: Count = 0
     rows: list[msgspec.Raw] = []
     truncated: bool = False
 
@@ -178,7 +182,8 @@
                 row = _decode_unreadable_row(content, answer.ver)
                 rows += [row] if row is not None else []
                 problems.append(f"{row.id if row is not None else 'unknown'}: {error}")
-    return RowPage(rows, answer.ver, answer.truncated, tuple(problems))
+    now = answer.now_ms / 1000
+    return RowPage(rows, answer.ver, answer.truncated, tuple(problems), now)
 
 
 def _decode_row(row):
--- a/src/bergamotshore/ports/rows.py
+++ b/src/bergamotshore/ports/rows.py
@@ -61,12 +61,14 @@
     :param is_partial: Whether more rows match.
     :param problems: Descriptions of rows that can't be read. Those that could be
         identified are among ``rows``, with an empty value.
+    :param now: Time on the store's clock, in seconds; 0 if it doesn't tell.
     """
 
     rows: list
     version: int
     is_partial: bool = False
     problems: tuple = ()
+    now: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/site.py
+++ b/standins/site.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import time
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
@@ -66,9 +67,12 @@
 
     Faults are 'ok' (none), 'down' (not executed), 'lost' (executed, response lost) and
     'late' (executed by ``run_late``, if its conditions hold then).
+
+    :param get_now: Function that returns the time on its clock, in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, get_now=time.monotonic):
+        self.get_now = get_now
         self.largest_value = 0
         self.row_by_id = {}
         self.version = 0
@@ -147,7 +151,8 @@
             and (not last or row_id.key < last)
         ]
         cut = rows[:limit] if limit else rows
-        return Success(RowPage(cut, self.version, len(cut) < len(rows)))
+        is_partial = len(cut) < len(rows)
+        return Success(RowPage(cut, self.version, is_partial, now=self.get_now()))
 
     def follow(self, table, after, wait, timeout=None):
         """Return the changes after a version; never waits."""
@@ -156,7 +161,7 @@
         if after < self.oldest:
             return Failure(HistoryLost())
         rows = [r for r in self.changes if r.id.table == table and r.version > after]
-        return Success(RowPage(rows, self.version))
+        return Success(RowPage(rows, self.version, now=self.get_now()))
 
     def compact(self):
         """Discard the change history."""
