Refuse jobs that no scheduling entry has memory for

Callers saw the scheduling entry end, and each one that took over, after jobs of legal size that together take more than its machine has: 16 clients that send jobs of 400 steps, all answered 200, ended it twice in 25 s (a trial with the figures of a small site on, 300 MB).

Cause: nothing bounded what all accepted jobs take.

Entries now refuse, with 503 and Retry-After, what doesn't fit a quarter of the memory of the smallest entry that ever held the lease, by an estimate from above. The renewal of the lease tells the sum and the version of the store up to which it counts; an entry adds what it has accepted since, times the number of entries. A refusal is withheld where the job may be stored.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/python -m bench.tasks
 	$(BIN)/python -m bench.scale
 	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.jobcost
 
 generate: $(STAMP)
 	$(BIN)/python tools/generate_schema.py
--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -14,6 +14,7 @@
 from bergamotshore.core.work.durations import DurationEstimates
 from bergamotshore.core.work.fullspeed import record_work
 from bergamotshore.core.work.interference import Interference
+from bergamotshore.core.work.jobcost import estimate_job_memory
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.order import JobOrder
 from bergamotshore.core.work.places import PlaceTracker
@@ -79,6 +80,8 @@
         self._max_runs = max_runs
         self.job_by_key = {}
         self.key_by_id = {}
+        # Memory that all jobs take, in bytes.
+        self.job_memory = 0
         self.worker_by_node = {}
         self.recent_outcomes = deque(maxlen=MAX_RECENT_OUTCOMES)
         self.new_outcomes = []
@@ -159,6 +162,7 @@
         """Add a job with its ``JobProgress``."""
         self.job_by_key[progress.key] = progress
         self.key_by_id[progress.spec.job_id] = progress.key
+        self.job_memory += estimate_job_memory(progress.spec)
         self.crash_suspects.update(progress.list_crashed())
 
     def count_crashes(self, ref):
@@ -185,6 +189,7 @@
         progress = self.job_by_key.pop(key, None)
         if progress is not None:
             self.key_by_id.pop(progress.spec.job_id, None)
+            self.job_memory -= estimate_job_memory(progress.spec)
 
     def get_worker(self, node, zone):
         """Return the ``WorkerState`` of a node, creating it if necessary."""
--- a/src/bergamotshore/entry/dispatcher.py
+++ b/src/bergamotshore/entry/dispatcher.py
@@ -18,6 +18,7 @@
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.durations import SampleAccepted
 from bergamotshore.core.work.fullspeed import UnusableDuration
+from bergamotshore.core.work.jobcost import HeldJobs, get_memory_limit
 from bergamotshore.core.work.jobstate import restore_crashes
 from bergamotshore.core.work.leases import get_lease_expiry_seconds
 from bergamotshore.core.work.presence import get_reported_runs
@@ -91,6 +92,7 @@
 # this time, in seconds.
 STAND_BACK_SECONDS = 4.0
 NO_DECISIONS_UNDER_LOAD = Scheduling()
+DEFAULT_JOB_MEMORY_LIMIT = get_memory_limit(160)
 
 
 class Dispatcher:
@@ -117,6 +119,7 @@
         their group.
     :param on_backlog: Called with each ``Backlog`` that this entry estimates.
     :param max_runs: Number of runs that this entry has memory for.
+    :param job_memory_limit: Memory that accepted jobs may take here, in bytes.
     """
 
     def __init__(
@@ -141,11 +144,13 @@
         spread_factor=1.0,
         on_backlog=lambda backlog: None,
         max_runs=DEFAULT_MAX_RUNS,
+        job_memory_limit=DEFAULT_JOB_MEMORY_LIMIT,
     ):
         self.scheduling = scheduling
         self.spread_factor = spread_factor
         self._on_backlog = on_backlog
         self._max_runs = max_runs
+        self._job_memory_limit = job_memory_limit
         self.decision_log = DecisionLog(registry, log)
         self.machines = machines
         self.machine_calls = machine_calls
@@ -199,6 +204,8 @@
         self.decision_log.begin_term(self.epoch)
         self._backlog = BacklogTracker(self.epoch)
         self._backlog_measured_at = 0.0
+        # Version of the store up to which the open jobs are known.
+        self._jobs_version = 0
 
     def _build_row(self, row_id):
         return LatestRow(self.store, row_id, self.executor, self.clock, self.log)
@@ -335,6 +342,7 @@
             self.writer.set_fence(part, version)
         self.maintenance = self._build_maintenance(fences[WAVES_PART])
         self._restore(open_jobs)
+        self._jobs_version = open_jobs.version
         self.log.write(
             "takeover",
             epoch,
@@ -423,6 +431,7 @@
                         with self.collector.containing("rows", row.id.key):
                             self._handle_row(row)
                     self.freshness.jobs_confirmed_at = requested_at
+                    self._jobs_version = max(self._jobs_version, event.version)
             case JobCancelled(key=key):
                 self._cancel_job(key)
             case WriteFinished():
@@ -857,6 +866,14 @@
         """Return the ``CountsMark`` of this term; may be called from any thread."""
         return self._counts_row.confirmed if self.epoch else None
 
+    def get_held_jobs(self):
+        """Return the ``HeldJobs`` of this term, or None; called from any thread."""
+        # Read first: jobs that are added meanwhile are counted too early, never late.
+        version = self._jobs_version
+        if not version:
+            return None
+        return HeldJobs(self.cluster.job_memory, self._job_memory_limit, version)
+
     def _store_interference(self, now):
         """Write the interference model, so that a successor can continue with it."""
         if now - self._interference_stored_at < INTERFERENCE_INTERVAL_SECONDS:
--- a/src/bergamotshore/entry/dispatchevents.py
+++ b/src/bergamotshore/entry/dispatchevents.py
@@ -29,11 +29,14 @@
     :param rows: Rows; empty when nothing changed.
     :param requested_at: When the read was sent, on this entry's clock.
     :param epoch: Term in which it was sent.
+    :param version: Version of the store up to which they tell all changes; 0 if the
+        read doesn't tell.
     """
 
     rows: list
     requested_at: float
     epoch: int
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshore/entry/election.py
+++ b/src/bergamotshore/entry/election.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from returns.result import Failure, Success
@@ -15,6 +15,7 @@
     bound_holder,
     describe_earlier,
 )
+from bergamotshore.core.work.jobcost import HeldJobs
 from bergamotshore.core.work.leases import (
     CANDIDACY_DELAY_SECONDS,
     HANDOVER_SECONDS,
@@ -58,6 +59,7 @@
         former builds.
     :param counts: What the holder says of the published numbers of waiting jobs; None
         if it can't say or in rows of former builds.
+    :param held: What it holds of accepted jobs, with the lowest limit of all holders.
     """
 
     name: str
@@ -69,6 +71,7 @@
     required_permissions: tuple[str, ...] | None = None
     awaited: tuple[EarlierProcess, ...] | None = None
     counts: CountsMark | None = None
+    held: HeldJobs | None = None
 
     def is_same_term(self, other):
         """Return whether another row was written by the same process in this term."""
@@ -92,6 +95,8 @@
     :param grant_seconds: Duration of a node's renewal grant, in seconds.
     :param get_counts_mark: Function that returns what this entry, while it schedules,
         says of the published numbers of waiting jobs.
+    :param get_held_jobs: Function that returns the ``HeldJobs`` of this entry while it
+        schedules, or None.
     """
 
     def __init__(
@@ -106,6 +111,7 @@
         can_schedule=lambda: True,
         grant_seconds=MAX_GRANT_SECONDS,
         get_counts_mark=lambda: None,
+        get_held_jobs=lambda: None,
     ):
         self.lease = LeaderLease()
         self.row = None
@@ -119,6 +125,7 @@
         self._can_schedule = can_schedule
         self._grant_seconds = grant_seconds
         self._get_counts_mark = get_counts_mark
+        self._get_held_jobs = get_held_jobs
         self._permissions = EchoPermissions(clock)
         self._free_since = None
         self._bound_by_process = {}
@@ -150,6 +157,14 @@
         row = self.row
         return row.counts if row is not None else None
 
+    def get_observed_held_jobs(self):
+        """Return the ``HeldJobs`` in the row that was read or written last, or None.
+
+        May be called from any thread.
+        """
+        row = self.row
+        return row.held if row is not None else None
+
     @property
     def superseded_epoch(self):
         """Return the newest term of another process, if this one holds none, or 0.
@@ -440,6 +455,7 @@
             required_permissions=self._permissions.add_required(),
             awaited=self._list_awaited(sent_at),
             counts=self._get_counts_mark(),
+            held=self._describe_held_jobs(),
         )
         if not self.lease.epoch:
             self._permissions.record_claim(is_open=True)
@@ -462,6 +478,19 @@
                 self._log.write("store-failed", "leader-row", why=str(failure))
                 return False
 
+    def _describe_held_jobs(self):
+        """Return the ``HeldJobs`` for the row of the lease.
+
+        The limit is that of the smallest entry that ever held the lease, as any entry
+        may have to take over. A holder that hasn't read the jobs passes on what the one
+        before has told.
+        """
+        earlier = self.row.held if self.row is not None else None
+        held = self._get_held_jobs()
+        if held is None or earlier is None:
+            return held or earlier
+        return replace(held, limit=min(held.limit, earlier.limit))
+
     def _list_awaited(self, now):
         """Return each ``EarlierProcess`` that a successor has to reckon with."""
         with self._lock:
@@ -536,6 +565,7 @@
             epoch,
             *self._describe_earlier_terms(now),
             awaited=self._list_awaited(now),
+            held=self.row.held if self.row is not None else None,
         )
         outcome = self._store.transact(
             [Expect(LEADER_ROW, version)],
--- a/src/bergamotshore/entry/jobrows.py
+++ b/src/bergamotshore/entry/jobrows.py
@@ -153,9 +153,12 @@
     :param store: ``RowStore``.
     :param clock: ``Clock``.
     :param pause: Function that sleeps for a number of seconds.
+    :param on_accepted: Called with each ``JobSpec`` that was stored and the version of
+        the store, or None if the write got no answer.
     """
 
-    def __init__(self, store, clock, pause):
+    def __init__(self, store, clock, pause, on_accepted=lambda spec, version: None):
+        self._on_accepted = on_accepted
         self._store = store
         self._clock = clock
         self._pause = pause
@@ -182,10 +185,13 @@
         expects = [Expect(job, 0), Expect(get_row_id(CLOSED, spec.key), 0)]
         outcome = self._write(expects, [Put(job, encode_spec(spec))], deadline)
         match outcome:
-            case Success(_):
+            case Success(version):
+                self._on_accepted(spec, version)
                 return Success(True)
             case Failure(RowsConflict()):
                 return Success(False)
+            case Failure(PlatformUncertain()):
+                self._on_accepted(spec, None)
         return outcome
 
     def cancel(self, queue, job_id, deadline):
--- a/src/bergamotshore/entry/site.py
+++ b/src/bergamotshore/entry/site.py
@@ -16,6 +16,7 @@
     get_max_age,
     get_poll_times,
 )
+from bergamotshore.core.work.jobcost import get_memory_limit
 from bergamotshore.core.work.leases import (
     RENEW_SECONDS,
     get_candidacy_delay,
@@ -35,6 +36,7 @@
 from bergamotshore.entry.election import Election
 from bergamotshore.entry.entrylist import EntryList
 from bergamotshore.entry.intake import MAX_SMALL_SERVER_CONNECTIONS, Intake
+from bergamotshore.entry.jobroom import JobRoom
 from bergamotshore.entry.jobrows import JOBS, PARTS, JobRows
 from bergamotshore.entry.relay import (
     RelayedClient,
@@ -168,6 +170,7 @@
             self.can_schedule,
             get_grant_seconds(self.site.longest_hold_ms / 1000),
             lambda: self.dispatcher.get_counts_mark(),
+            lambda: self.dispatcher.get_held_jobs(),
         )
         self.stall = StallDetector()
         self.freshness = StateFreshness(
@@ -176,7 +179,18 @@
             get_max_age(self.site.cancel_within_ms / 1000),
         )
         self.dispatcher = self._build_dispatcher()
-        rows = JobRows(self.store, self.clock, self.finished.wait)
+        self.job_room = JobRoom(
+            settings.intake.memory_mb,
+            self.clock,
+            self.election.get_observed_held_jobs,
+            lambda: len(self.peers),
+        )
+        rows = JobRows(
+            self.store,
+            self.clock,
+            self.finished.wait,
+            self.job_room.record_accepted,
+        )
         self.app = SubmissionApp(
             rows,
             self.follower.state,
@@ -195,6 +209,7 @@
                 self.election.get_observed_counts_mark,
                 self.count_executor.map,
             ),
+            self.job_room,
         )
         self.intake = Intake(settings.intake, self.clock, self.registry, self.log)
         self.stream_intake = StreamIntake(
@@ -271,6 +286,7 @@
             spread_factor=self.site.spread_factor,
             on_backlog=self.admission.record,
             max_runs=self.settings.intake.memory_mb * RUNS_PER_MB,
+            job_memory_limit=get_memory_limit(self.settings.intake.memory_mb),
         )
 
     def _build_small_server(self, app, address):
@@ -286,6 +302,8 @@
     def _watch_gauges(self):
         self.registry.watch("resident_bytes", read_resident_bytes)
         self.registry.watch("processor_seconds_total", read_processor_seconds)
+        self.registry.watch("job_memory_bytes", lambda: self.job_room.held)
+        self.registry.watch("job_memory_limit_bytes", lambda: self.job_room.limit)
         self.registry.watch("calls_in_flight", lambda: self.app.in_flight)
         self.registry.watch("nodes", lambda: len(self.directory.list_streams()))
         self.registry.watch("epoch", lambda: self.dispatcher.epoch)
@@ -637,7 +655,9 @@
             case Success(page):
                 self._feed_failures = 0
                 self.dispatcher.store_clock.observe(page.now)
-                self.dispatcher.post(RowsChanged(page.rows, asked_at, epoch))
+                self.dispatcher.post(
+                    RowsChanged(page.rows, asked_at, epoch, page.version)
+                )
                 return page.version
             case Failure(HistoryLost()):
                 self.log.write("history-lost", JOBS, version=version)
--- a/src/bergamotshore/entry/submissions.py
+++ b/src/bergamotshore/entry/submissions.py
@@ -7,6 +7,8 @@
 import msgspec
 from returns.result import Failure, Success
 
+from bergamotshore.core.work.admission import choose_retry_seconds
+from bergamotshore.core.work.jobcost import estimate_job_memory
 from bergamotshore.core.work.model import get_job_key
 from bergamotshore.entry.jobrows import find_id_problem
 from bergamotshore.entry.waitingcounts import WaitingCounts
@@ -24,6 +26,9 @@
 DEADLINE_SHARE = 0.8
 DEFAULT_DEADLINE_SECONDS = 3.0
 RETRY_AFTER_SECONDS = 1
+# Time after which jobs that found no memory may come again, in seconds: jobs that last
+# for seconds make room, and callers are spread over twice the time.
+FULL_RETRY_SECONDS = 4.0
 # Time for the store to tell that a job to be refused isn't stored, in seconds: a sound
 # store answers two reads in a few hundredths. A slower one may hold writes back too.
 PROOF_SECONDS = 0.3
@@ -80,6 +85,7 @@
     :param on_cancelled: Called with the key of each job whose cancellation was stored.
     :param admission: ``Admission``; None to refuse no job for load.
     :param counts: ``WaitingCounts``; None for one that trusts no published number.
+    :param job_room: ``JobRoom``; None to refuse no job for memory.
     """
 
     def __init__(
@@ -94,6 +100,7 @@
         on_cancelled=lambda key: None,
         admission=None,
         counts=None,
+        job_room=None,
     ):
         self._admission = admission
         self._uncertain_until_by_key = OrderedDict()
@@ -106,6 +113,7 @@
         self._is_store_reachable = is_store_reachable
         self._on_cancelled = on_cancelled
         self._lock = threading.Lock()
+        self._job_room = job_room
         self._counts = counts or WaitingCounts(rows, clock, registry, log)
         self._in_flight = 0
 
@@ -197,6 +205,8 @@
             case Failure(failure):
                 self._log.write("job-invalid", call.job_id, why=failure.detail)
                 return 400, msgspec.json.encode({"detail": failure.detail}), ()
+        if self._has_no_room(spec, call):
+            return self._refuse_for_memory(spec, call)
         refusal = self._find_refusal(spec, call)
         if refusal is not None:
             return self._refuse(refusal, call)
@@ -245,6 +255,31 @@
         )
         return None
 
+    def _has_no_room(self, spec, call):
+        """Return whether a job is provably not stored, and no entry has room for it."""
+        if self._job_room is None or self._job_room.has_room(spec):
+            return False
+        return not self._find_doubt(spec.key, call)
+
+    def _refuse_for_memory(self, spec, call):
+        self._registry.count(
+            "jobs_refused_total",
+            reason="memory",
+            service=call.queue.service,
+            priority=call.queue.priority,
+        )
+        retry = choose_retry_seconds(FULL_RETRY_SECONDS, call.job_id)
+        self._log.write(
+            "jobs-full",
+            call.job_id,
+            queue=call.queue.name,
+            memory=estimate_job_memory(spec),
+            held=self._job_room.held,
+            limit=self._job_room.limit,
+            retry=retry,
+        )
+        return 503, b"{}", (("Retry-After", str(retry)),)
+
     def _find_doubt(self, key, call):
         """Return why a job may be stored; empty if it provably isn't."""
         now = self._clock.now()
@@ -273,7 +308,7 @@
 
     def _set_uncertain(self, key, is_uncertain):
         """Remember, or forget, that a write of a job may still be applied."""
-        if self._admission is None:
+        if self._admission is None and self._job_room is None:
             return
         with self._lock:
             self._uncertain_until_by_key.pop(key, None)
--- a/tests/site/simulation.py
+++ b/tests/site/simulation.py
@@ -295,6 +295,7 @@
             can_schedule=self.can_schedule,
             grant_seconds=simulation.grant_seconds,
             get_counts_mark=lambda: self.dispatcher.get_counts_mark(),
+            get_held_jobs=lambda: self.dispatcher.get_held_jobs(),
         )
         self.stall = StallDetector()
         self.directory = StreamDirectory(self.clock, self._send_heartbeat)
