Let a planning pass look at a bounded number of steps

Cause: a pass looked at each waiting step, twice with a full scan, and took about a second; by its end what the entry knew was too old to start by.

A pass now looks at 4,000 steps: the first jobs in order, some small ones, and the others in turn, so that jobs which fit no worker hide nobody. Below that number nothing changes. The downtime of tasks that never ran is tracked for 100 of a job, in place of 100 of each step.

--- a/src/bergamotshore/core/work/cluster.py
+++ b/src/bergamotshore/core/work/cluster.py
@@ -15,6 +15,7 @@
 from bergamotshore.core.work.fullspeed import record_work
 from bergamotshore.core.work.interference import Interference
 from bergamotshore.core.work.jobcost import estimate_job_memory
+from bergamotshore.core.work.jobwindow import JobWindow
 from bergamotshore.core.work.model import TaskRef
 from bergamotshore.core.work.order import JobOrder
 from bergamotshore.core.work.places import PlaceTracker
@@ -97,6 +98,7 @@
         self._pending_by_node = {}
         self._waiting_since_by_step = {}
         self._reservation_by_node = {}
+        self.job_window = JobWindow()
         self.crash_suspects = set()
 
     def reserve(self, node, reservation):
@@ -136,9 +138,17 @@
 
     def record_waiting(self, waiting, now):
         """Record the steps that are waiting now, and drop obsolete reservations."""
+        former = self._waiting_since_by_step
         self._waiting_since_by_step = {
-            item.key: self._waiting_since_by_step.get(item.key, now) for item in waiting
+            item.key: former.get(item.key, now) for item in waiting
         }
+        if self.job_window.keys is not None:
+            # Steps of jobs that the pass doesn't look at go on waiting.
+            self._waiting_since_by_step |= {
+                key: since
+                for key, since in former.items()
+                if key[0] in self.job_by_key and key[0] not in self.job_window.keys
+            }
         self._reservation_by_node = {
             node: reservation
             for node, reservation in self._reservation_by_node.items()
--- a/src/bergamotshore/core/work/downtime.py
+++ b/src/bergamotshore/core/work/downtime.py
@@ -12,8 +12,8 @@
 # A long-running task has to run again within 6 s; a longer downtime is logged before
 # that. In seconds.
 REPORTED_DOWNTIME_SECONDS = 4.0
-# Tasks of a step that never had a run of which the downtime is tracked: all of them
-# wait for the same reason.
+# Tasks of a job that never had a run of which the downtime is tracked: so many wait for
+# the same reasons.
 MAX_NEVER_STARTED = 100
 
 
@@ -77,13 +77,15 @@
     for progress in cluster.job_by_key.values():
         if not progress.spec.is_lasting:
             continue
+        left = MAX_NEVER_STARTED
         for occurrence, number in progress.list_ready_steps():
             step = progress.spec.steps[number]
             if not step.is_lasting:
                 continue
             tasks = progress.get_step_tasks(occurrence, number)
-            for index in tasks.list_sample(MAX_NEVER_STARTED):
+            for index in tasks.list_sample(left):
                 yield progress, TaskRef(progress.key, occurrence, number, index)
+            left -= min(left, tasks.untouched)
 
 
 def _list_running_names(cluster):
--- a/src/bergamotshore/core/work/progress.py
+++ b/src/bergamotshore/core/work/progress.py
@@ -309,6 +309,17 @@
                         count_by_step[number] = count + 1
         return ready
 
+    def count_ready_steps(self):
+        """Return how many ready steps ``list_ready_steps`` tells at most."""
+        if self.outcome or self.is_cancelled:
+            return 0
+        if self.occurrences == 1:
+            return len(self._list_ready_of_only_one())
+        limit = MAX_OCCURRENCES_IN_PASS * len(self.spec.steps)
+        return min(
+            limit, sum(len(steps) for _, steps in self._list_ready_by_occurrence())
+        )
+
     def _list_ready_of_only_one(self):
         if not self.is_open(0):
             return []
@@ -322,8 +333,7 @@
             (occurrence, tasks.list_ready())
             for occurrence, tasks in self._occurrences.list_stored()
         ]
-        steps = len(self._first_steps)
-        limit = -(-MIN_STEPS_IN_PASS // steps)
+        limit = -(-MIN_STEPS_IN_PASS // max(1, len(self._first_steps)))
         untouched = islice(self._occurrences.iterate_untouched(), limit)
         fresh = ((occurrence, self._first_steps) for occurrence in untouched)
         return merge(touched, fresh)
--- a/src/bergamotshore/core/work/waiting.py
+++ b/src/bergamotshore/core/work/waiting.py
@@ -88,14 +88,26 @@
 
 
 def list_waiting(view):
-    """Return all ``WaitingStep`` in scheduling order."""
+    """Return the ``WaitingStep`` that a pass looks at, in scheduling order.
+
+    These are all, unless there are too many, see ``JobWindow``.
+    """
     if view.scheduling.order == "value":
         view.cluster.job_order.refresh(view)
     capacity_by_service = measure_capacity(view)
-    waiting = []
+    jobs = []
     for progress in view.cluster.job_by_key.values():
         if progress.key in view.collector.left_out:
             continue
+        try:
+            progress.open_due_occurrences(view.wall)
+            jobs.append((progress, progress.count_ready_steps()))
+        except Exception as error:
+            view.collector.record("waiting", progress.key, error)
+    waiting = []
+    for progress in view.cluster.job_window.choose(
+        jobs, view.now, lambda job: _get_job_rank(view, job, capacity_by_service)
+    ):
         try:
             waiting += _list_waiting_of_job(view, progress, capacity_by_service)
         except Exception as error:
@@ -105,7 +117,6 @@
 
 
 def _list_waiting_of_job(view, progress, capacity_by_service):
-    progress.open_due_occurrences(view.wall)
     waiting = []
     time_limit = _get_time_limit(view, progress, capacity_by_service)
     for occurrence, number in progress.list_ready_steps():
@@ -134,6 +145,22 @@
     return seconds if queue is None else queue.stretch * seconds + queue.slack
 
 
+def _get_job_rank(view, progress, capacity_by_service):
+    """Return the sort key of the first step of a job that may wait.
+
+    A job that raises errors goes first, so that it is left out.
+    """
+    steps = progress.spec.steps
+    number = next((n for n, step in enumerate(steps) if step.is_lasting), 0)
+    try:
+        time_limit = _get_time_limit(view, progress, capacity_by_service)
+        occurrence = progress.finished_occurrences
+        return (True, *_get_rank(view, progress, occurrence, number, time_limit))
+    except Exception as error:
+        view.collector.check(error)
+        return (False,)
+
+
 def _get_rank(view, progress, occurrence, number, time_limit):
     spec = progress.spec
     queue = view.cluster.get_queue(spec.queue)
