--- a/tests/site/test_job_cost.py
+++ b/tests/site/test_job_cost.py
@@ -4,6 +4,7 @@
 the entry exceeded its memory, and so did each successor.
 """
 
+import json
 import tracemalloc
 
 import pytest
@@ -13,11 +14,12 @@
 from bergamotshore.core.work.cluster import ClusterState
 from bergamotshore.core.work.decisions import make_plan
 from bergamotshore.core.work.jobstate import encode_progress
-from bergamotshore.core.work.model import JobSpec, Step
+from bergamotshore.core.work.model import JobSpec, Step, decode_spec, encode_spec
 from bergamotshore.core.work.site import Queue, SiteState
 from bergamotshore.core.work.waiting import PlanView
 from bergamotshore.entry.decisionlog import DecisionLog
 from bergamotshore.generated.settings import Scheduling
+from bergamotshore.platform.jobs import decode_submission
 from tests.site.simulation import SERVICE
 from tests.site.workers import build_worker
 
@@ -156,6 +158,23 @@
     assert measure(accept_and_plan) < MAX_BYTES + 3 * baseline
 
 
+# Guards against a limit of the number of tasks that refuses what the pages allow.
+@pytest.mark.parametrize("fields", [{}, {"repeats": 10_000, "interval_ms": 0}])
+def test_job_of_any_number_of_tasks_is_accepted_and_costs_nothing(fields):
+    step = {"count": 20 * TASKS // fields.get("repeats", 1), "cpu": 100, "mem_mb": 10}
+    body = json.dumps({"steps": [step], **fields}).encode()
+    spec = decode_submission(body, QUEUE, "large", 1.0).unwrap()
+    assert spec == decode_spec(encode_spec(spec))
+    cluster = build_cluster()
+
+    def accept_and_plan():
+        cluster.add_job(spec)
+        plan(cluster, 100.0, Scheduling())
+
+    assert measure(accept_and_plan) < 2 * MAX_BYTES
+    assert len(list(cluster.job_by_key["queue/large"].list_runs())) == 500
+
+
 def submit_small(simulation, name):
     for number in range(4):
         assert simulation.submit(f"{name}{number}", (SMALL,)) == Success(True)
